--- /dev/null
+++ b/include/eelgrassloft/config.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "eelgrassloft/time.h"
+
+#include <cstddef>
+#include <cstdint>
+
+/// Limits and periods of the whole code base.
+namespace eelgrassloft::config {
+
+using namespace std::chrono_literals;
+
+// Requests.
+inline constexpr size_t maxHeaderBytes = 8 * 1024;
+inline constexpr size_t maxBodyBytes = 1024 * 1024;
+inline constexpr size_t maxRecordedAnswerBytes = 64 * 1024;
+inline constexpr size_t maxKeyBytes = 128;
+inline constexpr size_t maxServiceNameBytes = 64;
+inline constexpr size_t maxQueuedRequests = 4096; // per service and entry host
+inline constexpr size_t maxCallerConnections = 1024;
+inline constexpr Duration defaultRequestTimeout = 10s;
+inline constexpr Duration maxRequestTimeout = 10min;
+inline constexpr Duration callerReadTimeout = 10s;
+inline constexpr Duration callerIdleTimeout = 60s;
+inline constexpr Duration claimSettleGrace = 500ms;
+
+// Retries.
+inline constexpr uint32_t maxAttemptsPerRequest = 4;
+inline constexpr uint32_t retryTokensPerRequest = 1; // in tenths of a retry
+inline constexpr uint32_t retryTokenCost = 10;
+inline constexpr uint32_t retryTokenReserve = 100; // ten retries without any traffic
+
+// Upstreams.
+inline constexpr uint32_t maxUpstreams = 4096;
+inline constexpr uint32_t maxSlotsPerUpstream = 1024;
+inline constexpr Duration announcementLifetime = 2s;
+inline constexpr Duration upstreamConnectTimeout = 500ms;
+inline constexpr Duration idleConnectionLifetime = 5s;
+inline constexpr Duration idleTrustLimit = 500ms; // for work that runs at most once
+inline constexpr Duration lateAnswerLimit = 30s; // after the deadline, before a connection is given up
+inline constexpr Duration unconfirmedLimit = 2s; // of bytes sent without a sign of the peer
+inline constexpr int keepAliveIdleSeconds = 1;
+inline constexpr int keepAliveIntervalSeconds = 1;
+inline constexpr int keepAliveProbes = 3;
+inline constexpr uint32_t outlierFailures = 5;
+inline constexpr Duration outlierPause = 5s;
+inline constexpr int latencyWeightShift = 3; // weight of a new sample: 1/8
+
+// Shares of the slots of an upstream.
+inline constexpr Duration shareLease = 1s;
+inline constexpr Duration shareReportPeriod = 250ms;
+inline constexpr Duration shareDemandPeriod = 10ms; // between reports while requests wait
+inline constexpr Duration shareRecallLifetime = 50ms;
+inline constexpr Duration shareFairnessGap = 5ms; // difference of waits below which queues are left alone
+inline constexpr Duration clockBound = 50ms; // clock rate error over any lease
+
+// Replicated logs.
+inline constexpr Duration heartbeatPeriod = 100ms;
+inline constexpr Duration cellHeartbeatPeriod = 250ms;
+inline constexpr uint32_t electionTimeoutHeartbeats = 5;
+inline constexpr size_t maxEntriesPerAppend = 256;
+inline constexpr size_t maxUnconfirmedEntries = 4096;
+inline constexpr size_t snapshotThresholdEntries = 1024;
+
+// Peer connections.
+inline constexpr uint32_t peerProtocolVersion = 1;
+inline constexpr size_t maxFrameBytes = 16 * 1024 * 1024;
+inline constexpr size_t maxPeerMailbox = 8192;
+inline constexpr Duration peerReconnectDelay = 200ms;
+inline constexpr Duration peerSilenceLimit = 2s;
+inline constexpr Duration statusPeriod = 500ms;
+inline constexpr Duration proposalRetry = 200ms;
+inline constexpr Duration settleTimeout = 1min;
+inline constexpr Duration operatorTimeout = 10s;
+inline constexpr Duration workerReplyHold = 1s; // longest wait for a command before an empty reply
+inline constexpr Duration workerCallTimeout = 3s; // of a forwarded report
+inline constexpr Duration blockedJobPatience = 5s; // before workers are kept free for an all-at-once job
+inline constexpr Duration planPeriod = 500ms; // between plans while nothing changes
+inline constexpr size_t maxRefusedSizes = 64; // remembered in one plan
+inline constexpr size_t maxTasksLookedAt = 4096; // per plan
+inline constexpr uint32_t usageTolerancePercent = 10; // over its reservation before a task is acted on
+
+// Records of idempotent requests.
+inline constexpr Duration claimSegment = 10min;
+inline constexpr Duration claimLifetime = 24h;
+
+// Configuration.
+inline constexpr size_t maxOperationIdBytes = 128;
+inline constexpr size_t maxRememberedOperations = 4096;
+inline constexpr size_t maxConfigurationBytes = 1024 * 1024;
+
+// Tasks.
+inline constexpr Duration taskLease = 5s;
+inline constexpr Duration workerReportPeriod = 1s;
+inline constexpr uint32_t maxTasksPerJob = 4096;
+inline constexpr uint32_t maxTaskAttempts = 8;
+inline constexpr uint32_t workerFailureJobs = 3; // distinct jobs failed in a row
+inline constexpr Duration workerPause = 5min;
+inline constexpr size_t maxRememberedChanges = 8192; // of workers, for indexes that follow the state
+inline constexpr size_t bestFitCandidates = 16;
+inline constexpr size_t spreadCandidateRacks = 8;
+inline constexpr double idleAcceleratorWeight = -4; // keeps accelerators free for tasks that use them
+inline constexpr size_t maxPlacementsPerStep = 256;
+
+// Daemon.
+inline constexpr size_t maxNodeMailbox = 65536;
+inline constexpr Duration drainNotice = 1s; // readiness fails this long before accepting ends
+inline constexpr Duration drainLimit = 30s;
+inline constexpr Duration drainFlush = 200ms;
+inline constexpr Duration timeLeapLimit = 500ms; // a longer gap between steps is reported as a leap
+
+} // namespace eelgrassloft::config
--- /dev/null
+++ b/include/eelgrassloft/effects.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "eelgrassloft/handle.h"
+#include "eelgrassloft/outcome.h"
+#include "eelgrassloft/record.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace eelgrassloft {
+
+/// The replicated logs of a node.
+enum class LogKind : uint8_t {
+    Cell,
+    DataCentre,
+    Count
+};
+
+constexpr NameTable<LogKind> nameTable(LogKind)
+{
+    constexpr NameTable<LogKind> table { "cell", "data-centre" };
+    return table;
+}
+
+/// Events that are written to the operators' log.
+enum class LogEventKind : uint8_t {
+    LeaderChanged,
+    RevisionInForce,
+    ChangeAccepted,
+    ChangeRefused,
+    UpstreamAnnounced,
+    UpstreamLeaving,
+    UpstreamSetAside,
+    WorkerJoined,
+    WorkerLost,
+    WorkerSetAside,
+    TaskEnded,
+    RequestRefused,
+    RequestUnknown,
+    TimeLeap,
+    Draining,
+    LogFormed,
+    IncarnationChanged,
+    Count
+};
+
+constexpr NameTable<LogEventKind> nameTable(LogEventKind)
+{
+    constexpr NameTable<LogEventKind> table { "leader-changed", "revision-in-force", "change-accepted",
+        "change-refused", "upstream-announced", "upstream-leaving", "upstream-set-aside", "worker-joined",
+        "worker-lost", "worker-set-aside", "task-ended", "request-refused", "request-unknown", "time-leap", "draining",
+        "log-formed", "incarnation-changed" };
+    static_assert(detail::isComplete<LogEventKind>(table));
+    return table;
+}
+
+/// A key and its value in a log line.
+struct LogField {
+    std::string_view key;
+    std::string value;
+};
+
+/// One line of the operators' log.
+struct LogEvent {
+    LogEventKind kind = LogEventKind::Count;
+    std::vector<LogField> fields;
+};
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/include/eelgrassloft/job.h
@@ -0,0 +1,218 @@
+#pragma once
+
+#include "eelgrassloft/config.h"
+#include "eelgrassloft/handle.h"
+#include "eelgrassloft/name_table.h"
+#include "eelgrassloft/record.h"
+#include "eelgrassloft/resources.h"
+
+#include <string>
+#include <utility>
+
+namespace eelgrassloft {
+
+/// How the tasks of a job are placed and how they end.
+enum class JobKind : uint8_t {
+    Service, ///< Runs until it is removed; spread over racks.
+    Batch, ///< Each task runs once; packed tightly.
+    AllAtOnce, ///< All tasks start together or none does.
+    Count
+};
+
+constexpr NameTable<JobKind> nameTable(JobKind)
+{
+    constexpr NameTable<JobKind> table { "service", "batch", "all-at-once" };
+    return table;
+}
+
+/// Order in which jobs wait; a lower value goes first.
+enum class Urgency : uint8_t {
+    Urgent,
+    Normal,
+    Patient,
+    Count
+};
+
+constexpr NameTable<Urgency> nameTable(Urgency)
+{
+    constexpr NameTable<Urgency> table { "urgent", "normal", "patient" };
+    return table;
+}
+
+/// What happens to a job whose data centre is cut off from the cell.
+enum class CutOffPolicy : uint8_t {
+    Keep,
+    Move,
+    Count
+};
+
+constexpr NameTable<CutOffPolicy> nameTable(CutOffPolicy)
+{
+    constexpr NameTable<CutOffPolicy> table { "keep", "move" };
+    return table;
+}
+
+enum class TaskState : uint8_t {
+    Queued,
+    Starting, ///< Placed; the worker has not confirmed the start.
+    Running,
+    Stopping, ///< The worker was told to stop and has not confirmed it.
+    Finished,
+    Failed,
+    Cancelled,
+    Count
+};
+
+constexpr NameTable<TaskState> nameTable(TaskState)
+{
+    constexpr NameTable<TaskState> table { "queued", "starting", "running", "stopping", "finished", "failed",
+        "cancelled" };
+    static_assert(detail::isComplete<TaskState>(table));
+    return table;
+}
+
+/// Whether a task in this state occupies its worker.
+constexpr bool holdsWorker(TaskState state)
+{
+    return state == TaskState::Starting || state == TaskState::Running || state == TaskState::Stopping;
+}
+
+constexpr bool isEnded(TaskState state)
+{
+    return state == TaskState::Finished || state == TaskState::Failed || state == TaskState::Cancelled;
+}
+
+/// Why a task waits, as `eelgrassctl explain` shows it.
+enum class WaitReason : uint8_t {
+    None,
+    NotTriedYet,
+    NoWorkerFits, ///< No worker of the data centre is large enough, even empty.
+    NoRoom,
+    QuotaReached,
+    NotEnoughTogether, ///< An all-at-once job does not fit whole.
+    WaitingForPreemption,
+    Count
+};
+
+constexpr NameTable<WaitReason> nameTable(WaitReason)
+{
+    constexpr NameTable<WaitReason> table { "none", "not-tried-yet", "no-worker-fits", "no-room",
+        "quota-reached", "not-enough-together", "waiting-for-preemption" };
+    static_assert(detail::isComplete<WaitReason>(table));
+    return table;
+}
+
+enum class WorkerState : uint8_t {
+    Ready,
+    Lost, ///< Silent for longer than its lease.
+    SetAside, ///< Fails what it starts; gets one task at a time after a pause.
+    Leaving,
+    Count
+};
+
+constexpr NameTable<WorkerState> nameTable(WorkerState)
+{
+    constexpr NameTable<WorkerState> table { "ready", "lost", "set-aside", "leaving" };
+    return table;
+}
+
+/// One row of a sheet.
+struct JobSpec {
+    std::string name;
+    JobKind kind = JobKind::Batch;
+    Urgency urgency = Urgency::Normal;
+    CutOffPolicy onCutOff = CutOffPolicy::Keep;
+    std::string team;
+    std::string dataCentre; ///< Empty: the cell chooses.
+    std::string command; ///< What the worker runs.
+    Resources size; ///< Of each task.
+    uint32_t tasks = 1;
+    bool canCheckpoint = false;
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&JobSpec::name, &JobSpec::kind, &JobSpec::urgency, &JobSpec::onCutOff, &JobSpec::team,
+            &JobSpec::dataCentre, &JobSpec::command, &JobSpec::size, &JobSpec::tasks, &JobSpec::canCheckpoint);
+    }
+
+    friend bool operator==(const JobSpec&, const JobSpec&) = default;
+};
+
+/// Builds a `JobSpec`.
+class JobSpecBuilder {
+public:
+    explicit JobSpecBuilder(std::string name) { m_spec.name = std::move(name); }
+
+    JobSpecBuilder& kind(JobKind value) { return set(m_spec.kind, value); }
+    JobSpecBuilder& urgency(Urgency value) { return set(m_spec.urgency, value); }
+    JobSpecBuilder& team(std::string value) { return set(m_spec.team, std::move(value)); }
+    JobSpecBuilder& dataCentre(std::string value) { return set(m_spec.dataCentre, std::move(value)); }
+    JobSpecBuilder& command(std::string value) { return set(m_spec.command, std::move(value)); }
+    JobSpecBuilder& size(Resources value) { return set(m_spec.size, value); }
+    JobSpecBuilder& tasks(uint32_t value) { return set(m_spec.tasks, value); }
+    JobSpecBuilder& canCheckpoint(bool value) { return set(m_spec.canCheckpoint, value); }
+    JobSpec build() const { return m_spec; }
+
+private:
+    template <typename T>
+    JobSpecBuilder& set(T& field, T value)
+    {
+        field = std::move(value);
+        return *this;
+    }
+
+    JobSpec m_spec;
+};
+
+/// Upper bound of what the running tasks of a team may hold together in one data centre.
+struct TeamQuota {
+    std::string team;
+    Resources limit;
+
+    static constexpr auto members() { return std::make_tuple(&TeamQuota::team, &TeamQuota::limit); }
+
+    friend bool operator==(const TeamQuota&, const TeamQuota&) = default;
+};
+
+/// Limits of one request service.
+struct ServiceLimits {
+    std::string name;
+    uint32_t maxQueued = config::maxQueuedRequests; ///< Per entry host.
+
+    static constexpr auto members() { return std::make_tuple(&ServiceLimits::name, &ServiceLimits::maxQueued); }
+
+    friend bool operator==(const ServiceLimits&, const ServiceLimits&) = default;
+};
+
+/// A whole sheet: everything that should run, and the limits under which it does.
+struct Sheet {
+    std::vector<TeamQuota> teams;
+    std::vector<ServiceLimits> services;
+    std::vector<JobSpec> jobs;
+
+    static constexpr auto members() { return std::make_tuple(&Sheet::teams, &Sheet::services, &Sheet::jobs); }
+};
+
+/// Difference between two sheets. Names are unique within each list.
+struct SheetChange {
+    std::vector<TeamQuota> setTeams;
+    std::vector<std::string> removeTeams;
+    std::vector<ServiceLimits> setServices;
+    std::vector<std::string> removeServices;
+    std::vector<JobSpec> setJobs;
+    std::vector<std::string> removeJobs;
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&SheetChange::setTeams, &SheetChange::removeTeams, &SheetChange::setServices,
+            &SheetChange::removeServices, &SheetChange::setJobs, &SheetChange::removeJobs);
+    }
+
+    bool isEmpty() const
+    {
+        return setTeams.empty() && removeTeams.empty() && setServices.empty() && removeServices.empty()
+            && setJobs.empty() && removeJobs.empty();
+    }
+};
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/include/eelgrassloft/outcome.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "eelgrassloft/name_table.h"
+
+namespace eelgrassloft {
+
+/// How a request ended, as its caller is told.
+enum class Outcome : uint8_t {
+    Answered, ///< The upstream's whole answer follows.
+    NotRun, ///< No upstream started the work.
+    InProgress, ///< The same idempotency key is being worked on.
+    Unknown, ///< The work may or may not have run.
+    Count
+};
+
+constexpr NameTable<Outcome> nameTable(Outcome)
+{
+    constexpr NameTable<Outcome> table { "answered", "not-run", "in-progress", "unknown" };
+    return table;
+}
+
+/// Why a request ended in `Outcome::NotRun`.
+enum class RefusalReason : uint8_t {
+    None,
+    UnknownService,
+    NoUpstream,
+    QueueFull,
+    DeadlineUnreachable,
+    DeadlineExpired,
+    Draining,
+    HeaderTooLarge,
+    BodyTooLarge,
+    Malformed,
+    SlowCaller,
+    MissingKey,
+    KeyReused,
+    HomeUnreachable,
+    NoLeader,
+    LogBusy,
+    RetryBudget,
+    AttemptLimit,
+    UpstreamRefused,
+    CallerGone,
+    TooManyConnections,
+    Count
+};
+
+constexpr NameTable<RefusalReason> nameTable(RefusalReason)
+{
+    constexpr NameTable<RefusalReason> table { "none", "unknown-service", "no-upstream", "queue-full",
+        "deadline-unreachable", "deadline-expired", "draining", "header-too-large", "body-too-large", "malformed",
+        "slow-caller", "missing-key", "key-reused", "home-unreachable", "no-leader", "log-busy", "retry-budget",
+        "attempt-limit", "upstream-refused", "caller-gone", "too-many-connections" };
+    static_assert(detail::isComplete<RefusalReason>(table));
+    return table;
+}
+
+/// What the caller can do about a refusal.
+constexpr std::string_view remedy(RefusalReason reason)
+{
+    constexpr NameTable<RefusalReason> table { "nothing to do",
+        "check the service name, or start an upstream that announces it",
+        "wait until an upstream of the service announces itself, then send again",
+        "send again later, or add upstreams to the service",
+        "send again with a longer deadline, or when the queue is shorter",
+        "send again with a longer deadline",
+        "send again; the balancer picks another host",
+        "shorten the request headers",
+        "shorten the request body",
+        "correct the request as the message says",
+        "send the whole request without pauses",
+        "add an Idempotency-Key header, or mark the request repeatable",
+        "use a new key for a different request",
+        "send again with the same key when the data centre of the key is reachable",
+        "send again with the same key; a leader is being elected",
+        "send again with the same key after a short pause",
+        "send again later; too many requests are being retried",
+        "send again later; several upstreams failed in a row",
+        "send again later; the upstreams are refusing work",
+        "nothing to do; the caller closed its connection",
+        "close unused connections, or send again later" };
+    static_assert(detail::isComplete<RefusalReason>(table));
+    return table[static_cast<size_t>(reason)];
+}
+
+/// Why a request ended in `Outcome::Unknown`.
+enum class UnknownReason : uint8_t {
+    None,
+    AnswerLost,
+    DeadlineInFlight,
+    OwnerLost,
+    AnswerNotKept,
+    RecordNotSettled,
+    Count
+};
+
+constexpr NameTable<UnknownReason> nameTable(UnknownReason)
+{
+    constexpr NameTable<UnknownReason> table { "none", "answer-lost", "deadline-in-flight", "owner-lost",
+        "answer-not-kept", "record-not-settled" };
+    static_assert(detail::isComplete<UnknownReason>(table));
+    return table;
+}
+
+constexpr std::string_view remedy(UnknownReason reason)
+{
+    constexpr NameTable<UnknownReason> table { "nothing to do",
+        "ask the upstream's own records whether the work ran",
+        "ask the upstream's own records, or resend a repeatable request with a longer deadline",
+        "ask the upstream's own records whether the work ran",
+        "the work ran once; its answer was too large to record",
+        "send again with the same key to learn the outcome" };
+    static_assert(detail::isComplete<UnknownReason>(table));
+    return table[static_cast<size_t>(reason)];
+}
+
+/// Why an attempt at an upstream ended without an answer.
+enum class AttemptFailure : uint8_t {
+    ConnectFailed, ///< No byte of the request left.
+    RefusedByUpstream, ///< The upstream said that it did not start the work.
+    SendFailed, ///< Some bytes left; the upstream may have started.
+    AnswerLost, ///< The whole request left and no whole answer came.
+    AnswerTooLarge,
+    Silent, ///< The connection gave no sign of life.
+    Count
+};
+
+constexpr NameTable<AttemptFailure> nameTable(AttemptFailure)
+{
+    constexpr NameTable<AttemptFailure> table { "connect-failed", "refused-by-upstream", "send-failed",
+        "answer-lost", "answer-too-large", "silent" };
+    static_assert(detail::isComplete<AttemptFailure>(table));
+    return table;
+}
+
+/// Whether the upstream cannot have started the work.
+constexpr bool didNotStart(AttemptFailure failure)
+{
+    return failure == AttemptFailure::ConnectFailed || failure == AttemptFailure::RefusedByUpstream;
+}
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/include/eelgrassloft/resources.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "eelgrassloft/name_table.h"
+
+#include <cstdint>
+#include <tuple>
+
+namespace eelgrassloft {
+
+/// Dimensions of a host's capacity.
+enum class Dimension : uint8_t {
+    Processors,
+    Memory,
+    Accelerators,
+    Count
+};
+
+constexpr NameTable<Dimension> nameTable(Dimension)
+{
+    constexpr NameTable<Dimension> table { "processors", "memory", "accelerators" };
+    return table;
+}
+
+/// An amount of every dimension.
+struct Resources {
+    uint32_t processorMillis = 0; ///< Thousandths of a processor.
+    uint32_t memoryMiB = 0;
+    uint32_t accelerators = 0;
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&Resources::processorMillis, &Resources::memoryMiB, &Resources::accelerators);
+    }
+
+    constexpr uint32_t amount(Dimension dimension) const
+    {
+        switch (dimension) {
+        case Dimension::Processors:
+            return processorMillis;
+        case Dimension::Memory:
+            return memoryMiB;
+        default:
+            return accelerators;
+        }
+    }
+
+    constexpr bool fitsIn(const Resources& room) const
+    {
+        return processorMillis <= room.processorMillis && memoryMiB <= room.memoryMiB && accelerators <= room.accelerators;
+    }
+
+    constexpr Resources& operator+=(const Resources& other)
+    {
+        processorMillis += other.processorMillis;
+        memoryMiB += other.memoryMiB;
+        accelerators += other.accelerators;
+        return *this;
+    }
+
+    /// Subtracts; the caller has checked `other.fitsIn(*this)`.
+    constexpr Resources& operator-=(const Resources& other)
+    {
+        processorMillis -= other.processorMillis;
+        memoryMiB -= other.memoryMiB;
+        accelerators -= other.accelerators;
+        return *this;
+    }
+
+    friend constexpr Resources operator+(Resources a, const Resources& b) { return a += b; }
+    friend constexpr Resources operator-(Resources a, const Resources& b) { return a -= b; }
+    friend constexpr bool operator==(const Resources&, const Resources&) = default;
+};
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/capacity_index.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "task_table.h"
+
+#include "eelgrassloft/handle.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace eelgrassloft {
+
+/// A worker's place in a `CapacityIndex`.
+using WorkerSlot = Handle<struct WorkerSlotTag>;
+
+/// Free capacity of the workers of one data centre, ordered for search. It follows a
+/// `TaskTable`, and a plan may reserve room in it before the placement is in the log.
+class CapacityIndex {
+public:
+    struct Worker {
+        std::string name;
+        uint32_t rack = 0;
+        uint64_t incarnation = 0;
+        Resources capacity;
+        Resources room;
+        Resources preemptible;
+        bool isUsable = false; ///< Takes new tasks.
+        uint32_t reservations = 0; ///< Blocked jobs that it is kept for.
+    };
+
+    /// Takes over all workers.
+    void rebuild(const TaskTable& tasks, Time now);
+    /// Takes over one worker.
+    void update(const TaskTable& tasks, const std::string& workerName, Time now);
+
+    void reserveRoom(WorkerSlot slot, const Resources& size) { setRoom(slot, m_workers[slot.value].room - size); }
+    void returnRoom(WorkerSlot slot, const Resources& size) { setRoom(slot, m_workers[slot.value].room + size); }
+    /// Keeps a worker for one blocked job, or gives it free again.
+    void reserve(WorkerSlot slot) { ++m_workers[slot.value].reservations; }
+    void unreserve(WorkerSlot slot) { --m_workers[slot.value].reservations; }
+
+    const Worker& at(WorkerSlot slot) const { return m_workers[slot.value]; }
+    const std::vector<Worker>& workers() const { return m_workers; }
+    WorkerSlot find(const std::string& workerName) const;
+    const std::vector<std::vector<WorkerSlot>>& racks() const { return m_racks; }
+
+    /// Whether a task of this size can be put on the worker now.
+    bool fits(WorkerSlot slot, const Resources& size) const
+    {
+        const Worker& worker = at(slot);
+        return worker.isUsable && !worker.reservations && size.fitsIn(worker.room);
+    }
+
+    /// Whether any worker could hold the size when empty.
+    bool couldEverFit(const Resources& size) const;
+
+    /// Dimension of which the size takes the largest part of what is free.
+    Dimension scarcest(const Resources& size) const;
+
+    /// Usable workers by free amount of a dimension, least first.
+    const std::set<std::pair<uint32_t, WorkerSlot>>& byRoom(Dimension dimension) const { return m_byRoom[dimension]; }
+
+private:
+    void setRoom(WorkerSlot slot, const Resources& room);
+    void link(WorkerSlot slot);
+    void unlink(WorkerSlot slot);
+
+    std::vector<Worker> m_workers;
+    std::map<std::string, WorkerSlot> m_byName;
+    std::vector<std::vector<WorkerSlot>> m_racks;
+    std::map<std::string, uint32_t> m_rackNumbers;
+    EnumArray<Dimension, std::set<std::pair<uint32_t, WorkerSlot>>> m_byRoom;
+    EnumArray<Dimension, uint64_t> m_free;
+};
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/cell_desk.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "cell_machine.h"
+#include "log_member.h"
+
+namespace eelgrassloft {
+
+/// An operator's sheet on its way into the cell's log.
+struct ChangeContext {
+    SheetApplied request;
+};
+
+using CellLog = LogMember<CellMachine, ChangeContext>;
+
+/// Takes sheets from operators, and turns each into the difference to the sheet in force.
+class CellDesk {
+public:
+    void apply(NodeStep& step, CellLog& log, const SheetApplied& request)
+    {
+        const CellMachine& machine = log.machine();
+        const auto known = machine.operations.find(request.operationId);
+        if (known != machine.operations.end()) {
+            answer(step, request.call, ChangeResult { ChangeStatus::Repeated, known->second, {} });
+            return;
+        }
+        if (request.expectRevision && *request.expectRevision < machine.revision) {
+            answer(step, request.call, ChangeResult { ChangeStatus::Conflict, machine.revision, machine.lastOperation });
+            return;
+        }
+        if (request.expectRevision && *request.expectRevision > machine.revision) {
+            answer(step, request.call, Error { ErrorKind::Busy, "this host is at revision " + std::to_string(machine.revision), "send again, or check the expected revision" });
+            return;
+        }
+        ApplyChange change { request.operationId, machine.revision, machine.differenceTo(request.sheet), {} };
+        change.homes = chooseHomes(step, machine, change.change);
+        log.propose(step, std::move(change), { request }, {}, step.now + config::operatorTimeout);
+    }
+
+    void completed(NodeStep& step, CellLog& log, CellLog::Completed completed)
+    {
+        const SheetApplied& request = completed.waiting.context.request;
+        if (!completed.result) {
+            const Error error = completed.hadLeader
+                ? Error { ErrorKind::Busy, "the outcome of the change is not known", "send it again with the same operation id" }
+                : Error { ErrorKind::NotLeader, "no quorum of the cell can be reached", "send it again with the same operation id when the data centres are connected" };
+            answer(step, request.call, error);
+            return;
+        }
+        const bool isStale = completed.result->status == ChangeStatus::Conflict && !request.expectRevision;
+        if (isStale && log.machine().revision >= completed.result->revision) {
+            apply(step, log, request); // Another change came first; the sheet is compared anew.
+            return;
+        }
+        answer(step, request.call, *completed.result);
+    }
+
+private:
+    template <typename Reply>
+    static void answer(NodeStep& step, CallId call, const Reply& reply)
+    {
+        if constexpr (std::is_same_v<Reply, ChangeResult>) {
+            const bool isRefused = reply.status == ChangeStatus::Conflict;
+            step.log(isRefused ? LogEventKind::ChangeRefused : LogEventKind::ChangeAccepted,
+                { { "status", std::string(name(reply.status)) }, { "revision", std::to_string(reply.revision) } });
+        }
+        step.emit(AnswerOperator { call, reply });
+    }
+
+    /// A job without a data centre goes where the jobs reserve least; one that has a home keeps it.
+    static std::vector<std::string> chooseHomes(const NodeStep& step, const CellMachine& machine, const SheetChange& change)
+    {
+        std::map<std::string, uint64_t> load;
+        for (const std::string& dataCentre : step.peers.dataCentres())
+            load[dataCentre] = 0;
+        for (const auto& [jobName, job] : machine.jobs)
+            load[job.home] += weight(job.spec);
+        std::vector<std::string> homes;
+        for (const JobSpec& spec : change.setJobs) {
+            const auto known = machine.jobs.find(spec.name);
+            std::string home = spec.dataCentre;
+            if (home.empty() && known != machine.jobs.end())
+                home = known->second.home;
+            if (home.empty()) {
+                home = std::min_element(load.begin(), load.end(), [](const auto& a, const auto& b) { return a.second < b.second; })->first;
+            }
+            load[home] += weight(spec);
+            homes.push_back(std::move(home));
+        }
+        return homes;
+    }
+
+    static uint64_t weight(const JobSpec& spec) { return uint64_t { spec.size.processorMillis } * spec.tasks; }
+};
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/cell_machine.cpp
@@ -0,0 +1,110 @@
+#include "cell_machine.h"
+
+#include <set>
+
+namespace eelgrassloft {
+
+namespace {
+
+const JobSpec& valueOf(const CellJob& job) { return job.spec; }
+
+template <typename Value>
+const Value& valueOf(const Value& value) { return value; }
+
+const std::string& keyOf(const TeamQuota& quota) { return quota.team; }
+
+template <typename Value>
+const std::string& keyOf(const Value& value) { return value.name; }
+
+/// Fills `set` and `remove` with the difference between a map in force and a wanted list.
+template <typename Stored, typename Value>
+void compare(const std::map<std::string, Stored>& inForce, const std::vector<Value>& wanted, std::vector<Value>& set,
+    std::vector<std::string>& remove)
+{
+    std::set<std::string> names;
+    for (const Value& value : wanted) {
+        names.insert(keyOf(value));
+        const auto found = inForce.find(keyOf(value));
+        if (found == inForce.end() || !(valueOf(found->second) == value))
+            set.push_back(value);
+    }
+    for (const auto& [key, stored] : inForce) {
+        if (!names.contains(key))
+            remove.push_back(key);
+    }
+}
+
+template <typename Value>
+void change(std::map<std::string, Value>& inForce, const std::vector<Value>& set, const std::vector<std::string>& remove)
+{
+    for (const Value& value : set)
+        inForce[keyOf(value)] = value;
+    for (const std::string& key : remove)
+        inForce.erase(key);
+}
+
+} // namespace
+
+CellMachine::Result CellMachine::apply(Time, const Command& command)
+{
+    return applyChange(std::get<ApplyChange>(command));
+}
+
+ChangeResult CellMachine::applyChange(const ApplyChange& request)
+{
+    const auto known = operations.find(request.operationId);
+    if (known != operations.end())
+        return { ChangeStatus::Repeated, known->second, {} };
+    if (request.expectRevision && *request.expectRevision != revision)
+        return { ChangeStatus::Conflict, revision, lastOperation };
+    if (request.change.isEmpty()) {
+        rememberOperation(request.operationId);
+        return { ChangeStatus::Unchanged, revision, {} };
+    }
+    ++revision;
+    lastOperation = request.operationId;
+    rememberOperation(request.operationId);
+    change(teams, request.change.setTeams, request.change.removeTeams);
+    change(services, request.change.setServices, request.change.removeServices);
+    for (size_t i = 0; i < request.change.setJobs.size(); ++i) {
+        const JobSpec& spec = request.change.setJobs[i];
+        const std::string home = i < request.homes.size() ? request.homes[i] : spec.dataCentre;
+        jobs[spec.name] = { spec, home, revision };
+    }
+    for (const std::string& job : request.change.removeJobs)
+        jobs.erase(job);
+    return { ChangeStatus::Accepted, revision, {} };
+}
+
+void CellMachine::rememberOperation(const std::string& operationId)
+{
+    operations[operationId] = revision;
+    operationOrder[operationCount++] = operationId;
+    if (operationOrder.size() <= config::maxRememberedOperations)
+        return;
+    operations.erase(operationOrder.begin()->second);
+    operationOrder.erase(operationOrder.begin());
+}
+
+Sheet CellMachine::sheet() const
+{
+    Sheet sheet;
+    for (const auto& [key, quota] : teams)
+        sheet.teams.push_back(quota);
+    for (const auto& [key, limits] : services)
+        sheet.services.push_back(limits);
+    for (const auto& [key, job] : jobs)
+        sheet.jobs.push_back(job.spec);
+    return sheet;
+}
+
+SheetChange CellMachine::differenceTo(const Sheet& wanted) const
+{
+    SheetChange result;
+    compare(teams, wanted.teams, result.setTeams, result.removeTeams);
+    compare(services, wanted.services, result.setServices, result.removeServices);
+    compare(jobs, wanted.jobs, result.setJobs, result.removeJobs);
+    return result;
+}
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/claim_table.cpp
@@ -0,0 +1,77 @@
+#include "claim_table.h"
+
+namespace eelgrassloft {
+
+namespace {
+
+int64_t segmentOf(Time at) { return at.time_since_epoch() / config::claimSegment; }
+
+} // namespace
+
+ClaimResult ClaimTable::claim(Time at, const ClaimKey& request)
+{
+    const auto [position, isNew] = m_records.try_emplace(request.key);
+    ClaimRecord& record = position->second;
+    if (isNew) {
+        record.digest = request.digest;
+        record.owner = request.owner;
+        record.claimedAt = at;
+        record.deadline = request.deadline;
+        m_segments[segmentOf(at)].push_back(request.key);
+        return { ClaimStatus::Granted, {}, {} };
+    }
+    if (record.digest != request.digest)
+        return { ClaimStatus::KeyReused, {}, {} };
+    if (record.outcome == Outcome::Answered)
+        return { ClaimStatus::Answered, {}, record.answer };
+    if (record.outcome == Outcome::InProgress) {
+        if (record.owner == request.owner)
+            return { ClaimStatus::Granted, {}, {} }; // The first reply was lost.
+        if (at < record.deadline + config::claimSettleGrace)
+            return { ClaimStatus::InProgress, {}, {} };
+        record.outcome = Outcome::Unknown; // The owner never settled; its attempt may have run.
+        record.unknown = UnknownReason::OwnerLost;
+    }
+    return { ClaimStatus::Unknown, record.unknown, {} };
+}
+
+ClaimResult ClaimTable::settle(const SettleKey& request)
+{
+    const auto found = m_records.find(request.key);
+    if (found == m_records.end() || !(found->second.owner == request.owner))
+        return { ClaimStatus::Settled, {}, {} };
+    ClaimRecord& record = found->second;
+    if (record.outcome == Outcome::Answered)
+        return { ClaimStatus::Settled, {}, {} };
+    if (request.outcome == Outcome::NotRun) {
+        m_records.erase(found); // The key is free: nothing ran under it.
+        return { ClaimStatus::Settled, {}, {} };
+    }
+    record.outcome = request.outcome;
+    record.unknown = request.unknown;
+    record.answer = request.answer;
+    return { ClaimStatus::Settled, {}, {} };
+}
+
+void ClaimTable::expire(Time at)
+{
+    const int64_t oldest = segmentOf(at - config::claimLifetime);
+    while (!m_segments.empty() && m_segments.begin()->first < oldest) {
+        const auto& [segment, keys] = *m_segments.begin();
+        for (const std::string& key : keys) {
+            const auto found = m_records.find(key);
+            // A key that was freed and claimed again belongs to a later segment.
+            if (found != m_records.end() && segmentOf(found->second.claimedAt) == segment)
+                m_records.erase(found);
+        }
+        m_segments.erase(m_segments.begin());
+    }
+}
+
+const ClaimRecord* ClaimTable::find(const std::string& key) const
+{
+    const auto found = m_records.find(key);
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/claim_table.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "eelgrassloft/config.h"
+#include "eelgrassloft/outcome.h"
+#include "eelgrassloft/record.h"
+
+#include <map>
+#include <string>
+
+namespace eelgrassloft {
+
+/// The request of one process that holds a claim.
+struct ClaimOwner {
+    HostId host;
+    uint64_t incarnation = 0;
+    RequestId request;
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&ClaimOwner::host, &ClaimOwner::incarnation, &ClaimOwner::request);
+    }
+
+    friend bool operator==(const ClaimOwner&, const ClaimOwner&) = default;
+};
+
+/// An upstream's whole answer.
+struct Answer {
+    uint16_t status = 0; ///< HTTP status.
+    std::string contentType;
+    Blob body;
+
+    static constexpr auto members() { return std::make_tuple(&Answer::status, &Answer::contentType, &Answer::body); }
+};
+
+/// Claims an idempotency key before its request is dispatched.
+struct ClaimKey {
+    std::string key;
+    uint64_t digest = 0; ///< Of the service and the body.
+    ClaimOwner owner;
+    Time deadline {}; ///< After it the owner starts no attempt.
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&ClaimKey::key, &ClaimKey::digest, &ClaimKey::owner, &ClaimKey::deadline);
+    }
+};
+
+/// How the request of a claim ended.
+struct SettleKey {
+    std::string key;
+    ClaimOwner owner;
+    Outcome outcome = Outcome::Unknown; ///< Answered, NotRun or Unknown.
+    UnknownReason unknown = UnknownReason::None;
+    Answer answer;
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&SettleKey::key, &SettleKey::owner, &SettleKey::outcome, &SettleKey::unknown, &SettleKey::answer);
+    }
+};
+
+enum class ClaimStatus : uint8_t {
+    Granted, ///< The owner may dispatch.
+    InProgress,
+    Answered,
+    Unknown,
+    KeyReused, ///< The key belongs to a different request.
+    Settled, ///< Reply to `SettleKey`.
+    Count
+};
+
+constexpr NameTable<ClaimStatus> nameTable(ClaimStatus)
+{
+    constexpr NameTable<ClaimStatus> table { "granted", "in-progress", "answered", "unknown", "key-reused", "settled" };
+    return table;
+}
+
+struct ClaimResult {
+    ClaimStatus status = ClaimStatus::Granted;
+    UnknownReason unknown = UnknownReason::None;
+    Answer answer;
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&ClaimResult::status, &ClaimResult::unknown, &ClaimResult::answer);
+    }
+};
+
+struct ClaimRecord {
+    uint64_t digest = 0;
+    ClaimOwner owner;
+    Time claimedAt {};
+    Time deadline {};
+    Outcome outcome = Outcome::InProgress;
+    UnknownReason unknown = UnknownReason::None;
+    Answer answer;
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&ClaimRecord::digest, &ClaimRecord::owner, &ClaimRecord::claimedAt, &ClaimRecord::deadline,
+            &ClaimRecord::outcome, &ClaimRecord::unknown, &ClaimRecord::answer);
+    }
+};
+
+/// Records of requests that may run at most once. Part of the data centre's replicated state.
+/// The lock before execution and the expiry by whole time segments follow the idempotency key
+/// pattern (Goh Ling Yong, "Advanced Idempotency Patterns for Kafka-based Microservices").
+class ClaimTable {
+public:
+    ClaimResult claim(Time at, const ClaimKey& request);
+    ClaimResult settle(const SettleKey& request);
+
+    /// Drops the segments that ended more than `config::claimLifetime` before `at`.
+    void expire(Time at);
+
+    size_t size() const { return m_records.size(); }
+    const ClaimRecord* find(const std::string& key) const;
+
+    static constexpr auto members() { return std::make_tuple(&ClaimTable::m_records, &ClaimTable::m_segments); }
+
+private:
+    std::map<std::string, ClaimRecord> m_records;
+    std::map<int64_t, std::vector<std::string>> m_segments; ///< Keys by the time of their claim.
+};
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/ctl/client.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "io/http_types.h"
+
+#include "eelgrassloft/error.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace eelgrassloft::ctl {
+
+struct Header {
+    std::string name;
+    std::string value;
+};
+
+struct Call {
+    io::http::verb method = io::http::verb::get;
+    std::string target;
+    std::vector<Header> headers;
+    std::string body;
+};
+
+/// Calls one entry host over HTTP. `lastError` says why a call failed on the way.
+class Client : public LastError {
+public:
+    /// `host` is `ADDRESS:PORT`.
+    explicit Client(std::string host)
+        : m_host(std::move(host))
+    {
+    }
+
+    std::optional<io::HttpResponse> call(const Call& call);
+
+private:
+    std::string m_host;
+};
+
+} // namespace eelgrassloft::ctl
--- /dev/null
+++ b/src/ctl/commands.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "eelgrassloft/name_table.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace eelgrassloft::ctl {
+
+enum class CommandKind : uint8_t {
+    CheckSettings,
+    Apply,
+    Diff,
+    Status,
+    Jobs,
+    Workers,
+    Upstreams,
+    Explain,
+    Cancel,
+    Count
+};
+
+constexpr NameTable<CommandKind> nameTable(CommandKind)
+{
+    constexpr NameTable<CommandKind> table { "check-settings", "apply", "diff", "status", "jobs", "workers", "upstreams", "explain", "cancel" };
+    static_assert(detail::isComplete<CommandKind>(table));
+    return table;
+}
+
+/// One line for each command, for the help text.
+constexpr NameTable<CommandKind> commandHelp()
+{
+    constexpr NameTable<CommandKind> table { "check-settings FILE      check a settings file",
+        "apply SHEET              put a sheet in force",
+        "diff SHEET               show what a sheet would change",
+        "status                   show a host, its logs, and the revision in force on every host",
+        "jobs                     list the jobs and their tasks",
+        "workers                  list the workers of the host's data centre",
+        "upstreams                list the upstreams that the host knows",
+        "explain JOB              say why a job's tasks run or wait",
+        "cancel DATACENTRE JOB... stop jobs" };
+    static_assert(detail::isComplete<CommandKind>(table));
+    return table;
+}
+
+enum class OutputKind : uint8_t {
+    Text,
+    Json,
+    Count
+};
+
+constexpr NameTable<OutputKind> nameTable(OutputKind)
+{
+    constexpr NameTable<OutputKind> table { "text", "json" };
+    return table;
+}
+
+/// Exit codes; docs/OPERATING.md lists them.
+enum class ExitCode : uint8_t {
+    Success,
+    Failed, ///< The system answered with an error.
+    Usage,
+    Unreachable,
+    Conflict, ///< Another operator's change came first.
+    Count
+};
+
+struct CommandLine {
+    CommandKind command = CommandKind::Status;
+    std::string host;
+    OutputKind output = OutputKind::Text;
+    std::optional<uint64_t> expectRevision;
+    std::string operationId;
+    std::vector<std::string> arguments;
+};
+
+/// Carries out a command and prints its result.
+ExitCode runCommand(const CommandLine& line);
+
+} // namespace eelgrassloft::ctl
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,139 @@
+#include "daemon/daemon.h"
+
+#include <csignal>
+
+namespace eelgrassloft::io {
+
+namespace {
+
+constexpr int exitFailure = 1;
+constexpr size_t smallMailbox = 8;
+
+/// Restores one log. An error means that the folder must not be used.
+template <typename M>
+std::optional<Error> restoreLog(const std::string& folder, LogKind kind, LogWriter<M>& writer, std::optional<RestoredLog<M>>& restored)
+{
+    auto file = std::make_unique<FileLog<M>>(std::filesystem::path(folder) / std::string(name(kind)));
+    restored = file->restore();
+    if (!restored && file->lastError().kind != ErrorKind::None)
+        return file->lastError();
+    writer.useFile(std::move(file));
+    return std::nullopt;
+}
+
+} // namespace
+
+Daemon::Daemon(DaemonSettings settings, bool mayForm)
+    : m_settings(std::move(settings))
+    , m_mayForm(mayForm)
+    , m_log(m_settings.logFile, m_settings.logLevel)
+    , m_mailbox(m_context.get_executor(), config::maxNodeMailbox)
+    , m_failures(m_context.get_executor(), smallMailbox)
+    , m_drained(m_context.get_executor(), smallMailbox)
+    , m_peers(m_context, m_settings.node, m_mailbox, m_log)
+    , m_upstreams(m_context, m_mailbox)
+    , m_cellWriter(m_context, m_storageThread, LogKind::Cell, m_mailbox, m_failures)
+    , m_dataCentreWriter(m_context, m_storageThread, LogKind::DataCentre, m_mailbox, m_failures)
+    , m_http(m_context, m_settings.node, m_mailbox, m_log)
+    , m_signals(m_context, SIGTERM, SIGINT)
+{
+}
+
+std::optional<Error> Daemon::restoreLogs(NodeStart& start)
+{
+    if (m_settings.dataFolder.empty())
+        return std::nullopt;
+    if (auto error = restoreLog(m_settings.dataFolder, LogKind::Cell, m_cellWriter, start.cell))
+        return error;
+    return restoreLog(m_settings.dataFolder, LogKind::DataCentre, m_dataCentreWriter, start.dataCentre);
+}
+
+int Daemon::run()
+{
+    const Time now = systemTime();
+    NodeStart start;
+    start.settings = m_settings.node;
+    start.now = now;
+    start.incarnation = static_cast<uint64_t>(now.time_since_epoch().count());
+    start.seed = start.incarnation ^ m_settings.node.self.value;
+    start.mayForm = m_mayForm;
+    if (const auto error = restoreLogs(start)) {
+        m_log.writeError("start-failed", *error);
+        return exitFailure;
+    }
+    NodeTask node(DaemonNode(std::move(start)), WallClock(now), { m_mailbox, m_peers, m_upstreams, m_cellWriter, m_dataCentreWriter, m_log, m_drained });
+    for (const auto& error : { m_peers.start(), m_http.start() }) {
+        if (error) {
+            m_log.writeError("start-failed", *error);
+            return exitFailure;
+        }
+    }
+    const HostSettings& self = m_settings.node.selfHost();
+    m_log.write("started", { { "host", std::to_string(self.id.value) }, { "dataCentre", self.dataCentre }, { "http", self.address + ":" + std::to_string(self.httpPort) } });
+    asio::co_spawn(m_context, node.run(), [this](std::exception_ptr failure) {
+        if (!failure)
+            return;
+        try {
+            std::rethrow_exception(failure);
+        } catch (const std::exception& error) {
+            m_log.writeError("invariant-violated", { ErrorKind::Busy, error.what(), "report the log of this host; it has stopped so that nothing worse happens" });
+        }
+        stop(exitFailure);
+    });
+    asio::co_spawn(m_context, watchSignals(), asio::detached);
+    asio::co_spawn(m_context, watchFailures(), asio::detached);
+    m_context.run();
+    m_storageThread.join();
+    m_log.write("stopped", { { "exitCode", std::to_string(m_exitCode) } });
+    return m_exitCode;
+}
+
+/// The first signal drains the host; a second one ends the process at once.
+awaitable<void> Daemon::watchSignals()
+{
+    error_code error;
+    co_await m_signals.async_wait(asio::redirect_error(use_awaitable, error));
+    if (error)
+        co_return;
+    asio::co_spawn(m_context, drain(), asio::detached);
+    co_await m_signals.async_wait(asio::redirect_error(use_awaitable, error));
+    if (!error)
+        stop(exitFailure);
+}
+
+/// A log that cannot be written ends the process: nothing more may be promised.
+awaitable<void> Daemon::watchFailures()
+{
+    const auto error = co_await m_failures.pop();
+    if (!error)
+        co_return;
+    m_log.writeError("storage-failed", *error);
+    stop(exitFailure);
+}
+
+/// Fails the readiness check, waits until the balancer has moved on, and ends when nothing is in
+/// flight any more.
+awaitable<void> Daemon::drain()
+{
+    m_mailbox.tryPush(Event(DrainAnnounced {}));
+    asio::steady_timer timer(m_context, config::drainNotice);
+    error_code error;
+    co_await timer.async_wait(asio::redirect_error(use_awaitable, error));
+    m_http.stopAccepting();
+    m_mailbox.tryPush(Event(DrainStarted {}));
+    const auto finished = co_await m_drained.pop(std::chrono::steady_clock::now() + config::drainLimit);
+    if (!finished)
+        m_log.write("drain-incomplete", {});
+    // Answers that were just handed to their connections are still to be written.
+    timer.expires_after(config::drainFlush);
+    co_await timer.async_wait(asio::redirect_error(use_awaitable, error));
+    stop(0);
+}
+
+void Daemon::stop(int exitCode)
+{
+    m_exitCode = exitCode;
+    m_context.stop();
+}
+
+} // namespace eelgrassloft::io
--- /dev/null
+++ b/src/data_centre_machine.cpp
@@ -0,0 +1,15 @@
+#include "data_centre_machine.h"
+
+namespace eelgrassloft {
+
+DataCentreMachine::Result DataCentreMachine::apply(Time at, const Command& command)
+{
+    claims.expire(at);
+    if (const auto* claim = std::get_if<ClaimKey>(&command))
+        return claims.claim(at, *claim);
+    if (const auto* settle = std::get_if<SettleKey>(&command))
+        return claims.settle(*settle);
+    return tasks.apply(at, std::get<TaskCommand>(command));
+}
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/data_centre_machine.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "claim_table.h"
+#include "task_table.h"
+
+namespace eelgrassloft {
+
+/// State behind the log of a data centre: records of idempotency keys, jobs, tasks and workers.
+struct DataCentreMachine {
+    using Command = std::variant<ClaimKey, SettleKey, TaskCommand>;
+    using Result = std::variant<ClaimResult, TaskCommandResult>;
+
+    ClaimTable claims;
+    TaskTable tasks;
+
+    static constexpr auto members() { return std::make_tuple(&DataCentreMachine::claims, &DataCentreMachine::tasks); }
+
+    Result apply(Time at, const Command& command);
+
+    /// Restores derived state after decoding.
+    void rebuild() { tasks.rebuild(); }
+};
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/hash.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace eelgrassloft {
+
+/// FNV-1a (Fowler, Noll and Vo): the same on every host, unlike `std::hash`.
+constexpr uint64_t stableHash(std::string_view text, uint64_t hash = 0xcbf29ce484222325ULL)
+{
+    for (const char c : text)
+        hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+    return hash;
+}
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/io/event_log.cpp
@@ -0,0 +1,67 @@
+#include "io/event_log.h"
+
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/patternlayout.h>
+
+#include <algorithm>
+
+namespace eelgrassloft::io {
+
+namespace {
+
+constexpr const char* linePattern = "time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p %m%n";
+
+/// Quotes a value where it would not read back as one word.
+std::string quoted(const std::string& value)
+{
+    const bool isPlain = !value.empty() && value.find_first_of(" \"=\n\r\t") == std::string::npos;
+    if (isPlain)
+        return value;
+    std::string result = "\"";
+    for (const char c : value) {
+        if (c == '"' || c == '\\')
+            result += '\\';
+        result += c == '\n' || c == '\r' ? ' ' : c;
+    }
+    return result + "\"";
+}
+
+std::string lineOf(std::string_view eventName, const std::vector<LogField>& fields)
+{
+    std::string line = "event=" + std::string(eventName);
+    for (const LogField& field : fields)
+        line += " " + std::string(field.key) + "=" + quoted(field.value);
+    return line;
+}
+
+} // namespace
+
+EventLog::EventLog(const std::string& file, const std::string& level)
+    : m_logger(log4cxx::Logger::getLogger("eelgrassloft"))
+{
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(linePattern);
+    log4cxx::AppenderPtr appender;
+    if (file.empty())
+        appender = std::make_shared<log4cxx::ConsoleAppender>(layout);
+    else
+        appender = std::make_shared<log4cxx::FileAppender>(layout, file, true);
+    m_logger->removeAllAppenders();
+    m_logger->addAppender(appender);
+    m_logger->setAdditivity(false);
+    m_logger->setLevel(log4cxx::Level::toLevel(level));
+}
+
+void EventLog::write(const LogEvent& event) { write(name(event.kind), event.fields); }
+
+void EventLog::write(std::string_view eventName, const std::vector<LogField>& fields)
+{
+    LOG4CXX_INFO(m_logger, lineOf(eventName, fields));
+}
+
+void EventLog::writeError(std::string_view eventName, const Error& error)
+{
+    LOG4CXX_ERROR(m_logger, lineOf(eventName, { { "kind", std::string(name(error.kind)) }, { "message", error.message }, { "remedy", error.remedy } }));
+}
+
+} // namespace eelgrassloft::io
--- /dev/null
+++ b/src/io/http_server.cpp
@@ -0,0 +1,328 @@
+#include "io/http_server.h"
+
+#include "hash.h"
+#include "io/http_messages.h"
+#include "io/sheet_json.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace eelgrassloft::io {
+
+namespace {
+
+constexpr const char* jsonType = "application/json";
+const Error nodeIsBusy { ErrorKind::Busy, "the host has too many messages waiting", "send again after a pause" };
+
+template <typename Number>
+std::optional<Number> parseNumber(std::string_view text)
+{
+    Number number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return number;
+}
+
+std::string_view viewOf(beast::string_view text) { return { text.data(), text.size() }; }
+
+/// The part of `target` between a prefix and a suffix, if it has both.
+std::optional<std::string> between(std::string_view target, std::string_view prefix, std::string_view suffix)
+{
+    if (target.size() <= prefix.size() + suffix.size() || !target.starts_with(prefix) || !target.ends_with(suffix))
+        return std::nullopt;
+    return std::string(target.substr(prefix.size(), target.size() - prefix.size() - suffix.size()));
+}
+
+/// Reads the headers of a caller's request; `detail` says what is wrong with them.
+std::optional<Request> readRequest(const HttpRequest& http, const std::string& service, std::string& detail)
+{
+    Request request;
+    request.service = service;
+    request.key = std::string(viewOf(http[header::idempotencyKey]));
+    const std::string_view repeatable = viewOf(http[header::repeatable]);
+    if (!repeatable.empty() && repeatable != "true" && repeatable != "false") {
+        detail = "the header Repeatable is neither true nor false";
+        return std::nullopt;
+    }
+    // A key without the header means that the caller wants the work at most once.
+    request.isRepeatable = repeatable.empty() ? request.key.empty() : repeatable == "true";
+    if (request.isRepeatable)
+        request.key.clear();
+    if (request.key.size() > config::maxKeyBytes) {
+        detail = "the Idempotency-Key is longer than " + std::to_string(config::maxKeyBytes) + " bytes";
+        return std::nullopt;
+    }
+    Duration timeout = config::defaultRequestTimeout;
+    if (const std::string_view text = viewOf(http[header::timeoutMs]); !text.empty()) {
+        const auto milliseconds = parseNumber<uint32_t>(text);
+        timeout = std::chrono::milliseconds(milliseconds.value_or(0));
+        if (!milliseconds || timeout <= Duration::zero() || timeout > config::maxRequestTimeout) {
+            detail = "Request-Timeout-Ms is not a number from 1 to " + std::to_string(config::maxRequestTimeout / std::chrono::milliseconds(1));
+            return std::nullopt;
+        }
+    }
+    request.deadline = Time(timeout); // Relative until the node task adds its time.
+    request.digest = stableHash(http.body(), stableHash(service));
+    return request;
+}
+
+RefusalReason refusalOf(const error_code& error)
+{
+    if (error == http::error::header_limit)
+        return RefusalReason::HeaderTooLarge;
+    if (error == http::error::body_limit)
+        return RefusalReason::BodyTooLarge;
+    return error == beast::error::timeout ? RefusalReason::SlowCaller : RefusalReason::Malformed;
+}
+
+} // namespace
+
+HttpServer::HttpServer(asio::io_context& context, const NodeSettings& settings, NodeMailbox& node, EventLog& log)
+    : m_context(context)
+    , m_settings(settings)
+    , m_node(node)
+    , m_log(log)
+    , m_acceptor(context)
+    , m_dataCentres(settings.dataCentres())
+{
+}
+
+std::optional<Error> HttpServer::start()
+{
+    const HostSettings& self = m_settings.selfHost();
+    const tcp::endpoint endpoint(asio::ip::make_address(self.address), self.httpPort);
+    error_code error;
+    m_acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        m_acceptor.bind(endpoint, error);
+    if (!error)
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error) {
+        return Error { ErrorKind::Unreachable, "cannot listen on " + self.address + ":" + std::to_string(self.httpPort) + ": " + error.message(),
+            "check \"address\" and \"httpPort\", and that no other process uses them" };
+    }
+    asio::co_spawn(m_context, acceptLoop(), asio::detached);
+    return std::nullopt;
+}
+
+void HttpServer::stopAccepting()
+{
+    m_isAccepting = false;
+    error_code ignored;
+    m_acceptor.close(ignored);
+}
+
+awaitable<void> HttpServer::acceptLoop()
+{
+    while (m_isAccepting) {
+        error_code error;
+        tcp::socket socket = co_await m_acceptor.async_accept(asio::redirect_error(use_awaitable, error));
+        if (!error)
+            asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+    }
+}
+
+awaitable<void> HttpServer::serve(tcp::socket socket)
+{
+    ++m_connectionCount;
+    beast::tcp_stream stream(std::move(socket));
+    error_code error;
+    stream.socket().set_option(tcp::no_delay(true), error);
+    if (m_connectionCount > config::maxCallerConnections) {
+        HttpResponse response = refuse(RefusalReason::TooManyConnections, {});
+        response.prepare_payload();
+        stream.expires_after(config::callerReadTimeout);
+        co_await http::async_write(stream, response, asio::redirect_error(use_awaitable, error));
+    } else {
+        beast::flat_buffer buffer;
+        while (co_await serveOne(stream, buffer)) { }
+    }
+    stream.socket().shutdown(tcp::socket::shutdown_send, error);
+    --m_connectionCount;
+}
+
+/// Serves one request of a connection. False where the connection should end.
+awaitable<bool> HttpServer::serveOne(beast::tcp_stream& stream, beast::flat_buffer& buffer)
+{
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(config::maxHeaderBytes);
+    parser.body_limit(config::maxBodyBytes);
+    error_code error;
+    if (!buffer.size()) { // Between requests a connection may stay idle.
+        stream.expires_after(config::callerIdleTimeout);
+        char byte = 0;
+        co_await stream.async_read_some(asio::buffer(&byte, 1), asio::redirect_error(use_awaitable, error));
+        if (error)
+            co_return false;
+        const auto first = buffer.prepare(1);
+        *static_cast<char*>(first.data()) = byte;
+        buffer.commit(1);
+    }
+    stream.expires_after(config::callerReadTimeout);
+    co_await http::async_read(stream, buffer, parser, asio::redirect_error(use_awaitable, error));
+    if (error == http::error::partial_message)
+        co_return false;
+    HttpResponse response;
+    bool isKept = false;
+    if (error) {
+        response = refuse(refusalOf(error), {});
+    } else {
+        HttpRequest request = parser.release();
+        isKept = request.keep_alive() && m_isAccepting;
+        response = co_await respond(std::move(request), stream);
+    }
+    response.keep_alive(isKept);
+    response.prepare_payload();
+    stream.expires_after(config::callerReadTimeout);
+    co_await http::async_write(stream, response, asio::redirect_error(use_awaitable, error));
+    co_return isKept && !error;
+}
+
+HttpResponse HttpServer::refuse(RefusalReason reason, const std::string& detail)
+{
+    m_node.tryPush(Event(RequestRejected { reason }));
+    return refusalResponse(reason, detail);
+}
+
+awaitable<HttpResponse> HttpServer::respond(HttpRequest request, beast::tcp_stream& stream)
+{
+    const std::string target(viewOf(request.target()));
+    const bool isPost = request.method() == http::verb::post;
+    if (auto service = between(target, "/v1/services/", "/requests"); service && isPost)
+        co_return co_await respondToCaller(std::move(request), std::move(*service), stream);
+    if (auto worker = between(target, "/v1/workers/", "/report"); worker && isPost)
+        co_return co_await respondToWorker(std::move(request), std::move(*worker));
+    if (target == "/v1/upstreams" && isPost)
+        co_return co_await respondToUpstream(std::move(request));
+    if ((target == "/v1/sheet" || target == "/v1/sheet/diff") && isPost)
+        co_return co_await respondToSheet(std::move(request));
+    if (target == "/v1/jobs/cancel" && isPost)
+        co_return co_await respondToCancel(std::move(request));
+    if (isPost)
+        co_return errorResponse(http::status::not_found, { ErrorKind::UnknownName, target + " takes no POST", "see docs/CALLERS.md for the paths" });
+    if (target == "/healthz")
+        co_return textResponse(http::status::ok, "ok\n");
+    SubmitQuery query;
+    if (target == "/metrics")
+        query.kind = QueryKind::Metrics;
+    else if (target == "/readyz")
+        query.kind = QueryKind::Ready;
+    else if (auto job = between(target, "/v1/explain/", "")) {
+        query.kind = QueryKind::Explain;
+        query.argument = std::move(*job);
+    } else if (auto kind = parseName<QueryKind>(target.starts_with("/v1/") ? std::string_view(target).substr(4) : std::string_view())) {
+        query.kind = *kind;
+    } else {
+        co_return errorResponse(http::status::not_found, { ErrorKind::UnknownName, target + " does not exist", "see docs/OPERATING.md for the paths" });
+    }
+    const bool isText = query.kind == QueryKind::Metrics || query.kind == QueryKind::Ready;
+    co_return co_await respondToQuery(std::move(query), isText ? "text/plain" : jsonType);
+}
+
+awaitable<HttpResponse> HttpServer::respondToCaller(HttpRequest request, std::string service, beast::tcp_stream& stream)
+{
+    std::string detail;
+    auto core = readRequest(request, service, detail);
+    if (!core)
+        co_return refuse(RefusalReason::Malformed, detail);
+    stream.expires_never();
+    const auto reply = makeReplyBox<EndedRequest>(stream.get_executor());
+    SubmitRequest submit { std::move(*core), makeBlob(std::move(request.body())), std::string(viewOf(request[http::field::content_type])), reply };
+    if (!m_node.tryPush(std::move(submit)))
+        co_return refusalResponse(RefusalReason::QueueFull, {});
+    const auto ended = co_await reply->pop();
+    co_return ended ? endedResponse(*ended) : refusalResponse(RefusalReason::Draining, {});
+}
+
+awaitable<HttpResponse> HttpServer::respondToUpstream(HttpRequest request)
+{
+    MessageReader reader;
+    auto announcement = reader.readAnnouncement(request.body());
+    if (!announcement)
+        co_return errorResponse(http::status::bad_request, reader.lastError());
+    if (!m_node.tryPush(Event(UpstreamAnnounced { std::move(*announcement) })))
+        co_return errorResponse(http::status::service_unavailable, nodeIsBusy);
+    const Json body { { "renewWithinMs", config::announcementLifetime / std::chrono::milliseconds(1) } };
+    co_return textResponse(http::status::ok, body.dump() + "\n", jsonType);
+}
+
+awaitable<HttpResponse> HttpServer::respondToWorker(HttpRequest request, std::string worker)
+{
+    MessageReader reader;
+    auto report = reader.readReport(request.body());
+    if (!report)
+        co_return errorResponse(http::status::bad_request, reader.lastError());
+    if (report->name != worker)
+        co_return errorResponse(http::status::bad_request, { ErrorKind::OutOfRange, "the report names " + report->name + " and the path " + worker, "report under the worker's own path" });
+    const auto reply = makeReplyBox<WorkerReply>(m_context.get_executor());
+    if (!m_node.tryPush(SubmitReport { std::move(*report), reply }))
+        co_return errorResponse(http::status::service_unavailable, nodeIsBusy);
+    const auto result = co_await reply->pop();
+    co_return textResponse(http::status::ok, replyText(result.value_or(WorkerReply { WorkerReplyStatus::NoLeader, {}, {} })), jsonType);
+}
+
+awaitable<HttpResponse> HttpServer::respondToSheet(HttpRequest request)
+{
+    SheetReader reader;
+    auto sheet = reader.read(request.body(), m_dataCentres);
+    if (!sheet)
+        co_return errorResponse(http::status::bad_request, reader.lastError());
+    if (request.target() == "/v1/sheet/diff") {
+        SubmitQuery query { QueryKind::Diff, {}, std::move(*sheet), {} };
+        co_return co_await respondToQuery(std::move(query), jsonType);
+    }
+    SheetApplied change;
+    change.operationId = std::string(viewOf(request[header::operationId]));
+    change.sheet = std::move(*sheet);
+    if (change.operationId.empty() || change.operationId.size() > config::maxOperationIdBytes)
+        co_return errorResponse(http::status::bad_request, { ErrorKind::MissingField, "the header Operation-Id is missing or too long", "send a new id of up to " + std::to_string(config::maxOperationIdBytes) + " bytes, and the same one in a resend" });
+    if (const std::string_view text = viewOf(request[header::expectRevision]); !text.empty()) {
+        change.expectRevision = parseNumber<uint64_t>(text);
+        if (!change.expectRevision)
+            co_return errorResponse(http::status::bad_request, { ErrorKind::WrongType, "the header Expect-Revision is not a number", "use the revision that `eelgrassctl status` shows" });
+    }
+    const auto reply = makeReplyBox<OperatorReply>(m_context.get_executor());
+    if (!m_node.tryPush(SubmitSheet { std::move(change), reply }))
+        co_return errorResponse(http::status::service_unavailable, nodeIsBusy);
+    const auto result = co_await reply->pop();
+    if (!result || std::holds_alternative<Error>(*result))
+        co_return errorResponse(http::status::service_unavailable, result ? std::get<Error>(*result) : nodeIsBusy);
+    co_return changeResponse(std::get<ChangeResult>(*result));
+}
+
+awaitable<HttpResponse> HttpServer::respondToCancel(HttpRequest request)
+{
+    MessageReader reader;
+    auto cancel = reader.readCancel(request.body(), m_dataCentres);
+    if (!cancel)
+        co_return errorResponse(http::status::bad_request, reader.lastError());
+    const auto reply = makeReplyBox<OperatorReply>(m_context.get_executor());
+    if (!m_node.tryPush(SubmitCancel { std::move(*cancel), reply }))
+        co_return errorResponse(http::status::service_unavailable, nodeIsBusy);
+    const auto result = co_await reply->pop();
+    if (!result || std::holds_alternative<Error>(*result))
+        co_return errorResponse(http::status::service_unavailable, result ? std::get<Error>(*result) : nodeIsBusy);
+    const auto& counts = std::get<TaskCommandResult>(*result);
+    const Json body { { "cancelled", counts.accepted }, { "unknown", counts.refused } };
+    co_return textResponse(http::status::ok, body.dump() + "\n", jsonType);
+}
+
+awaitable<HttpResponse> HttpServer::respondToQuery(SubmitQuery query, std::string contentType)
+{
+    query.reply = makeReplyBox<QueryReply>(m_context.get_executor());
+    const auto reply = query.reply;
+    const QueryKind kind = query.kind;
+    if (!m_node.tryPush(std::move(query)))
+        co_return errorResponse(http::status::service_unavailable, nodeIsBusy);
+    const auto result = co_await reply->pop();
+    if (result && result->isFound)
+        co_return textResponse(http::status::ok, result->text + (contentType == jsonType ? "\n" : ""), contentType);
+    if (kind == QueryKind::Ready)
+        co_return textResponse(http::status::service_unavailable, result ? result->text : "not ready\n");
+    co_return errorResponse(http::status::not_found, { ErrorKind::UnknownName, "no such job", "see `eelgrassctl jobs` for the names" });
+}
+
+} // namespace eelgrassloft::io
--- /dev/null
+++ b/src/io/json_fields.cpp
@@ -0,0 +1,204 @@
+#include "io/json_fields.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace eelgrassloft::io {
+
+namespace {
+
+/// Walks a JSON text that has parsed, without building values.
+class Walker {
+public:
+    explicit Walker(std::string_view text)
+        : m_text(text)
+    {
+    }
+
+    size_t offset()
+    {
+        skipBlank();
+        return m_offset;
+    }
+
+    /// Moves to the member or element named by `step`. False where there is none.
+    bool enter(std::string_view step)
+    {
+        skipBlank();
+        const bool isIndex = step.front() == '[';
+        size_t remaining = isIndex ? std::stoul(std::string(step.substr(1))) : 0;
+        ++m_offset; // The bracket or brace.
+        while (m_offset < m_text.size()) {
+            skipBlank();
+            if (m_text[m_offset] == ']' || m_text[m_offset] == '}')
+                return false;
+            if (m_text[m_offset] == ',') {
+                ++m_offset;
+                continue;
+            }
+            if (isIndex) {
+                if (!remaining--)
+                    return true;
+            } else {
+                const std::string_view key = readString();
+                skipBlank();
+                ++m_offset; // The colon.
+                if (key == step)
+                    return true;
+            }
+            skipValue();
+        }
+        return false;
+    }
+
+private:
+    void skipBlank()
+    {
+        while (m_offset < m_text.size()) {
+            const std::string_view rest = m_text.substr(m_offset);
+            if (rest.starts_with("//"))
+                m_offset = std::min(m_text.size(), m_text.find('\n', m_offset));
+            else if (rest.starts_with("/*"))
+                m_offset = std::min(m_text.size(), m_text.find("*/", m_offset + 2) + 2);
+            else if (std::string_view(" \t\r\n").find(rest.front()) != std::string_view::npos)
+                ++m_offset;
+            else
+                return;
+        }
+    }
+
+    std::string_view readString()
+    {
+        const size_t start = ++m_offset;
+        while (m_offset < m_text.size() && m_text[m_offset] != '"')
+            m_offset += m_text[m_offset] == '\\' ? 2 : 1;
+        return m_text.substr(start, m_offset++ - start);
+    }
+
+    void skipValue()
+    {
+        int depth = 0;
+        do {
+            skipBlank();
+            const char c = m_offset < m_text.size() ? m_text[m_offset] : '}';
+            if (c == '"') {
+                readString();
+            } else {
+                depth += (c == '{' || c == '[') - (c == '}' || c == ']');
+                ++m_offset;
+            }
+            if (!depth && c != '"' && c != '}' && c != ']')
+                skipScalar();
+        } while (depth > 0);
+    }
+
+    void skipScalar()
+    {
+        while (m_offset < m_text.size() && std::string_view(",]} \t\r\n/").find(m_text[m_offset]) == std::string_view::npos)
+            ++m_offset;
+    }
+
+    std::string_view m_text;
+    size_t m_offset = 0;
+};
+
+std::vector<std::string> splitPath(std::string_view path)
+{
+    std::vector<std::string> steps;
+    for (const char c : path) {
+        if (c == '.' || c == '[')
+            steps.emplace_back();
+        if (steps.empty())
+            steps.emplace_back();
+        if (c != '.' && c != ']')
+            steps.back() += c;
+    }
+    std::erase(steps, std::string {});
+    return steps;
+}
+
+} // namespace
+
+std::string linePosition(std::string_view text, size_t offset)
+{
+    const std::string_view before = text.substr(0, std::min(offset, text.size()));
+    const auto line = 1 + std::count(before.begin(), before.end(), '\n');
+    const size_t lineStart = before.rfind('\n');
+    const size_t column = lineStart == std::string_view::npos ? before.size() + 1 : before.size() - lineStart;
+    return "line " + std::to_string(line) + ", column " + std::to_string(column);
+}
+
+size_t locateValue(std::string_view text, std::string_view path)
+{
+    Walker walker(text);
+    size_t offset = walker.offset();
+    for (const std::string& step : splitPath(path)) {
+        if (!walker.enter(step))
+            break;
+        offset = walker.offset();
+    }
+    return offset;
+}
+
+Json parseJson(std::string_view text)
+{
+    std::vector<std::set<std::string>> keys;
+    std::string repeated;
+    const auto noteKey = [&](int, Json::parse_event_t event, Json& value) {
+        if (event == Json::parse_event_t::object_start)
+            keys.emplace_back();
+        else if (event == Json::parse_event_t::object_end)
+            keys.pop_back();
+        else if (event == Json::parse_event_t::key && !keys.back().insert(value.get<std::string>()).second)
+            repeated = value.get<std::string>();
+        return true;
+    };
+    try {
+        Json json = Json::parse(text, noteKey, true, true);
+        if (!repeated.empty())
+            throw JsonFault { ErrorKind::Duplicate, {}, "the key \"" + repeated + "\" stands twice in one object", "keep one of them" };
+        return json;
+    } catch (const Json::parse_error& error) {
+        const std::string what = error.what();
+        const size_t colon = what.rfind(": ");
+        throw JsonFault { ErrorKind::Syntax, {}, linePosition(text, error.byte ? error.byte - 1 : 0) + ": " + (colon == std::string::npos ? what : what.substr(colon + 2)), "correct the JSON there" };
+    }
+}
+
+Error describeFault(std::string_view text, const JsonFault& fault)
+{
+    if (fault.path.empty())
+        return { fault.kind, fault.message, fault.remedy };
+    const std::string position = linePosition(text, locateValue(text, fault.path));
+    return { fault.kind, position + " (" + fault.path + "): " + fault.message, fault.remedy };
+}
+
+JsonFields::JsonFields(const Json& object, std::string path)
+    : m_object(object)
+    , m_path(std::move(path))
+{
+    if (!object.is_object())
+        throw wrongType(m_path, "an object");
+}
+
+const Json* JsonFields::find(const std::string& name)
+{
+    m_asked.insert(name);
+    const auto found = m_object.find(name);
+    return found == m_object.end() ? nullptr : &*found;
+}
+
+void JsonFields::finish() const
+{
+    for (const auto& [key, value] : m_object.items()) {
+        if (!m_asked.contains(key))
+            throw JsonFault { ErrorKind::UnknownField, pathOf(key), "\"" + key + "\" is not a known field", "remove it or correct its name" };
+    }
+}
+
+JsonFault JsonFields::wrongType(const std::string& path, const std::string& wanted)
+{
+    return { ErrorKind::WrongType, path, "the value is not " + wanted, "write " + wanted };
+}
+
+} // namespace eelgrassloft::io
--- /dev/null
+++ b/src/io/json_fields.h
@@ -0,0 +1,148 @@
+#pragma once
+
+#include "eelgrassloft/error.h"
+#include "eelgrassloft/name_table.h"
+
+#include <nlohmann/json.hpp>
+
+#include <limits>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+namespace eelgrassloft::io {
+
+using Json = nlohmann::json;
+
+/// Error in a JSON text, with the path of the value. Thrown and caught within the readers.
+struct JsonFault {
+    ErrorKind kind = ErrorKind::Syntax;
+    std::string path; ///< For example `jobs[3].size`.
+    std::string message;
+    std::string remedy;
+};
+
+/// Line and column, both from 1, of a byte of a text.
+std::string linePosition(std::string_view text, size_t offset);
+
+/// Offset of the value at `path` in a JSON text with comments, or of the nearest value around it.
+size_t locateValue(std::string_view text, std::string_view path);
+
+/// Parses a JSON text with comments. Repeated keys in one object are an error.
+Json parseJson(std::string_view text);
+
+/// Turns a fault into an error that names line and column.
+Error describeFault(std::string_view text, const JsonFault& fault);
+
+/// Typed access to the members of one JSON object. Members that nobody asked for are an error.
+class JsonFields {
+public:
+    JsonFields(const Json& object, std::string path);
+
+    template <typename T>
+    T required(const std::string& name)
+    {
+        const Json* value = find(name);
+        if (!value)
+            throw JsonFault { ErrorKind::MissingField, m_path, "\"" + name + "\" is missing", "add it" };
+        return convert<T>(*value, pathOf(name));
+    }
+
+    template <typename T>
+    T optional(const std::string& name, T fallback)
+    {
+        const Json* value = find(name);
+        return value ? convert<T>(*value, pathOf(name)) : fallback;
+    }
+
+    /// A member that is an array or object, or null where it is missing.
+    const Json* find(const std::string& name);
+    std::string pathOf(const std::string& name) const { return m_path.empty() ? name : m_path + "." + name; }
+    /// Calls `visit` with a `JsonFields` of each element of an array of objects.
+    template <typename Visitor>
+    void forEach(const std::string& name, Visitor&& visit)
+    {
+        const Json* list = find(name);
+        if (!list)
+            return;
+        if (!list->is_array())
+            throw JsonFault { ErrorKind::WrongType, pathOf(name), "\"" + name + "\" is not a list", "write a list of objects" };
+        for (size_t i = 0; i < list->size(); ++i) {
+            JsonFields element((*list)[i], pathOf(name) + "[" + std::to_string(i) + "]");
+            visit(element);
+            element.finish();
+        }
+    }
+
+    /// Refuses members that nobody asked for.
+    void finish() const;
+
+    const std::string& path() const { return m_path; }
+
+private:
+    template <typename T>
+    static T convert(const Json& value, const std::string& path)
+    {
+        if constexpr (std::is_enum_v<T>) {
+            const auto text = convert<std::string>(value, path);
+            const std::optional<T> result = parseName<T>(text);
+            if (!result)
+                throw JsonFault { ErrorKind::UnknownName, path, "\"" + text + "\" is not a known name", "use one of: " + joinNames<T>() };
+            return *result;
+        } else if constexpr (std::is_same_v<T, bool>) {
+            if (!value.is_boolean())
+                throw wrongType(path, "true or false");
+            return value.get<bool>();
+        } else if constexpr (std::is_integral_v<T>) {
+            if (!value.is_number_integer())
+                throw wrongType(path, "a whole number");
+            const bool isInRange = value.is_number_unsigned() ? value.get<uint64_t>() <= static_cast<uint64_t>(std::numeric_limits<T>::max())
+                                                              : std::is_signed_v<T> && value.get<int64_t>() >= static_cast<int64_t>(std::numeric_limits<T>::min());
+            if (!isInRange)
+                throw JsonFault { ErrorKind::OutOfRange, path, value.dump() + " is out of range", "use a number up to " + std::to_string(std::numeric_limits<T>::max()) };
+            return value.get<T>();
+        } else if constexpr (std::is_floating_point_v<T>) {
+            if (!value.is_number())
+                throw wrongType(path, "a number");
+            return value.get<T>();
+        } else {
+            if (!value.is_string())
+                throw wrongType(path, "a string");
+            return value.get<std::string>();
+        }
+    }
+
+    template <typename T>
+    static std::string joinNames()
+    {
+        std::string result;
+        forEachValue<T>([&](T value) { result += (result.empty() ? "" : ", ") + std::string(name(value)); });
+        return result;
+    }
+
+    static JsonFault wrongType(const std::string& path, const std::string& wanted);
+
+    const Json& m_object;
+    std::string m_path;
+    std::set<std::string> m_asked;
+};
+
+/// Reads values from JSON texts with comments. `read` is given the parsed text.
+template <typename Value, typename Read>
+std::optional<Value> readJson(std::string_view text, Error& error, Read&& read)
+{
+    try {
+        const Json json = parseJson(text);
+        JsonFields fields(json, {});
+        std::optional<Value> value(read(fields));
+        fields.finish();
+        return value;
+    } catch (const JsonFault& fault) {
+        error = describeFault(text, fault);
+        return std::nullopt;
+    }
+}
+
+} // namespace eelgrassloft::io
--- /dev/null
+++ b/src/io/log_file.cpp
@@ -0,0 +1,164 @@
+#include "io/log_file.h"
+
+#include <boost/crc.hpp>
+#include <boost/endian/conversion.hpp>
+
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+namespace eelgrassloft::io {
+
+namespace {
+
+constexpr size_t frameHeadBytes = 8;
+
+uint32_t crcOf(std::string_view bytes)
+{
+    boost::crc_32_type crc;
+    crc.process_bytes(bytes.data(), bytes.size());
+    return crc.checksum();
+}
+
+uint32_t readNumber(const char* bytes)
+{
+    uint32_t number = 0;
+    std::memcpy(&number, bytes, sizeof(number));
+    return boost::endian::big_to_native(number);
+}
+
+void appendNumber(std::string& bytes, uint32_t number)
+{
+    number = boost::endian::native_to_big(number);
+    bytes.append(reinterpret_cast<const char*>(&number), sizeof(number));
+}
+
+/// Length of the whole record at `offset`, or nothing.
+std::optional<size_t> recordLength(std::string_view bytes, size_t offset)
+{
+    if (bytes.size() - offset < frameHeadBytes)
+        return std::nullopt;
+    const size_t length = readNumber(bytes.data() + offset);
+    if (!length || bytes.size() - offset - frameHeadBytes < length)
+        return std::nullopt;
+    if (crcOf(bytes.substr(offset + frameHeadBytes, length)) != readNumber(bytes.data() + offset + 4))
+        return std::nullopt;
+    return length;
+}
+
+bool hasRecordAfter(std::string_view bytes, size_t offset)
+{
+    for (size_t i = offset + 1; i + frameHeadBytes <= bytes.size(); ++i) {
+        if (recordLength(bytes, i))
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+std::string frameRecord(const std::string& payload)
+{
+    std::string bytes;
+    bytes.reserve(payload.size() + frameHeadBytes);
+    appendNumber(bytes, static_cast<uint32_t>(payload.size()));
+    appendNumber(bytes, crcOf(payload));
+    bytes += payload;
+    return bytes;
+}
+
+std::optional<std::vector<std::string>> RecordFile::read(const std::filesystem::path& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file)
+        return fail(ErrorKind::FileUnreadable, "cannot read " + path.string(), "check its owner and mode");
+    std::ostringstream content;
+    content << file.rdbuf();
+    const std::string bytes = content.str();
+    std::vector<std::string> records;
+    m_goodBytes = 0;
+    while (m_goodBytes < bytes.size()) {
+        const auto length = recordLength(bytes, m_goodBytes);
+        if (!length)
+            break;
+        records.push_back(bytes.substr(m_goodBytes + frameHeadBytes, *length));
+        m_goodBytes += frameHeadBytes + *length;
+    }
+    if (m_goodBytes < bytes.size() && hasRecordAfter(bytes, m_goodBytes))
+        return fail(ErrorKind::FileCorrupt, "bad bytes at offset " + std::to_string(m_goodBytes) + " with whole records after them", "restore the file");
+    return records;
+}
+
+SyncedFile::SyncedFile(SyncedFile&& other) noexcept
+    : m_descriptor(std::exchange(other.m_descriptor, -1))
+    , m_path(std::move(other.m_path))
+{
+}
+
+SyncedFile& SyncedFile::operator=(SyncedFile&& other) noexcept
+{
+    std::swap(m_descriptor, other.m_descriptor);
+    std::swap(m_path, other.m_path);
+    return *this;
+}
+
+SyncedFile::~SyncedFile()
+{
+    if (m_descriptor >= 0)
+        ::close(m_descriptor);
+}
+
+std::nullopt_t SyncedFile::failErrno(const char* operation)
+{
+    return fail(ErrorKind::FileWriteFailed, std::string(operation) + " " + m_path.string() + ": " + std::strerror(errno),
+        "check the disk of the data folder");
+}
+
+std::optional<size_t> SyncedFile::open(const std::filesystem::path& path, bool isNew)
+{
+    if (m_descriptor >= 0)
+        ::close(m_descriptor);
+    m_path = path;
+    m_descriptor = ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC | (isNew ? O_TRUNC : 0), 0640);
+    if (m_descriptor < 0)
+        return failErrno("cannot open");
+    return 0;
+}
+
+std::optional<size_t> SyncedFile::append(const std::string& bytes)
+{
+    size_t written = 0;
+    while (written < bytes.size()) {
+        const ssize_t count = ::write(m_descriptor, bytes.data() + written, bytes.size() - written);
+        if (count < 0 && errno == EINTR)
+            continue;
+        if (count <= 0)
+            return failErrno("cannot write");
+        written += static_cast<size_t>(count);
+    }
+    return written;
+}
+
+std::optional<size_t> SyncedFile::sync()
+{
+    if (m_descriptor < 0)
+        return 0;
+    if (::fdatasync(m_descriptor) != 0)
+        return failErrno("cannot sync");
+    return 0;
+}
+
+bool syncFolder(const std::filesystem::path& folder)
+{
+    const int descriptor = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (descriptor < 0)
+        return false;
+    const bool isSynced = ::fsync(descriptor) == 0;
+    ::close(descriptor);
+    return isSynced;
+}
+
+} // namespace eelgrassloft::io
--- /dev/null
+++ b/src/io/log_file.h
@@ -0,0 +1,293 @@
+#pragma once
+
+#include "io/record_codec.h"
+#include "replica_messages.h"
+
+#include <algorithm>
+#include <filesystem>
+
+namespace eelgrassloft::io {
+
+/// Frames records in files: length, CRC-32 and payload, numbers in network order.
+std::string frameRecord(const std::string& payload);
+
+/// Records of one file, read from its start.
+class RecordFile : public LastError {
+public:
+    /// All whole records. A torn last record is left out and `goodBytes` ends before it; bad bytes
+    /// with whole records after them are an error.
+    std::optional<std::vector<std::string>> read(const std::filesystem::path& path);
+    size_t goodBytes() const { return m_goodBytes; }
+
+private:
+    size_t m_goodBytes = 0;
+};
+
+/// An open file that is appended to and synced. Closes with its owner.
+class SyncedFile : public LastError {
+public:
+    SyncedFile() = default;
+    SyncedFile(SyncedFile&& other) noexcept;
+    SyncedFile& operator=(SyncedFile&& other) noexcept;
+    ~SyncedFile();
+
+    std::optional<size_t> open(const std::filesystem::path& path, bool isNew);
+    std::optional<size_t> append(const std::string& bytes);
+    std::optional<size_t> sync();
+    bool isOpen() const { return m_descriptor >= 0; }
+
+private:
+    std::nullopt_t failErrno(const char* operation);
+
+    int m_descriptor = -1;
+    std::filesystem::path m_path;
+};
+
+/// Makes the entries of a folder durable.
+bool syncFolder(const std::filesystem::path& folder);
+
+/// Storage of one log. `Storage` models keep what a replica wrote across restarts.
+template <typename T, typename M>
+concept LogStorage = requires(T storage, uint64_t incarnation, const std::vector<LogWrite<M>>& writes)
+{
+    {
+        storage.restore()
+        } -> std::same_as<std::optional<RestoredLog<M>>>;
+    {
+        storage.write(incarnation, writes)
+        } -> std::same_as<bool>;
+};
+
+/// Keeps nothing: a restarted host joins under a new incarnation.
+template <typename M>
+class MemoryLog {
+public:
+    std::optional<RestoredLog<M>> restore() { return std::nullopt; }
+    bool write(uint64_t, const std::vector<LogWrite<M>>&) { return true; }
+};
+
+/// Keeps a log in a folder: a snapshot and numbered segments of records after it.
+template <typename M>
+class FileLog : public LastError {
+public:
+    explicit FileLog(std::filesystem::path folder)
+        : m_folder(std::move(folder))
+    {
+    }
+
+    /// Reads the folder, creating it where it is missing. Nothing without `lastError` set means
+    /// that the folder holds no log yet.
+    std::optional<RestoredLog<M>> restore()
+    {
+        std::error_code error;
+        std::filesystem::create_directories(m_folder, error);
+        if (error)
+            return fail(ErrorKind::FileUnreadable, "cannot create " + m_folder.string() + ": " + error.message(), "check the data folder and its owner");
+        RestoredLog<M> log;
+        if (!restoreSnapshot(log) || !restoreSegments(log))
+            return std::nullopt;
+        m_incarnation = log.incarnation;
+        m_state = log.state;
+        if (!log.incarnation)
+            return std::nullopt;
+        return log;
+    }
+
+    /// Writes and syncs. After a failure the folder must not be used until it is restored again.
+    bool write(uint64_t incarnation, const std::vector<LogWrite<M>>& writes)
+    {
+        for (const LogWrite<M>& write : writes) {
+            if (!append(incarnation, write))
+                return false;
+        }
+        if (m_segment.sync())
+            return true;
+        fail(m_segment.lastError());
+        return false;
+    }
+
+private:
+    struct Begin {
+        uint64_t incarnation = 0;
+        HardState state;
+
+        static constexpr auto members() { return std::make_tuple(&Begin::incarnation, &Begin::state); }
+    };
+
+    struct Truncate {
+        uint64_t from = 0;
+
+        static constexpr auto members() { return std::make_tuple(&Truncate::from); }
+    };
+
+    using FileRecord = std::variant<Begin, Truncate, LogEntry<M>>;
+
+    struct Segment {
+        uint64_t number = 0;
+        uint64_t lastIndex = 0;
+    };
+
+    std::filesystem::path snapshotPath() const { return m_folder / "snapshot"; }
+    std::filesystem::path segmentPath(uint64_t number) const { return m_folder / ("segment-" + std::to_string(number)); }
+
+    bool corrupt(const std::filesystem::path& path, const std::string& reason)
+    {
+        fail(ErrorKind::FileCorrupt, path.string() + ": " + reason, "remove the data folder and restart the host; it joins again with a new identity");
+        return false;
+    }
+
+    bool restoreSnapshot(RestoredLog<M>& log)
+    {
+        if (!std::filesystem::exists(snapshotPath()))
+            return true;
+        const auto records = m_reader.read(snapshotPath());
+        if (!records || records->size() != 1)
+            return corrupt(snapshotPath(), records ? "the snapshot is not whole" : m_reader.lastError().message);
+        log.snapshot = m_decoder.decode<Snapshot<M>>(records->front());
+        return log.snapshot ? true : corrupt(snapshotPath(), m_decoder.lastError().message);
+    }
+
+    bool restoreSegments(RestoredLog<M>& log)
+    {
+        std::vector<uint64_t> numbers;
+        for (const auto& file : std::filesystem::directory_iterator(m_folder)) {
+            const std::string fileName = file.path().filename().string();
+            if (fileName.starts_with("segment-"))
+                numbers.push_back(std::stoull(fileName.substr(8)));
+        }
+        std::sort(numbers.begin(), numbers.end());
+        for (const uint64_t number : numbers) {
+            if (!restoreSegment(log, number, number == numbers.back()))
+                return false;
+        }
+        return true;
+    }
+
+    bool restoreSegment(RestoredLog<M>& log, uint64_t number, bool isLast)
+    {
+        const std::filesystem::path path = segmentPath(number);
+        const auto records = m_reader.read(path);
+        if (!records)
+            return corrupt(path, m_reader.lastError().message);
+        if (m_reader.goodBytes() != std::filesystem::file_size(path)) {
+            if (!isLast)
+                return corrupt(path, "its last record is not whole, and later segments exist");
+            std::filesystem::resize_file(path, m_reader.goodBytes()); // Never synced: nothing was promised.
+        }
+        m_segments.push_back({ number, 0 });
+        for (const std::string& bytes : *records) {
+            const auto record = m_decoder.decode<FileRecord>(bytes);
+            if (!record || !restoreRecord(log, *record))
+                return corrupt(path, record ? "its entries have a gap" : m_decoder.lastError().message);
+        }
+        return true;
+    }
+
+    bool restoreRecord(RestoredLog<M>& log, const FileRecord& record)
+    {
+        if (const auto* begin = std::get_if<Begin>(&record)) {
+            log.incarnation = begin->incarnation;
+            log.state = begin->state;
+            return true;
+        }
+        const uint64_t base = log.snapshot ? log.snapshot->index : 0;
+        if (const auto* truncate = std::get_if<Truncate>(&record)) {
+            while (!log.entries.empty() && log.entries.back().index >= truncate->from)
+                log.entries.pop_back();
+            return true;
+        }
+        const auto& entry = std::get<LogEntry<M>>(record);
+        m_segments.back().lastIndex = std::max(m_segments.back().lastIndex, entry.index);
+        if (entry.index <= base)
+            return true;
+        const uint64_t expected = log.entries.empty() ? base + 1 : log.entries.back().index + 1;
+        if (entry.index != expected)
+            return false;
+        log.entries.push_back(entry);
+        return true;
+    }
+
+    bool append(uint64_t incarnation, const LogWrite<M>& write)
+    {
+        const bool isNewState = write.state && *write.state != m_state;
+        if (write.state)
+            m_state = *write.state;
+        if (write.snapshot && !writeSnapshot(*write.snapshot))
+            return false;
+        std::string bytes;
+        if (!m_segment.isOpen() || write.snapshot || incarnation != m_incarnation) {
+            m_incarnation = incarnation;
+            if (!startSegment(write.snapshot ? write.snapshot->index : 0))
+                return false;
+        } else if (isNewState) {
+            bytes += frame(Begin { m_incarnation, m_state });
+        }
+        if (write.truncateFrom)
+            bytes += frame(Truncate { write.truncateFrom });
+        for (const LogEntry<M>& entry : write.entries) {
+            m_segments.back().lastIndex = std::max(m_segments.back().lastIndex, entry.index);
+            bytes += frame(entry);
+        }
+        return bytes.empty() || appendBytes(bytes);
+    }
+
+    static std::string frame(FileRecord record) { return frameRecord(encode(record)); }
+
+    bool appendBytes(const std::string& bytes)
+    {
+        if (m_segment.append(bytes))
+            return true;
+        fail(m_segment.lastError());
+        return false;
+    }
+
+    bool writeSnapshot(const Snapshot<M>& snapshot)
+    {
+        const std::filesystem::path temporary = m_folder / "snapshot.new";
+        SyncedFile file;
+        if (!file.open(temporary, true) || !file.append(frameRecord(encode(snapshot))) || !file.sync()) {
+            fail(file.lastError());
+            return false;
+        }
+        std::error_code error;
+        std::filesystem::rename(temporary, snapshotPath(), error);
+        if (error || !syncFolder(m_folder)) {
+            fail(ErrorKind::FileWriteFailed, "cannot replace " + snapshotPath().string(), "check the disk of the data folder");
+            return false;
+        }
+        return true;
+    }
+
+    /// Opens the next segment and removes those that a snapshot up to `coveredIndex` replaces.
+    bool startSegment(uint64_t coveredIndex)
+    {
+        const uint64_t number = m_segments.empty() ? 1 : m_segments.back().number + 1;
+        if (!m_segment.open(segmentPath(number), true)) {
+            fail(m_segment.lastError());
+            return false;
+        }
+        m_segments.push_back({ number, 0 });
+        if (!appendBytes(frame(Begin { m_incarnation, m_state })))
+            return false;
+        if (!m_segment.sync() || !syncFolder(m_folder)) {
+            fail(ErrorKind::FileWriteFailed, "cannot sync " + segmentPath(number).string(), "check the disk of the data folder");
+            return false;
+        }
+        while (m_segments.size() > 1 && m_segments.front().lastIndex <= coveredIndex) {
+            std::error_code ignored;
+            std::filesystem::remove(segmentPath(m_segments.front().number), ignored);
+            m_segments.erase(m_segments.begin());
+        }
+        return true;
+    }
+
+    std::filesystem::path m_folder;
+    RecordFile m_reader;
+    RecordDecoder m_decoder;
+    SyncedFile m_segment;
+    std::vector<Segment> m_segments;
+    uint64_t m_incarnation = 0;
+    HardState m_state;
+};
+
+} // namespace eelgrassloft::io
--- /dev/null
+++ b/src/io/log_writer.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "io/log_file.h"
+#include "io/node_messages.h"
+
+#include <variant>
+
+namespace eelgrassloft::io {
+
+/// Writes a log on the storage thread and tells the node what is synced. Writes that wait
+/// together are synced together. Without a folder everything counts as written at once.
+template <typename M>
+class LogWriter {
+public:
+    LogWriter(asio::io_context& context, asio::thread_pool& storageThread, LogKind kind, NodeMailbox& node, Mailbox<Error>& failures)
+        : m_context(context)
+        , m_storageThread(storageThread)
+        , m_kind(kind)
+        , m_node(node)
+        , m_failures(failures)
+    {
+    }
+
+    /// Uses `file` from now on; it has been restored.
+    void useFile(std::unique_ptr<FileLog<M>> file) { m_file = std::move(file); }
+
+    void write(uint64_t incarnation, LogWrite<M> write)
+    {
+        if (!m_file) {
+            m_node.tryPush(Event(LogWritten { m_kind, write.sequence }));
+            return;
+        }
+        m_incarnation = incarnation;
+        m_waiting.push_back(std::move(write));
+        if (!m_isWriting)
+            startBatch();
+    }
+
+private:
+    void startBatch()
+    {
+        m_isWriting = true;
+        auto batch = std::make_shared<std::vector<LogWrite<M>>>(std::exchange(m_waiting, {}));
+        asio::post(m_storageThread, [this, batch, incarnation = m_incarnation] {
+            const bool isWritten = m_file->write(incarnation, *batch);
+            const Error error = isWritten ? Error {} : m_file->lastError();
+            asio::post(m_context, [this, isWritten, error, sequence = batch->back().sequence] { finishBatch(isWritten, error, sequence); });
+        });
+    }
+
+    void finishBatch(bool isWritten, const Error& error, uint64_t sequence)
+    {
+        m_isWriting = false;
+        if (!isWritten) {
+            m_failures.tryPush(error);
+            return;
+        }
+        m_node.tryPush(Event(LogWritten { m_kind, sequence }));
+        if (!m_waiting.empty())
+            startBatch();
+    }
+
+    asio::io_context& m_context;
+    asio::thread_pool& m_storageThread;
+    LogKind m_kind;
+    NodeMailbox& m_node;
+    Mailbox<Error>& m_failures;
+    std::unique_ptr<FileLog<M>> m_file;
+    uint64_t m_incarnation = 0;
+    std::vector<LogWrite<M>> m_waiting;
+    bool m_isWriting = false;
+};
+
+} // namespace eelgrassloft::io
--- /dev/null
+++ b/src/io/node_messages.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "io/mailbox.h"
+#include "node_events.h"
+
+#include <memory>
+#include <string>
+
+namespace eelgrassloft::io {
+
+/// Where a task waits for the reply to one of its messages.
+template <typename T>
+using ReplyBox = std::shared_ptr<Mailbox<T>>;
+
+template <typename T>
+ReplyBox<T> makeReplyBox(const asio::any_io_executor& executor) { return std::make_shared<Mailbox<T>>(executor, 1); }
+
+/// A caller's whole request. The node task gives it its id.
+struct SubmitRequest {
+    Request request;
+    Blob body;
+    std::string contentType;
+    ReplyBox<EndedRequest> reply;
+};
+
+struct SubmitReport {
+    WorkerReport report;
+    ReplyBox<WorkerReply> reply;
+};
+
+using OperatorReply = decltype(AnswerOperator::reply);
+
+struct SubmitSheet {
+    SheetApplied change;
+    ReplyBox<OperatorReply> reply;
+};
+
+struct SubmitCancel {
+    JobsCancelled cancel;
+    ReplyBox<OperatorReply> reply;
+};
+
+/// What can be asked of a node without changing it.
+enum class QueryKind : uint8_t {
+    Status,
+    Jobs,
+    Workers,
+    Upstreams,
+    Explain,
+    Diff,
+    Metrics,
+    Ready,
+    Count
+};
+
+constexpr NameTable<QueryKind> nameTable(QueryKind)
+{
+    constexpr NameTable<QueryKind> table { "status", "jobs", "workers", "upstreams", "explain", "diff", "metrics", "ready" };
+    static_assert(eelgrassloft::detail::isComplete<QueryKind>(table));
+    return table;
+}
+
+struct QueryReply {
+    bool isFound = true;
+    std::string text;
+};
+
+struct SubmitQuery {
+    QueryKind kind = QueryKind::Status;
+    std::string argument; ///< Explain: the job.
+    Sheet sheet; ///< Diff.
+    ReplyBox<QueryReply> reply;
+};
+
+/// A message to the node task.
+using NodeMessage = std::variant<Event, SubmitRequest, SubmitReport, SubmitSheet, SubmitCancel, SubmitQuery>;
+using NodeMailbox = Mailbox<NodeMessage>;
+
+} // namespace eelgrassloft::io
--- /dev/null
+++ b/src/io/node_task.cpp
@@ -0,0 +1,158 @@
+#include "io/node_task.h"
+
+namespace eelgrassloft::io {
+
+NodeTask::NodeTask(DaemonNode node, WallClock clock, Parts parts)
+    : m_node(std::move(node))
+    , m_clock(clock)
+    , m_parts(parts)
+{
+}
+
+awaitable<void> NodeTask::run()
+{
+    while (!m_parts.mailbox.isClosed()) {
+        auto message = co_await m_parts.mailbox.pop(m_clock.steadyTime(m_node.nextDeadline()));
+        if (message)
+            receive(std::move(*message));
+        else
+            step(Tick {});
+    }
+}
+
+void NodeTask::receive(NodeMessage message)
+{
+    std::visit([&](auto& body) { handle(std::move(body)); }, message);
+}
+
+void NodeTask::step(const Event& event)
+{
+    if (const auto* written = std::get_if<LogWritten>(&event))
+        noteWritten(*written);
+    const auto start = std::chrono::steady_clock::now();
+    Effects effects = m_node.step(m_clock.now(), event);
+    m_timers[TimerKind::Step].add(std::chrono::steady_clock::now() - start);
+    for (Effect& effect : effects)
+        std::visit([&](auto& body) { perform(std::move(body)); }, effect);
+}
+
+void NodeTask::handle(SubmitRequest submit)
+{
+    submit.request.id = RequestId { m_nextId++ };
+    // The caller gave the remaining time; the core wants the moment.
+    submit.request.deadline = m_clock.now() + submit.request.deadline.time_since_epoch();
+    m_requests[submit.request.id] = { { submit.body, submit.contentType, submit.request.key }, submit.reply, std::chrono::steady_clock::now() };
+    step(RequestArrived { std::move(submit.request) });
+}
+
+void NodeTask::handle(SubmitReport submit)
+{
+    const CallId call { m_nextId++ };
+    m_workerCalls[call] = submit.reply;
+    step(WorkerReported { call, std::move(submit.report) });
+}
+
+void NodeTask::handle(SubmitSheet submit)
+{
+    submit.change.call = CallId { m_nextId++ };
+    m_operatorCalls[submit.change.call] = submit.reply;
+    step(std::move(submit.change));
+}
+
+void NodeTask::handle(SubmitCancel submit)
+{
+    submit.cancel.call = CallId { m_nextId++ };
+    m_operatorCalls[submit.cancel.call] = submit.reply;
+    step(std::move(submit.cancel));
+}
+
+void NodeTask::handle(SubmitQuery submit)
+{
+    if (submit.kind == QueryKind::Metrics)
+        submit.reply->tryPush({ true, metricsText() });
+    else
+        submit.reply->tryPush(answerQuery(m_node, submit, m_clock.now()));
+}
+
+std::string NodeTask::metricsText() const
+{
+    std::string text = counterText(m_node.counters());
+    forEachValue<TimerKind>([&](TimerKind kind) { text += m_timers[kind].text(name(kind)); });
+    text += gaugeText("revision", static_cast<double>(m_node.cell().machine().revision));
+    text += gaugeText("pending_requests", static_cast<double>(m_node.router().pendingCount()));
+    text += gaugeText("attempts_in_flight", static_cast<double>(m_node.router().attemptCount()));
+    text += gaugeText("key_records", static_cast<double>(m_node.dataCentre().machine().claims.size()));
+    text += gaugeText("peers_connected", static_cast<double>(m_node.peers().connected().size()));
+    text += gaugeText("peers_rejected", static_cast<double>(m_parts.peers.rejectedPeers()));
+    text += gaugeText("peer_messages_dropped", static_cast<double>(m_parts.peers.droppedMessages()));
+    return text;
+}
+
+void NodeTask::perform(DispatchAttempt effect)
+{
+    const auto found = m_requests.find(effect.request);
+    if (found != m_requests.end())
+        m_parts.upstreams.start(effect, found->second.body, effect.deadline - m_clock.now());
+}
+
+void NodeTask::perform(AnswerCaller effect)
+{
+    const auto found = m_requests.find(effect.ended.request);
+    if (found == m_requests.end())
+        return;
+    m_timers[TimerKind::Request].add(std::chrono::steady_clock::now() - found->second.arrivedAt);
+    found->second.reply->tryPush(std::move(effect.ended));
+    m_requests.erase(found);
+}
+
+void NodeTask::perform(AnswerWorker effect)
+{
+    const auto found = m_workerCalls.find(effect.call);
+    if (found == m_workerCalls.end())
+        return;
+    found->second->tryPush(std::move(effect.reply));
+    m_workerCalls.erase(found);
+}
+
+void NodeTask::perform(AnswerOperator effect)
+{
+    const auto found = m_operatorCalls.find(effect.call);
+    if (found == m_operatorCalls.end())
+        return;
+    found->second->tryPush(std::move(effect.reply));
+    m_operatorCalls.erase(found);
+}
+
+void NodeTask::perform(SendPeer effect)
+{
+    if (effect.afterWrite > m_written[effect.log]) {
+        const uint64_t afterWrite = effect.afterWrite;
+        m_held[effect.log].push_back({ afterWrite, std::move(effect) });
+        return;
+    }
+    m_parts.peers.send(effect.to, effect.message);
+}
+
+void NodeTask::perform(WriteLog<CellMachine> effect) { m_parts.cellWriter.write(effect.incarnation, std::move(effect.write)); }
+
+void NodeTask::perform(WriteLog<DataCentreMachine> effect)
+{
+    m_parts.dataCentreWriter.write(effect.incarnation, std::move(effect.write));
+}
+
+void NodeTask::perform(LogEvent effect) { m_parts.log.write(effect); }
+
+void NodeTask::perform(DrainFinished effect) { m_parts.drained.tryPush(effect); }
+
+/// Lets go the messages that waited for a write.
+void NodeTask::noteWritten(const LogWritten& event)
+{
+    m_written[event.log] = std::max(m_written[event.log], event.sequence);
+    auto& held = m_held[event.log];
+    while (!held.empty() && held.front().afterWrite <= m_written[event.log]) {
+        m_parts.peers.send(held.front().message.to, held.front().message.message);
+        held.pop_front();
+    }
+}
+
+} // namespace eelgrassloft::io
--- /dev/null
+++ b/src/io/node_task.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "io/event_log.h"
+#include "io/log_writer.h"
+#include "io/metrics.h"
+#include "io/node_messages.h"
+#include "io/peer_network.h"
+#include "io/upstream_client.h"
+#include "io/wall_clock.h"
+#include "node.h"
+
+#include <map>
+
+namespace eelgrassloft::io {
+
+using DaemonNode = Node<>;
+
+/// Answers a query from the state of a node, as JSON or as the metrics text.
+QueryReply answerQuery(const DaemonNode& node, const SubmitQuery& query, Time now);
+
+/// The task that owns the core. It takes messages one by one, steps the node, and hands the
+/// effects to the tasks that own sockets and files.
+class NodeTask {
+public:
+    struct Parts {
+        NodeMailbox& mailbox;
+        PeerNetwork& peers;
+        UpstreamClient& upstreams;
+        LogWriter<CellMachine>& cellWriter;
+        LogWriter<DataCentreMachine>& dataCentreWriter;
+        EventLog& log;
+        Mailbox<DrainFinished>& drained;
+    };
+
+    NodeTask(DaemonNode node, WallClock clock, Parts parts);
+
+    /// Runs until the mailbox is closed.
+    awaitable<void> run();
+
+private:
+    struct PendingRequest {
+        AttemptBody body;
+        ReplyBox<EndedRequest> reply;
+        std::chrono::steady_clock::time_point arrivedAt;
+    };
+
+    struct HeldMessage {
+        uint64_t afterWrite = 0;
+        SendPeer message;
+    };
+
+    void receive(NodeMessage message);
+    void handle(Event event) { step(event); }
+    void handle(SubmitRequest submit);
+    void handle(SubmitReport submit);
+    void handle(SubmitSheet submit);
+    void handle(SubmitCancel submit);
+    void handle(SubmitQuery submit);
+    void step(const Event& event);
+
+    void perform(DispatchAttempt effect);
+    void perform(AnswerCaller effect);
+    void perform(AnswerWorker effect);
+    void perform(AnswerOperator effect);
+    void perform(SendPeer effect);
+    void perform(WriteLog<CellMachine> effect);
+    void perform(WriteLog<DataCentreMachine> effect);
+    void perform(LogEvent effect);
+    void perform(DrainFinished effect);
+    void noteWritten(const LogWritten& event);
+    std::string metricsText() const;
+
+    DaemonNode m_node;
+    WallClock m_clock;
+    Parts m_parts;
+    uint64_t m_nextId = 1;
+    std::map<RequestId, PendingRequest> m_requests;
+    std::map<CallId, ReplyBox<WorkerReply>> m_workerCalls;
+    std::map<CallId, ReplyBox<OperatorReply>> m_operatorCalls;
+    EnumArray<TimerKind, DurationStatistic> m_timers;
+    EnumArray<LogKind, uint64_t> m_written;
+    EnumArray<LogKind, std::deque<HeldMessage>> m_held;
+};
+
+} // namespace eelgrassloft::io
--- /dev/null
+++ b/src/io/settings_json.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "eelgrassloft/error.h"
+#include "eelgrassloft/settings.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace eelgrassloft::io {
+
+/// What a daemon reads from its settings file.
+struct DaemonSettings {
+    NodeSettings node;
+    std::string dataFolder; ///< Empty: this host has no disk.
+    std::string logFile; ///< Empty: standard output.
+    std::string logLevel = "info";
+};
+
+/// Reads settings; `lastError` names the line and column of what is wrong.
+class SettingsReader : public LastError {
+public:
+    std::optional<DaemonSettings> read(std::string_view text);
+};
+
+} // namespace eelgrassloft::io
--- /dev/null
+++ b/src/io/upstream_client.cpp
@@ -0,0 +1,132 @@
+#include "io/upstream_client.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace eelgrassloft::io {
+
+namespace {
+
+/// The kernel ends a connection whose peer confirms nothing any more.
+void detectSilence(tcp::socket& socket)
+{
+    const auto set = [&](int level, int option, int value) { ::setsockopt(socket.native_handle(), level, option, &value, sizeof(value)); };
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, config::keepAliveIdleSeconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, config::keepAliveIntervalSeconds);
+    set(IPPROTO_TCP, TCP_KEEPCNT, config::keepAliveProbes);
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(config::unconfirmedLimit / std::chrono::milliseconds(1)));
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+}
+
+HttpRequest requestFor(const DispatchAttempt& attempt, const AttemptBody& body, Duration remaining)
+{
+    HttpRequest request { http::verb::post, "/requests", 11 };
+    request.set(http::field::host, attempt.address);
+    request.set(header::timeoutMs, std::to_string(remaining / std::chrono::milliseconds(1)));
+    if (!body.contentType.empty())
+        request.set(http::field::content_type, body.contentType);
+    if (!body.key.empty())
+        request.set(header::idempotencyKey, body.key);
+    if (body.body)
+        request.body() = *body.body;
+    request.prepare_payload();
+    return request;
+}
+
+AttemptFailure failureOf(const error_code& error)
+{
+    if (error == http::error::body_limit)
+        return AttemptFailure::AnswerTooLarge;
+    const bool isSilent = error == beast::error::timeout || error == asio::error::timed_out;
+    return isSilent ? AttemptFailure::Silent : AttemptFailure::AnswerLost;
+}
+
+} // namespace
+
+UpstreamClient::UpstreamClient(asio::io_context& context, NodeMailbox& node)
+    : m_context(context)
+    , m_node(node)
+{
+}
+
+void UpstreamClient::start(const DispatchAttempt& attempt, AttemptBody body, Duration remaining)
+{
+    asio::co_spawn(m_context, run(attempt, std::move(body), remaining), asio::detached);
+}
+
+void UpstreamClient::closeIdle() { m_idle.clear(); }
+
+awaitable<void> UpstreamClient::run(DispatchAttempt attempt, AttemptBody body, Duration remaining)
+{
+    Event event = co_await exchange(std::move(attempt), std::move(body), remaining);
+    m_node.tryPush(NodeMessage(std::move(event)));
+}
+
+awaitable<Event> UpstreamClient::exchange(DispatchAttempt attempt, AttemptBody body, Duration remaining)
+{
+    const tcp::endpoint endpoint(asio::ip::make_address(attempt.address), attempt.port);
+    const HttpRequest request = requestFor(attempt, body, remaining);
+    // A connection that was idle for long may have been lost on the way, so work that runs at most once avoids it.
+    std::unique_ptr<Stream> stream = takeIdle(endpoint, attempt.isRecorded ? config::idleTrustLimit : config::idleConnectionLifetime);
+    if (!stream)
+        stream = co_await connect(endpoint);
+    if (!stream)
+        co_return AttemptFailed { attempt.attempt, AttemptFailure::ConnectFailed };
+    // The caller is answered at its deadline; the connection waits longer so that a late answer frees its slot.
+    stream->expires_after(remaining + config::lateAnswerLimit);
+    error_code error;
+    co_await http::async_write(*stream, request, asio::redirect_error(use_awaitable, error));
+    if (error)
+        co_return AttemptFailed { attempt.attempt, error == beast::error::timeout ? AttemptFailure::Silent : AttemptFailure::SendFailed };
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(config::maxBodyBytes);
+    co_await http::async_read(*stream, buffer, parser, asio::redirect_error(use_awaitable, error));
+    if (error)
+        co_return AttemptFailed { attempt.attempt, failureOf(error) };
+    HttpResponse response = parser.release();
+    if (response.keep_alive())
+        keep(endpoint, std::move(stream));
+    if (response.result() == http::status::service_unavailable && response[header::notStarted] == "true")
+        co_return AttemptFailed { attempt.attempt, AttemptFailure::RefusedByUpstream };
+    Answer answer { static_cast<uint16_t>(response.result_int()), std::string(response[http::field::content_type]), makeBlob(std::move(response.body())) };
+    co_return AttemptAnswered { attempt.attempt, std::move(answer) };
+}
+
+awaitable<std::unique_ptr<beast::tcp_stream>> UpstreamClient::connect(tcp::endpoint endpoint)
+{
+    auto stream = std::make_unique<Stream>(m_context);
+    stream->expires_after(config::upstreamConnectTimeout);
+    error_code error;
+    co_await stream->async_connect(endpoint, asio::redirect_error(use_awaitable, error));
+    if (error)
+        co_return nullptr;
+    detectSilence(stream->socket());
+    co_return stream;
+}
+
+std::unique_ptr<beast::tcp_stream> UpstreamClient::takeIdle(const tcp::endpoint& endpoint, Duration maxIdle)
+{
+    std::list<Idle>& idle = m_idle[endpoint];
+    const auto now = std::chrono::steady_clock::now();
+    std::erase_if(idle, [&](const Idle& entry) { return now - entry.since >= config::idleConnectionLifetime; });
+    // The last one kept is the freshest.
+    if (idle.empty() || now - idle.back().since >= maxIdle)
+        return nullptr;
+    std::unique_ptr<Stream> stream = std::move(idle.back().stream);
+    idle.pop_back();
+    // An upstream that closed the connection meanwhile has left an end of stream to read.
+    char byte = 0;
+    const ssize_t peeked = ::recv(stream->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? std::move(stream) : nullptr;
+}
+
+void UpstreamClient::keep(const tcp::endpoint& endpoint, std::unique_ptr<Stream> stream)
+{
+    stream->expires_never();
+    m_idle[endpoint].push_back({ std::move(stream), std::chrono::steady_clock::now() });
+}
+
+} // namespace eelgrassloft::io
--- /dev/null
+++ b/src/node.cpp
@@ -0,0 +1,7 @@
+#include "node.h"
+
+namespace eelgrassloft {
+
+template class Node<>;
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/node.h
@@ -0,0 +1,561 @@
+#pragma once
+
+#include "cell_desk.h"
+#include "claim_desk.h"
+#include "job_sync.h"
+#include "log_member.h"
+#include "node_events.h"
+#include "request_router.h"
+#include "share_agent.h"
+#include "task_controller.h"
+#include "worker_desk.h"
+
+namespace eelgrassloft {
+
+using DataCentreLog = LogMember<DataCentreMachine, DataCentreContext>;
+
+/// What a node starts from.
+struct NodeStart {
+    NodeSettings settings;
+    Time now {};
+    uint64_t seed = 0;
+    uint64_t incarnation = 0; ///< Higher at each start; used where a log was not restored.
+    bool mayForm = false; ///< Start new logs once all voters are found without state.
+    std::optional<RestoredLog<CellMachine>> cell;
+    std::optional<RestoredLog<DataCentreMachine>> dataCentre;
+};
+
+/// The core of one entry host. `step` is its one door: given a time and an event it changes
+/// state and returns what is to be done. The same state, seed and events give the same effects.
+template <RoutingPolicy Routing = LeastLoadedOfTwo, PlacementPolicy Pack = BestFit, PlacementPolicy Spread = SpreadOverRacks>
+class Node {
+public:
+    explicit Node(NodeStart start, Routing routing = {}, Pack pack = {}, Spread spread = {})
+        : m_peers(std::move(start.settings))
+        , m_random(start.seed)
+        , m_incarnation(start.incarnation)
+        , m_cell(cellOptions(), m_peers.self(), start.cell ? start.cell->incarnation : start.incarnation, start.now, m_random.next())
+        , m_dataCentre(dataCentreOptions(), m_peers.self(), start.dataCentre ? start.dataCentre->incarnation : start.incarnation, start.now, m_random.next())
+        , m_router(std::move(routing), static_cast<uint32_t>(m_peers.settings().hostsIn(m_peers.ownDataCentre()).size()))
+        , m_claims(m_peers.self(), start.incarnation)
+        , m_controller(std::move(pack), std::move(spread))
+        , m_lastStep(start.now)
+    {
+        startLog(m_cell, std::move(start.cell), start);
+        startLog(m_dataCentre, std::move(start.dataCentre), start);
+    }
+
+    Effects step(Time now, const Event& event)
+    {
+        NodeStep step { now, m_peers, m_counters, m_random };
+        noteTimeLeap(step);
+        std::visit([&](const auto& body) { handle(step, body); }, event);
+        tick(step);
+        return std::move(step.effects);
+    }
+
+    Time nextDeadline() const
+    {
+        return std::min({ m_cell.nextDeadline(), m_dataCentre.nextDeadline(), m_router.nextDeadline(), m_nextStatus,
+            m_shares.nextDeadline(m_router.hasQueue()), m_workers.nextDeadline(), planDeadline(), m_forwarded.nextDeadline() });
+    }
+
+    /// Whether the balancer should send requests here.
+    bool isReady(Time now) const { return !m_isDrainAnnounced && now < m_router.upstreams().leaseEnd(); }
+
+    const Counters& counters() const { return m_counters; }
+    const Peers& peers() const { return m_peers; }
+    const CellLog& cell() const { return m_cell; }
+    const DataCentreLog& dataCentre() const { return m_dataCentre; }
+    const RequestRouter<Routing>& router() const { return m_router; }
+    const ShareLedger& ledger() const { return m_shares.ledger(); }
+    const TaskController<Pack, Spread>& controller() const { return m_controller; }
+    const std::map<HostId, HostStatus>& hostStatus() const { return m_hostStatus; }
+    bool isDraining() const { return m_isDraining; }
+    bool isLeading() const { return m_isLeading; }
+
+private:
+    /// Workers' calls that were passed on to the leader.
+    struct ForwardedCalls {
+        std::map<CallId, Time> deadlines;
+
+        Time nextDeadline() const
+        {
+            Time result = never;
+            for (const auto& [call, deadline] : deadlines)
+                result = std::min(result, deadline);
+            return result;
+        }
+    };
+
+    LogMemberOptions cellOptions() const
+    {
+        LogMemberOptions options { LogKind::Cell, config::cellHeartbeatPeriod, {}, {}, config::snapshotThresholdEntries };
+        for (const HostSettings& host : m_peers.settings().hosts) {
+            options.hosts.push_back(host.id);
+            options.voterHosts.push_back(host.id);
+        }
+        return options;
+    }
+
+    LogMemberOptions dataCentreOptions() const
+    {
+        const std::vector<HostId> hosts = m_peers.settings().hostsIn(m_peers.ownDataCentre());
+        return { LogKind::DataCentre, config::heartbeatPeriod, hosts, hosts, config::snapshotThresholdEntries };
+    }
+
+    template <typename Log, typename Restored>
+    static void startLog(Log& log, std::optional<Restored> restored, const NodeStart& start)
+    {
+        if (restored)
+            log.restore(start.now, std::move(*restored));
+        else if (start.mayForm)
+            log.startForming();
+    }
+
+    void noteTimeLeap(NodeStep& step)
+    {
+        const Time expected = std::max(m_lastStep, std::min(m_expectedStep, step.now));
+        if (step.now > expected + config::timeLeapLimit) {
+            step.counters.add(CounterKind::TimeLeaps);
+            step.log(LogEventKind::TimeLeap, { { "milliseconds", std::to_string((step.now - expected) / std::chrono::milliseconds(1)) } });
+        }
+        m_lastStep = step.now;
+    }
+
+    // Requests.
+
+    void handle(NodeStep&, const Tick&) { }
+
+    void handle(NodeStep& step, const RequestArrived& event)
+    {
+        step.counters.add(CounterKind::RequestsArrived);
+        const Request& request = event.request;
+        const RefusalReason reason = m_isDraining ? RefusalReason::Draining : m_router.check(step.now, request);
+        if (reason != RefusalReason::None) {
+            end(step, { request.id, Outcome::NotRun, reason, {}, {} });
+            return;
+        }
+        if (request.isRepeatable) {
+            m_router.submit(step, request);
+            return;
+        }
+        if (request.key.empty()) {
+            end(step, { request.id, Outcome::NotRun, RefusalReason::MissingKey, {}, {} });
+            return;
+        }
+        m_dataCentre.propose(step, m_claims.claimFor(request), ClaimContext { request }, m_peers.homeOf(request.key), request.deadline);
+    }
+
+    void handle(NodeStep& step, const RequestRejected& event)
+    {
+        step.counters.add(CounterKind::RequestsArrived);
+        ++m_counters.outcomes[Outcome::NotRun];
+        ++m_counters.refusals[event.reason];
+    }
+
+    void handle(NodeStep& step, const CallerGone& event) { m_router.callerGone(step, event.request); }
+    void handle(NodeStep& step, const AttemptAnswered& event) { m_router.attemptAnswered(step, event.attempt, event.answer); }
+    void handle(NodeStep& step, const AttemptFailed& event) { m_router.attemptFailed(step, event.attempt, event.failure); }
+
+    void claimCompleted(NodeStep& step, const Request& request, const DataCentreLog::Completed& completed)
+    {
+        if (!completed.result) {
+            // Nothing left this host, and the claim, if it was granted, is given back.
+            m_claims.hold(request);
+            const bool isHomeLocal = m_peers.homeOf(request.key) == m_peers.ownDataCentre();
+            const RefusalReason unreachable = isHomeLocal ? RefusalReason::NoLeader : RefusalReason::HomeUnreachable;
+            end(step, { request.id, Outcome::NotRun, completed.hadLeader ? RefusalReason::LogBusy : unreachable, {}, {} });
+            return;
+        }
+        const ClaimResult& result = std::get<ClaimResult>(*completed.result);
+        if (result.status != ClaimStatus::Granted) {
+            step.counters.add(CounterKind::ClaimsRepeated);
+            end(step, endedByClaim(request.id, result));
+            return;
+        }
+        step.counters.add(CounterKind::ClaimsGranted);
+        m_claims.hold(request);
+        const RefusalReason reason = m_isDraining ? RefusalReason::Draining : m_router.check(step.now, request);
+        if (reason != RefusalReason::None)
+            end(step, { request.id, Outcome::NotRun, reason, {}, {} });
+        else
+            m_router.submit(step, request);
+    }
+
+    /// Answers the caller and settles the claim, if the request held one.
+    void end(NodeStep& step, EndedRequest ended)
+    {
+        ++m_counters.outcomes[ended.outcome];
+        if (ended.outcome == Outcome::NotRun)
+            ++m_counters.refusals[ended.refusal];
+        if (ended.outcome == Outcome::Unknown)
+            ++m_counters.unknowns[ended.unknown];
+        if (m_claims.isHeld(ended.request)) {
+            const std::string key = m_claims.keyOf(ended.request);
+            m_dataCentre.propose(step, *m_claims.settle(ended), SettleContext { ended.request }, m_peers.homeOf(key), step.now + config::settleTimeout);
+        }
+        step.emit(AnswerCaller { std::move(ended) });
+    }
+
+    // Upstreams.
+
+    void handle(NodeStep& step, const UpstreamAnnounced& event)
+    {
+        announced(step, event.announcement);
+        for (const HostId host : m_peers.settings().hostsIn(m_peers.ownDataCentre())) {
+            if (m_peers.isConnected(host))
+                step.send(host, event.announcement);
+        }
+    }
+
+    void announced(NodeStep& step, const UpstreamAnnouncement& announcement)
+    {
+        UpstreamSet& upstreams = m_router.upstreams();
+        const UpstreamId known = upstreams.find(announcement.name);
+        const bool wasAnnounced = known.isValid() && upstreams.at(known).isAnnounced(step.now);
+        if (!upstreams.announce(step.now, announcement).isValid())
+            return;
+        m_shares.announced(announcement);
+        if (wasAnnounced == announcement.isLeaving) {
+            const auto kind = announcement.isLeaving ? LogEventKind::UpstreamLeaving : LogEventKind::UpstreamAnnounced;
+            step.log(kind, { { "upstream", announcement.name }, { "service", announcement.service }, { "slots", std::to_string(announcement.slots) } });
+        }
+        m_router.pump(step, announcement.service);
+    }
+
+    // Operators.
+
+    void handle(NodeStep& step, const SheetApplied& event) { m_cellDesk.apply(step, m_cell, event); }
+
+    void handle(NodeStep& step, const JobsCancelled& event)
+    {
+        TaskCommand command = CancelJobs { event.jobs };
+        m_dataCentre.propose(step, std::move(command), CancelContext { event.call }, event.dataCentre, step.now + config::operatorTimeout);
+    }
+
+    void cancelCompleted(NodeStep& step, CallId call, const DataCentreLog::Completed& completed)
+    {
+        if (completed.result)
+            step.emit(AnswerOperator { call, std::get<TaskCommandResult>(*completed.result) });
+        else
+            step.emit(AnswerOperator { call, Error { ErrorKind::NotLeader, "the data centre's log did not confirm the cancellation", "send it again" } });
+    }
+
+    void handle(NodeStep&, const DrainAnnounced&) { m_isDrainAnnounced = true; }
+    void handle(NodeStep& step, const DrainStarted&)
+    {
+        m_isDrainAnnounced = m_isDraining = true;
+        step.log(LogEventKind::Draining, { { "pending", std::to_string(m_router.pendingCount()) } });
+    }
+
+    // Workers.
+
+    void handle(NodeStep& step, const WorkerReported& event)
+    {
+        const HostId leader = m_dataCentre.leader();
+        if (m_isLeading) {
+            m_workers.report(step, tasks(), event.report, { m_peers.self(), event.call });
+        } else if (leader.isValid() && leader != m_peers.self() && m_peers.isConnected(leader)) {
+            m_forwarded.deadlines[event.call] = step.now + config::workerCallTimeout;
+            step.send(leader, ForwardedReport { event.call, event.report });
+        } else {
+            step.emit(AnswerWorker { event.call, { WorkerReplyStatus::NoLeader, {}, {} } });
+        }
+    }
+
+    const TaskTable& tasks() const { return m_dataCentre.machine().tasks; }
+
+    // Peers.
+
+    void handle(NodeStep& step, const PeerUp& event)
+    {
+        m_peers.setConnected(event.host, true);
+        const auto& cell = m_cell.replica();
+        const auto& dataCentre = m_dataCentre.replica();
+        step.send(event.host, PeerHello { cell.self().incarnation, dataCentre.self().incarnation, cell.isEmpty(), dataCentre.isEmpty() });
+    }
+
+    void handle(NodeStep&, const PeerDown& event)
+    {
+        m_peers.setConnected(event.host, false);
+        m_hostStatus.erase(event.host);
+    }
+
+    void handle(NodeStep& step, const PeerReceived& event)
+    {
+        std::visit([&](const auto& body) { receive(step, event.host, body); }, event.message);
+    }
+
+    void receive(NodeStep& step, HostId from, const PeerHello& hello)
+    {
+        m_cell.helloReceived(step, from, hello.cellIncarnation, hello.isCellEmpty);
+        if (m_peers.isInOwnDataCentre(from))
+            m_dataCentre.helloReceived(step, from, hello.dataCentreIncarnation, hello.isDataCentreEmpty);
+    }
+
+    void receive(NodeStep&, HostId from, const HostStatus& status) { m_hostStatus[from] = status; }
+    void receive(NodeStep& step, HostId, const ReplicaMessage<CellMachine>& message) { m_cell.receive(step, message); }
+    void receive(NodeStep& step, HostId, const ReplicaMessage<DataCentreMachine>& message) { m_dataCentre.receive(step, message); }
+    void receive(NodeStep& step, HostId, const Proposal<CellMachine>& proposal) { m_cell.receive(step, proposal); }
+    void receive(NodeStep& step, HostId, const Proposal<DataCentreMachine>& proposal) { m_dataCentre.receive(step, proposal); }
+    void receive(NodeStep& step, HostId, const ProposalReply<CellMachine>& reply) { m_cell.receive(step, reply); }
+    void receive(NodeStep& step, HostId, const ProposalReply<DataCentreMachine>& reply) { m_dataCentre.receive(step, reply); }
+    void receive(NodeStep& step, HostId, const UpstreamAnnouncement& announcement) { announced(step, announcement); }
+    void receive(NodeStep& step, HostId from, const ShareReport& report) { m_shares.receive(step, m_router.upstreams(), from, report); }
+
+    void receive(NodeStep&, HostId, const ShareGrants& grants) { m_shares.receive(m_router.upstreams(), grants); }
+    void receive(NodeStep& step, HostId, const ShareRecalls& recalls) { m_shares.receive(step, m_router.upstreams(), recalls); }
+
+    void receive(NodeStep& step, HostId from, const ForwardedReport& forwarded)
+    {
+        const WorkerCall call { from, forwarded.call };
+        if (m_isLeading)
+            m_workers.report(step, tasks(), forwarded.report, call);
+        else
+            sendWorkerReply(step, call, { WorkerReplyStatus::NoLeader, {}, {} });
+    }
+
+    void receive(NodeStep& step, HostId, const ForwardedReply& forwarded)
+    {
+        if (m_forwarded.deadlines.erase(forwarded.call))
+            step.emit(AnswerWorker { forwarded.call, forwarded.reply });
+    }
+
+    void handle(NodeStep& step, const LogWritten& event)
+    {
+        if (event.log == LogKind::Cell)
+            m_cell.written(step, event.sequence);
+        else
+            m_dataCentre.written(step, event.sequence);
+    }
+
+    // Every step.
+
+    void tick(NodeStep& step)
+    {
+        m_cell.formIfComplete(step);
+        m_dataCentre.formIfComplete(step);
+        m_cell.tick(step);
+        m_dataCentre.tick(step);
+        m_router.tick(step);
+        tickShares(step);
+        tickForwarded(step);
+        endRequests(step);
+        flushLogs(step);
+        tickTasks(step);
+        tickStatus(step);
+        finishDrain(step);
+        countElections();
+        m_expectedStep = nextDeadline();
+    }
+
+    void endRequests(NodeStep& step)
+    {
+        for (EndedRequest& ended : std::exchange(step.ended, {}))
+            end(step, std::move(ended));
+    }
+
+    /// Applies what was committed, and lets what follows from it happen in the same step.
+    void flushLogs(NodeStep& step)
+    {
+        if (m_cell.flush(step))
+            cellApplied(step);
+        const bool hasApplied = m_dataCentre.flush(step);
+        updateLeadership(step);
+        if (hasApplied && m_isLeading) {
+            m_workers.stateChanged(step, tasks());
+            m_controller.noteChange(step.now);
+        }
+        for (auto& completed : m_cell.takeCompleted())
+            m_cellDesk.completed(step, m_cell, std::move(completed));
+        for (auto& completed : m_dataCentre.takeCompleted())
+            dataCentreCompleted(step, std::move(completed));
+        endRequests(step);
+    }
+
+    void cellApplied(NodeStep& step)
+    {
+        const CellMachine& machine = m_cell.machine();
+        if (machine.revision == m_revisionInForce)
+            return;
+        requireInvariant(machine.revision > m_revisionInForce, "the revision in force never goes back");
+        m_revisionInForce = machine.revision;
+        for (const auto& [service, limits] : machine.services)
+            m_router.setLimits(limits);
+        step.log(LogEventKind::RevisionInForce, { { "revision", std::to_string(machine.revision) } });
+        m_nextStatus = step.now;
+    }
+
+    void dataCentreCompleted(NodeStep& step, DataCentreLog::Completed completed)
+    {
+        const DataCentreContext& context = completed.waiting.context;
+        if (const auto* claim = std::get_if<ClaimContext>(&context))
+            claimCompleted(step, claim->request, completed);
+        else if (const auto* cancel = std::get_if<CancelContext>(&context))
+            cancelCompleted(step, cancel->call, completed);
+    }
+
+    void tickShares(NodeStep& step)
+    {
+        m_shares.setLeader(step, m_dataCentre.leader(), m_dataCentre.hasLease(step.now), m_dataCentre.replica().term());
+        withdrawExpired(step);
+        m_shares.tick(step, m_router.upstreams(), m_router.demands(), m_router.hasQueue());
+        m_router.tick(step);
+        if (step.hasReturnedShares)
+            m_shares.tick(step, m_router.upstreams(), m_router.demands(), m_router.hasQueue());
+    }
+
+    void withdrawExpired(const NodeStep& step)
+    {
+        if (!m_shares.ledger().isActive())
+            return;
+        for (const Upstream& upstream : m_router.upstreams().all()) {
+            if (!upstream.isAnnounced(step.now))
+                m_shares.withdrawn(upstream.announcement.name);
+        }
+    }
+
+    void tickForwarded(NodeStep& step)
+    {
+        std::erase_if(m_forwarded.deadlines, [&](const auto& entry) {
+            if (entry.second > step.now)
+                return false;
+            step.emit(AnswerWorker { entry.first, { WorkerReplyStatus::NoLeader, {}, {} } });
+            return true;
+        });
+    }
+
+    void updateLeadership(NodeStep& step)
+    {
+        const bool isLeading = m_dataCentre.hasLease(step.now);
+        const uint64_t term = m_dataCentre.replica().term();
+        if (isLeading && (!m_isLeading || term != m_leadingTerm)) {
+            if (term != m_leadingTerm) {
+                m_workers.start(tasks(), step.now);
+                m_controller.start(tasks(), step.now);
+            }
+            m_leadingTerm = term;
+        }
+        if (!m_dataCentre.isLeader() && m_isLeader)
+            m_workers.stop(step);
+        m_isLeader = m_dataCentre.isLeader();
+        m_isLeading = isLeading;
+        m_workers.setMayRenew(isLeading);
+    }
+
+    void tickTasks(NodeStep& step)
+    {
+        updateLeadership(step);
+        if (!m_isLeading)
+            return;
+        m_workers.tick(step, tasks());
+        syncJobs(step);
+        for (TaskCommand& command : m_workers.takeCommands())
+            m_dataCentre.proposeHere(step, std::move(command));
+        plan(step);
+        if (m_dataCentre.flush(step)) { // A single voter without storage delays applies at once.
+            m_workers.stateChanged(step, tasks());
+            m_controller.noteChange(step.now);
+        }
+        notePlanApplied(step);
+    }
+
+    void plan(NodeStep& step)
+    {
+        if (step.now < m_controller.nextPlan())
+            return;
+        std::vector<TaskCommand> commands = m_controller.plan(step, tasks(), m_workers.learned());
+        for (TaskCommand& command : commands) {
+            noteCounts(step, command);
+            if (!m_dataCentre.proposeHere(step, std::move(command))) {
+                m_controller.closePlan(tasks(), step.now + config::proposalRetry);
+                break;
+            }
+        }
+        m_planIndex = m_dataCentre.replica().lastIndex();
+    }
+
+    void notePlanApplied(NodeStep& step)
+    {
+        if (m_controller.isPlanOpen() && m_dataCentre.replica().commitIndex() >= m_planIndex)
+            m_controller.closePlan(tasks(), step.now);
+    }
+
+    static void noteCounts(NodeStep& step, const TaskCommand& command)
+    {
+        if (const auto* place = std::get_if<PlaceTasks>(&command))
+            step.counters.add(CounterKind::TasksPlaced, place->placements.size());
+        if (const auto* preempt = std::get_if<PreemptTasks>(&command))
+            step.counters.add(CounterKind::TasksPreempted, preempt->tasks.size());
+    }
+
+    Time planDeadline() const { return m_isLeading ? m_controller.nextPlan() : never; }
+
+    /// Brings the data centre's jobs up to the cell's sheet.
+    void syncJobs(NodeStep& step)
+    {
+        const CellMachine& cell = m_cell.machine();
+        const bool isOpen = m_syncIndex > m_dataCentre.replica().commitIndex() && m_syncTerm == m_dataCentre.replica().term();
+        if (cell.revision <= tasks().cellRevision() || isOpen)
+            return;
+        TaskCommand command = syncCommand(cell, tasks(), m_peers.ownDataCentre());
+        if (!m_dataCentre.proposeHere(step, std::move(command)))
+            return;
+        m_syncIndex = m_dataCentre.replica().lastIndex();
+        m_syncTerm = m_dataCentre.replica().term();
+    }
+
+    void tickStatus(NodeStep& step)
+    {
+        if (step.now < m_nextStatus)
+            return;
+        m_nextStatus = step.now + config::statusPeriod;
+        for (const HostId host : m_peers.connected())
+            step.send(host, HostStatus { m_cell.machine().revision, m_isDrainAnnounced });
+    }
+
+    void finishDrain(NodeStep& step)
+    {
+        const bool isDone = m_isDraining && !m_router.pendingCount() && !m_router.attemptCount() && !m_dataCentre.waitingCount();
+        if (isDone && !std::exchange(m_hasDrained, true))
+            step.emit(DrainFinished {});
+    }
+
+    void countElections()
+    {
+        m_counters.events[CounterKind::ElectionsStarted] = m_cell.replica().electionsStarted() + m_dataCentre.replica().electionsStarted();
+        m_counters.events[CounterKind::ElectionsWon] = m_cell.replica().electionsWon() + m_dataCentre.replica().electionsWon();
+        m_counters.events[CounterKind::SnapshotsSent] = m_cell.replica().snapshotsSent() + m_dataCentre.replica().snapshotsSent();
+    }
+
+    Peers m_peers;
+    Random m_random;
+    Counters m_counters;
+    uint64_t m_incarnation;
+    CellLog m_cell;
+    DataCentreLog m_dataCentre;
+    RequestRouter<Routing> m_router;
+    ClaimDesk m_claims;
+    CellDesk m_cellDesk;
+    ShareAgent m_shares;
+    WorkerDesk m_workers;
+    TaskController<Pack, Spread> m_controller;
+    ForwardedCalls m_forwarded;
+    std::map<HostId, HostStatus> m_hostStatus;
+    Time m_lastStep;
+    Time m_expectedStep = never;
+    Time m_nextStatus {};
+    uint64_t m_revisionInForce = 0;
+    bool m_isLeader = false; ///< Of the data centre's log.
+    bool m_isLeading = false; ///< With a lease.
+    uint64_t m_leadingTerm = 0;
+    uint64_t m_planIndex = 0;
+    uint64_t m_syncIndex = 0;
+    uint64_t m_syncTerm = 0;
+    bool m_isDrainAnnounced = false;
+    bool m_isDraining = false;
+    bool m_hasDrained = false;
+};
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/node_step.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "node_events.h"
+#include "peers.h"
+#include "random.h"
+
+#include "eelgrassloft/counters.h"
+
+namespace eelgrassloft {
+
+/// What the parts of a node share during one step.
+struct NodeStep {
+    Time now {};
+    const Peers& peers;
+    Counters& counters;
+    Random& random;
+    Effects effects {};
+    std::vector<EndedRequest> ended {}; ///< Requests that the router finished.
+    bool hasReturnedShares = false;
+
+    template <typename T>
+    void emit(T effect)
+    {
+        effects.push_back(std::move(effect));
+    }
+
+    void log(LogEventKind kind, std::vector<LogField> fields) { emit(LogEvent { kind, std::move(fields) }); }
+
+    /// Sends to another host and counts the bytes; the paid link joins the regions.
+    void send(HostId to, PeerMessage message, LogKind log = LogKind::Cell, uint64_t afterWrite = 0)
+    {
+        const size_t size = encodedSize(message);
+        counters.add(CounterKind::PeerMessagesSent);
+        counters.add(CounterKind::PeerBytesSent, size);
+        if (!peers.settings().sameRegion(peers.self(), to)) {
+            counters.add(CounterKind::LinkBytesSent, size);
+            counters.linkBytes[message.index()] += size;
+        }
+        emit(SendPeer { to, std::move(message), log, afterWrite });
+    }
+};
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/placement.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include "capacity_index.h"
+#include "random.h"
+
+#include <algorithm>
+#include <concepts>
+#include <limits>
+#include <optional>
+
+namespace eelgrassloft {
+
+/// One task that wants a worker.
+struct PlacementRequest {
+    Resources size;
+    /// Tasks of the same job on each rack and worker; only spreading policies look at them.
+    std::map<uint32_t, uint32_t> rackUse;
+    std::map<WorkerSlot, uint32_t> workerUse;
+};
+
+/// Chooses a worker with room for one task, as a function of the index and the request.
+template <typename T>
+concept PlacementPolicy = requires(T policy, const CapacityIndex& index, const PlacementRequest& request, Random& random)
+{
+    {
+        policy.choose(index, request, random)
+        } -> std::same_as<WorkerSlot>;
+};
+
+namespace detail {
+/// How many tasks of a size fit into `room` together.
+constexpr uint32_t taskCount(const Resources& room, const Resources& size)
+{
+    uint32_t count = std::numeric_limits<uint32_t>::max();
+    forEachValue<Dimension>([&](Dimension dimension) {
+        if (size.amount(dimension))
+            count = std::min(count, room.amount(dimension) / size.amount(dimension));
+    });
+    return count;
+}
+
+/// Processors that are missing for a task of the size, in thousandths.
+constexpr uint32_t shortfall(const Resources& room, const Resources& size)
+{
+    return size.processorMillis - std::min(size.processorMillis, room.processorMillis);
+}
+
+/// Share of each dimension that stays free, largest difference first: a worker whose free
+/// amounts stay in proportion can still be filled by later tasks.
+inline double leftoverScore(const CapacityIndex::Worker& worker, const Resources& size)
+{
+    double sum = 0;
+    double highest = 0;
+    forEachValue<Dimension>([&](Dimension dimension) {
+        const uint32_t capacity = worker.capacity.amount(dimension);
+        if (!capacity)
+            return;
+        const double left = static_cast<double>(worker.room.amount(dimension) - size.amount(dimension)) / capacity;
+        // Accelerators that a task does not use are kept for those that do.
+        const double weight = dimension == Dimension::Accelerators && !size.accelerators ? config::idleAcceleratorWeight : 1;
+        sum += left * weight;
+        highest = std::max(highest, left);
+    });
+    return sum + highest;
+}
+} // namespace detail
+
+/// Packs tightly: among the workers with the least sufficient room in the scarcest dimension,
+/// the one on which the least stays free.
+class BestFit {
+public:
+    WorkerSlot choose(const CapacityIndex& index, const PlacementRequest& request, Random&) const
+    {
+        const Dimension dimension = index.scarcest(request.size);
+        const auto& ordered = index.byRoom(dimension);
+        WorkerSlot best;
+        double bestScore = std::numeric_limits<double>::max();
+        size_t fitting = 0;
+        for (auto i = ordered.lower_bound({ request.size.amount(dimension), WorkerSlot { 0 } }); i != ordered.end(); ++i) {
+            if (!index.fits(i->second, request.size))
+                continue;
+            const double score = detail::leftoverScore(index.at(i->second), request.size);
+            if (score < bestScore) {
+                bestScore = score;
+                best = i->second;
+            }
+            if (++fitting >= config::bestFitCandidates)
+                break;
+        }
+        return best;
+    }
+};
+
+/// Spreads a job over racks first and workers second; equal choices are packed tightly.
+class SpreadOverRacks {
+public:
+    WorkerSlot choose(const CapacityIndex& index, const PlacementRequest& request, Random& random) const
+    {
+        const auto& racks = index.racks();
+        if (racks.empty())
+            return {};
+        const size_t start = random.below(racks.size());
+        WorkerSlot best;
+        auto bestScore = std::make_tuple(std::numeric_limits<uint32_t>::max(), std::numeric_limits<uint32_t>::max(), 0.0);
+        size_t fittingRacks = 0;
+        for (size_t i = 0; i < racks.size() && fittingRacks < config::spreadCandidateRacks; ++i) {
+            const auto rack = static_cast<uint32_t>((start + i) % racks.size());
+            const uint32_t rackUse = useOf(request.rackUse, rack);
+            if (best.isValid() && rackUse > std::get<0>(bestScore))
+                continue;
+            bool hasFit = false;
+            for (const WorkerSlot slot : racks[rack]) {
+                if (!index.fits(slot, request.size))
+                    continue;
+                hasFit = true;
+                const auto score = std::make_tuple(rackUse, useOf(request.workerUse, slot), detail::leftoverScore(index.at(slot), request.size));
+                if (!best.isValid() || score < bestScore) {
+                    bestScore = score;
+                    best = slot;
+                }
+            }
+            // Racks that already run the job are looked at, but only unused ones end the search.
+            fittingRacks += hasFit && !rackUse;
+        }
+        return best;
+    }
+
+private:
+    template <typename Key>
+    static uint32_t useOf(const std::map<Key, uint32_t>& uses, Key key)
+    {
+        const auto found = uses.find(key);
+        return found == uses.end() ? 0 : found->second;
+    }
+};
+
+/// Baseline: the first worker with room, in order of their names.
+class FirstFitScan {
+public:
+    WorkerSlot choose(const CapacityIndex& index, const PlacementRequest& request, Random&) const
+    {
+        for (uint32_t i = 0; i < index.workers().size(); ++i) {
+            if (index.fits(WorkerSlot { i }, request.size))
+                return WorkerSlot { i };
+        }
+        return {};
+    }
+};
+
+/// Baseline: a random worker with room.
+class RandomFit {
+public:
+    WorkerSlot choose(const CapacityIndex& index, const PlacementRequest& request, Random& random) const
+    {
+        const size_t count = index.workers().size();
+        const size_t start = count ? random.below(count) : 0;
+        for (size_t i = 0; i < count; ++i) {
+            const WorkerSlot slot { static_cast<uint32_t>((start + i) % count) };
+            if (index.fits(slot, request.size))
+                return slot;
+        }
+        return {};
+    }
+};
+
+static_assert(PlacementPolicy<BestFit> && PlacementPolicy<SpreadOverRacks> && PlacementPolicy<FirstFitScan> && PlacementPolicy<RandomFit>);
+
+/// Places `count` equal tasks whole, in as few racks as possible, or none of them. The result
+/// names a worker for each task; the room is not reserved.
+std::vector<WorkerSlot> placeTogether(const CapacityIndex& index, const Resources& size, uint32_t count);
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/proposer.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "replica.h"
+
+#include <map>
+#include <set>
+
+namespace eelgrassloft {
+
+/// A command on its way to the leader of a log.
+template <typename M>
+struct Proposal {
+    HostId origin;
+    uint64_t number = 0; ///< Chosen by the origin.
+    uint8_t hops = 0;
+    typename M::Command command;
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&Proposal::origin, &Proposal::number, &Proposal::hops, &Proposal::command);
+    }
+};
+
+enum class ProposalStatus : uint8_t {
+    Applied,
+    NotLeader, ///< Nobody here leads the log.
+    Busy, ///< Too many entries wait for the quorum.
+    Count
+};
+
+constexpr NameTable<ProposalStatus> nameTable(ProposalStatus)
+{
+    constexpr NameTable<ProposalStatus> table { "applied", "not-leader", "busy" };
+    return table;
+}
+
+template <typename M>
+struct ProposalReply {
+    uint64_t number = 0;
+    ProposalStatus status = ProposalStatus::Applied;
+    typename M::Result result;
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&ProposalReply::number, &ProposalReply::status, &ProposalReply::result);
+    }
+};
+
+/// The origin's side of proposals: remembers each command until its result is known, and sends
+/// it again to another host until then or until its deadline. Commands are idempotent.
+template <typename M, typename Context>
+class ProposalClient {
+public:
+    struct Waiting {
+        typename M::Command command;
+        Context context;
+        std::string dataCentre; ///< Whose log, where there are several.
+        Time deadline {};
+        Time nextTry {};
+        uint32_t tries = 0;
+    };
+
+    uint64_t add(typename M::Command command, Context context, std::string dataCentre, Time deadline)
+    {
+        const uint64_t number = m_nextNumber++;
+        m_waiting[number] = { std::move(command), std::move(context), std::move(dataCentre), deadline, {}, 0 };
+        m_schedule.insert({ Time {}, number });
+        return number;
+    }
+
+    const Waiting* find(uint64_t number) const
+    {
+        const auto found = m_waiting.find(number);
+        return found == m_waiting.end() ? nullptr : &found->second;
+    }
+
+    std::optional<Waiting> take(uint64_t number)
+    {
+        const auto found = m_waiting.find(number);
+        if (found == m_waiting.end())
+            return std::nullopt;
+        Waiting waiting = std::move(found->second);
+        m_schedule.erase({ dueTime(waiting), number });
+        m_waiting.erase(found);
+        return waiting;
+    }
+
+    /// Counts a try and sets the time of the next one.
+    void noteTry(uint64_t number, Time nextTry)
+    {
+        Waiting& waiting = m_waiting.at(number);
+        m_schedule.erase({ dueTime(waiting), number });
+        ++waiting.tries;
+        waiting.nextTry = nextTry;
+        m_schedule.insert({ dueTime(waiting), number });
+    }
+
+    /// First number whose next try or deadline is due.
+    std::optional<uint64_t> firstDue(Time now) const
+    {
+        if (m_schedule.empty() || m_schedule.begin()->first > now)
+            return std::nullopt;
+        return m_schedule.begin()->second;
+    }
+
+    Time nextDeadline() const { return m_schedule.empty() ? never : m_schedule.begin()->first; }
+    size_t size() const { return m_waiting.size(); }
+
+private:
+    static Time dueTime(const Waiting& waiting) { return std::min(waiting.nextTry, waiting.deadline); }
+
+    std::map<uint64_t, Waiting> m_waiting;
+    std::set<std::pair<Time, uint64_t>> m_schedule;
+    uint64_t m_nextNumber = 1;
+};
+
+/// The leader's side: which host waits for the result of which entry.
+template <typename M>
+class ProposalBook {
+public:
+    struct Entry {
+        HostId origin;
+        uint64_t number = 0;
+        uint64_t term = 0;
+    };
+
+    void add(uint64_t index, Entry entry) { m_entries[index] = entry; }
+
+    std::optional<Entry> take(uint64_t index)
+    {
+        const auto found = m_entries.find(index);
+        if (found == m_entries.end())
+            return std::nullopt;
+        const Entry entry = found->second;
+        m_entries.erase(found);
+        return entry;
+    }
+
+    /// After losing the lead the results are not known here; the origins try again.
+    std::map<uint64_t, Entry> takeAll() { return std::exchange(m_entries, {}); }
+
+private:
+    std::map<uint64_t, Entry> m_entries;
+};
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/random.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+
+namespace eelgrassloft {
+
+/// Small seeded generator with copyable state (SplitMix64, Steele, Lea and Flood, OOPSLA 2014).
+/// It stands here because `std::uniform_int_distribution` differs between libraries, and a
+/// replayed run must not.
+class Random {
+public:
+    explicit Random(uint64_t seed)
+        : m_state(seed)
+    {
+    }
+
+    uint64_t next()
+    {
+        m_state += 0x9e3779b97f4a7c15ULL;
+        uint64_t z = m_state;
+        z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+        z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+        return z ^ (z >> 31);
+    }
+
+    /// Uniform in [0, bound); `bound` is at least 1.
+    uint64_t below(uint64_t bound) { return next() % bound; }
+
+private:
+    uint64_t m_state;
+};
+
+/// 64-bit mix of a hash value.
+inline uint64_t mixHash(uint64_t value) { return Random(value).next(); }
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/replica.h
@@ -0,0 +1,766 @@
+#pragma once
+
+#include "invariant.h"
+#include "random.h"
+#include "replica_messages.h"
+
+#include "eelgrassloft/config.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+
+namespace eelgrassloft {
+
+enum class ReplicaRole : uint8_t {
+    Learner, ///< Holds the log without a vote.
+    Follower,
+    PreCandidate, ///< Asks whether an election could be won, without raising the term.
+    Candidate,
+    Leader,
+    Count
+};
+
+constexpr NameTable<ReplicaRole> nameTable(ReplicaRole)
+{
+    constexpr NameTable<ReplicaRole> table { "learner", "follower", "pre-candidate", "candidate", "leader" };
+    static_assert(detail::isComplete<ReplicaRole>(table));
+    return table;
+}
+
+struct ReplicaOptions {
+    Duration heartbeat = config::heartbeatPeriod;
+    size_t snapshotThreshold = config::snapshotThresholdEntries;
+    std::vector<HostId> voterHosts; ///< Hosts that become voters once they hold everything committed.
+    uint64_t seed = 0;
+};
+
+/// One member of a replicated log (Raft: Ongaro and Ousterhout, USENIX ATC 2014; pre-vote,
+/// quorum check and single-member changes: Ongaro's thesis, 2014). It has no clock, file or
+/// socket: inputs are times, messages and finished writes; `takeOutput` gives what to do.
+///
+/// Members without a disk take a new incarnation at each start. Every message names both
+/// incarnations, so a host that forgot its votes cannot be counted under the old one.
+template <StateMachine M>
+class Replica {
+public:
+    using Command = typename M::Command;
+    using Result = typename M::Result;
+    using Entry = LogEntry<M>;
+    using Message = ReplicaMessage<M>;
+
+    struct Outgoing {
+        Message message;
+        uint64_t afterWrite = 0; ///< Write that must be synced before the message may leave.
+    };
+
+    struct Applied {
+        uint64_t index = 0;
+        uint64_t term = 0;
+        Result result;
+    };
+
+    struct Output {
+        std::optional<LogWrite<M>> write;
+        std::vector<Outgoing> messages;
+        std::vector<Applied> applied;
+        bool wasRestored = false; ///< The machine was replaced by a snapshot.
+    };
+
+    Replica(Member self, ReplicaOptions options, Time now)
+        : m_self(self)
+        , m_options(std::move(options))
+        , m_random(m_options.seed)
+        , m_lastContact(now)
+    {
+        m_memberships.push_back({ 0, {} });
+        resetElectionDeadline(now);
+    }
+
+    /// Starts a new log with the given voters. Every voter must be known to hold no state.
+    void form(Time now, Membership membership)
+    {
+        m_memberships.front().membership = std::move(membership);
+        m_lastContact = now - electionTimeout();
+        m_role = isVoter() ? ReplicaRole::Follower : ReplicaRole::Learner;
+        resetElectionDeadline(now);
+    }
+
+    /// Takes up the state that storage kept under this incarnation.
+    void restore(Time now, RestoredLog<M> log)
+    {
+        m_state = m_writtenState = log.state;
+        if (log.snapshot)
+            adoptSnapshot(std::move(*log.snapshot));
+        for (Entry& entry : log.entries)
+            pushEntry(std::move(entry));
+        m_durableIndex = lastIndex();
+        m_lastContact = now; // An earlier promise to a leader may still hold.
+        m_role = isVoter() ? ReplicaRole::Follower : ReplicaRole::Learner;
+        resetElectionDeadline(now);
+    }
+
+    /// Appends a command if this member leads. Gives the index at which it will be applied.
+    std::optional<uint64_t> propose(Time now, Command command)
+    {
+        if (m_role != ReplicaRole::Leader || lastIndex() - m_commitIndex >= config::maxUnconfirmedEntries)
+            return std::nullopt;
+        return append(now, std::move(command));
+    }
+
+    void receive(Time now, const Message& message)
+    {
+        if (message.to != m_self)
+            return;
+        std::visit([&](const auto& body) { handle(now, message.from, body); }, message.body);
+    }
+
+    /// Storage finished all writes up to and including `sequence`.
+    void written(Time now, uint64_t sequence)
+    {
+        while (!m_pendingWrites.empty() && m_pendingWrites.front().sequence <= sequence) {
+            m_durableIndex = std::max(m_durableIndex, m_pendingWrites.front().lastIndex);
+            m_pendingWrites.pop_front();
+        }
+        m_writtenSequence = std::max(m_writtenSequence, sequence);
+        if (m_role == ReplicaRole::Candidate)
+            countVotes(now);
+        if (m_role == ReplicaRole::Leader)
+            advanceCommit();
+    }
+
+    /// A host announced its identity. A leader admits newer identities step by step.
+    void memberSeen(Member member)
+    {
+        uint64_t& incarnation = m_seen[member.host];
+        incarnation = std::max(incarnation, member.incarnation);
+    }
+
+    void tick(Time now)
+    {
+        if (m_role == ReplicaRole::Leader) {
+            tickLeader(now);
+            return;
+        }
+        if (now < m_electionDeadline)
+            return;
+        resetElectionDeadline(now);
+        if (isVoter())
+            startPreVote(now);
+    }
+
+    /// Ends a step: sends new entries to the followers and hands out the work collected so far.
+    Output takeOutput(Time now)
+    {
+        if (m_role == ReplicaRole::Leader && m_hasUnsentEntries)
+            sendEntriesToAll(now);
+        finishWrite();
+        for (Outgoing& outgoing : m_output.messages) {
+            if (outgoing.afterWrite)
+                outgoing.afterWrite = m_lastSequence;
+        }
+        return std::exchange(m_output, {});
+    }
+
+    Time nextDeadline() const { return m_role == ReplicaRole::Leader ? m_nextHeartbeat : m_electionDeadline; }
+
+    /// Whether no other member can have become leader, by this leader's clock.
+    bool hasLease(Time now) const
+    {
+        return m_role == ReplicaRole::Leader && hasCommittedInTerm()
+            && now < quorumContact(now) + electionTimeout() - config::clockBound;
+    }
+
+    ReplicaRole role() const { return m_role; }
+    uint64_t term() const { return m_state.term; }
+    Member self() const { return m_self; }
+    Member leader() const { return m_leader; }
+    uint64_t commitIndex() const { return m_commitIndex; }
+    uint64_t lastIndex() const { return m_firstIndex + m_entries.size() - 1; }
+    uint64_t snapshotIndex() const { return m_snapshotIndex; }
+    const M& machine() const { return m_machine; }
+    const Membership& membership() const { return m_memberships.back().membership; }
+    bool isEmpty() const { return lastIndex() == 0 && m_state.term == 0; }
+    uint64_t electionsStarted() const { return m_electionsStarted; }
+    uint64_t electionsWon() const { return m_electionsWon; }
+    uint64_t snapshotsSent() const { return m_snapshotsSent; }
+
+    /// Entry at `index`, or null where the log holds it no longer or not yet.
+    const Entry* entryAt(uint64_t index) const
+    {
+        return index < m_firstIndex || index > lastIndex() ? nullptr : &m_entries[index - m_firstIndex];
+    }
+
+    Duration electionTimeout() const { return m_options.heartbeat * config::electionTimeoutHeartbeats; }
+
+private:
+    struct Progress {
+        uint64_t match = 0;
+        uint64_t next = 1;
+        Time lastAck {}; ///< `sentAt` of the latest acknowledged message.
+        Time snapshotSentAt {};
+    };
+
+    struct PendingWrite {
+        uint64_t sequence = 0;
+        uint64_t lastIndex = 0;
+    };
+
+    struct MembershipAt {
+        uint64_t index = 0;
+        Membership membership;
+    };
+
+    // Log.
+
+    uint64_t termAt(uint64_t index) const
+    {
+        if (index + 1 == m_firstIndex)
+            return m_previousTerm;
+        const Entry* entry = entryAt(index);
+        return entry ? entry->term : 0;
+    }
+
+    void pushEntry(Entry entry)
+    {
+        if (const auto* membership = std::get_if<Membership>(&entry.payload))
+            m_memberships.push_back({ entry.index, *membership });
+        m_entries.push_back(std::move(entry));
+    }
+
+    template <typename Payload>
+    uint64_t append(Time now, Payload payload)
+    {
+        Entry entry;
+        entry.index = lastIndex() + 1;
+        entry.term = m_state.term;
+        entry.at = std::max(now, lastTime());
+        entry.payload = std::move(payload);
+        m_newEntriesFrom = std::min(m_newEntriesFrom, entry.index);
+        pushEntry(std::move(entry));
+        m_hasUnsentEntries = true;
+        return lastIndex();
+    }
+
+    Time lastTime() const { return m_entries.empty() ? m_snapshotTime : m_entries.back().at; }
+
+    void truncateFrom(uint64_t index)
+    {
+        requireInvariant(index > m_commitIndex, "a committed entry is never removed");
+        m_entries.resize(index - m_firstIndex);
+        while (m_memberships.size() > 1 && m_memberships.back().index >= index)
+            m_memberships.pop_back();
+        m_durableIndex = std::min(m_durableIndex, index - 1);
+        for (PendingWrite& write : m_pendingWrites)
+            write.lastIndex = std::min(write.lastIndex, index - 1);
+        m_newEntriesFrom = std::min(m_newEntriesFrom, index);
+        m_truncateFrom = m_truncateFrom ? std::min(m_truncateFrom, index) : index;
+    }
+
+    void adoptSnapshot(Snapshot<M> snapshot)
+    {
+        m_entries.clear();
+        m_firstIndex = snapshot.index + 1;
+        m_previousTerm = snapshot.term;
+        m_snapshotIndex = m_commitIndex = m_appliedIndex = snapshot.index;
+        m_snapshotTime = snapshot.at;
+        m_memberships = { { snapshot.index, snapshot.membership } };
+        m_machine = std::move(snapshot.machine);
+        if constexpr (requires { m_machine.rebuild(); })
+            m_machine.rebuild();
+    }
+
+    Snapshot<M> currentSnapshot() const
+    {
+        Snapshot<M> snapshot;
+        snapshot.index = m_appliedIndex;
+        snapshot.term = termAt(m_appliedIndex);
+        snapshot.at = entryAt(m_appliedIndex) ? entryAt(m_appliedIndex)->at : m_snapshotTime;
+        for (const MembershipAt& entry : m_memberships) {
+            if (entry.index <= m_appliedIndex)
+                snapshot.membership = entry.membership;
+        }
+        snapshot.machine = m_machine;
+        return snapshot;
+    }
+
+    void compact()
+    {
+        if (m_appliedIndex - m_snapshotIndex < m_options.snapshotThreshold)
+            return;
+        m_newSnapshot = currentSnapshot();
+        m_snapshotIndex = m_appliedIndex;
+        m_snapshotTime = m_newSnapshot->at;
+        // Half of the threshold stays in memory, for followers that are a little behind.
+        const uint64_t keepFrom = m_appliedIndex - m_options.snapshotThreshold / 2;
+        while (m_firstIndex <= keepFrom) {
+            m_previousTerm = m_entries.front().term;
+            m_entries.pop_front();
+            ++m_firstIndex;
+        }
+        while (m_memberships.size() > 1 && m_memberships[1].index < m_firstIndex)
+            m_memberships.pop_front();
+    }
+
+    void finishWrite()
+    {
+        LogWrite<M> write;
+        if (m_state != m_writtenState) {
+            write.state = m_state;
+            m_writtenState = m_state;
+        }
+        write.snapshot = std::exchange(m_newSnapshot, std::nullopt);
+        write.truncateFrom = std::exchange(m_truncateFrom, 0);
+        for (uint64_t i = std::max(m_newEntriesFrom, m_firstIndex); i <= lastIndex(); ++i)
+            write.entries.push_back(*entryAt(i));
+        m_newEntriesFrom = noIndex;
+        if (!write.state && !write.snapshot && !write.truncateFrom && write.entries.empty())
+            return;
+        write.sequence = ++m_lastSequence;
+        m_pendingWrites.push_back({ write.sequence, lastIndex() });
+        m_output.write = std::move(write);
+    }
+
+    // Roles.
+
+    bool isVoter() const { return membership().hasVoter(m_self); }
+
+    void resetElectionDeadline(Time now)
+    {
+        const auto spread = static_cast<uint64_t>(electionTimeout().count());
+        m_electionDeadline = now + electionTimeout() + Duration(static_cast<Duration::rep>(m_random.below(spread)));
+    }
+
+    void becomeFollower(Time now, uint64_t term)
+    {
+        if (term > m_state.term)
+            m_state = { term, {} };
+        if (m_role == ReplicaRole::Leader || m_role == ReplicaRole::Candidate)
+            resetElectionDeadline(now);
+        m_role = isVoter() ? ReplicaRole::Follower : ReplicaRole::Learner;
+        m_votes.clear();
+    }
+
+    bool observeTerm(Time now, uint64_t term)
+    {
+        if (term <= m_state.term)
+            return false;
+        m_leader = {};
+        becomeFollower(now, term);
+        return true;
+    }
+
+    template <typename Body>
+    void send(Member to, Body body, bool needsSync = false)
+    {
+        m_output.messages.push_back({ { m_self, to, std::move(body) }, needsSync ? 1U : 0U });
+    }
+
+    template <typename Body>
+    void sendToVoters(const Body& body)
+    {
+        for (const Member& voter : membership().voters) {
+            if (voter != m_self)
+                send(voter, body);
+        }
+    }
+
+    void startPreVote(Time now)
+    {
+        m_role = ReplicaRole::PreCandidate;
+        m_leader = {};
+        m_votes = { m_self };
+        sendToVoters(VoteRequest { m_state.term + 1, lastIndex(), termAt(lastIndex()), true });
+        if (m_votes.size() >= membership().quorum())
+            startElection(now);
+    }
+
+    void startElection(Time now)
+    {
+        m_role = ReplicaRole::Candidate;
+        ++m_electionsStarted;
+        m_state = { m_state.term + 1, m_self };
+        m_votes.clear();
+        m_voteSequence = m_lastSequence + 1; // The write that this step ends with.
+        sendToVoters(VoteRequest { m_state.term, lastIndex(), termAt(lastIndex()), false });
+        resetElectionDeadline(now);
+    }
+
+    void countVotes(Time now)
+    {
+        // The candidate's own vote counts once it is durable.
+        if (m_writtenSequence >= m_voteSequence)
+            addVote(m_self);
+        if (m_votes.size() >= membership().quorum())
+            becomeLeader(now);
+    }
+
+    void addVote(Member voter)
+    {
+        if (membership().hasVoter(voter) && std::find(m_votes.begin(), m_votes.end(), voter) == m_votes.end())
+            m_votes.push_back(voter);
+    }
+
+    void becomeLeader(Time now)
+    {
+        m_role = ReplicaRole::Leader;
+        m_leader = m_self;
+        ++m_electionsWon;
+        m_votes.clear();
+        m_progress.clear();
+        m_becameLeaderAt = now;
+        m_termStartIndex = append(now, TermStart {});
+        if (m_memberships.back().index == 0) // A new log: members that have not formed it learn the voters here.
+            append(now, Membership(membership()));
+        sendEntriesToAll(now);
+    }
+
+    void handle(Time now, Member from, const VoteRequest& request)
+    {
+        const bool hasLeader = m_role == ReplicaRole::Leader ? now < quorumContact(now) + electionTimeout()
+                                                             : now < m_lastContact + electionTimeout();
+        if (hasLeader) {
+            send(from, VoteReply { m_state.term, false, request.isPreVote });
+            return;
+        }
+        if (!request.isPreVote)
+            observeTerm(now, request.term);
+        const bool isUpToDate = request.lastTerm > termAt(lastIndex())
+            || (request.lastTerm == termAt(lastIndex()) && request.lastIndex >= lastIndex());
+        if (request.isPreVote) {
+            const bool isGranted = request.term > m_state.term && isUpToDate;
+            send(from, VoteReply { isGranted ? request.term : m_state.term, isGranted, true });
+            return;
+        }
+        const bool isFree = !m_state.votedFor.host.isValid() || m_state.votedFor == from;
+        const bool isGranted = request.term == m_state.term && isFree && isUpToDate;
+        if (isGranted) {
+            m_state.votedFor = from;
+            resetElectionDeadline(now);
+        }
+        send(from, VoteReply { m_state.term, isGranted, false }, isGranted);
+    }
+
+    void handle(Time now, Member from, const VoteReply& reply)
+    {
+        if (reply.isPreVote && reply.isGranted) {
+            if (m_role != ReplicaRole::PreCandidate || reply.term != m_state.term + 1)
+                return;
+            addVote(from);
+            if (m_votes.size() >= membership().quorum())
+                startElection(now);
+            return;
+        }
+        if (observeTerm(now, reply.term))
+            return;
+        if (reply.isGranted && m_role == ReplicaRole::Candidate && reply.term == m_state.term) {
+            addVote(from);
+            countVotes(now);
+        }
+    }
+
+    // Follower side of replication.
+
+    /// Accepts `from` as the leader of `term`, or refuses a leader of the past.
+    bool followLeader(Time now, Member from, uint64_t term, Time sentAt)
+    {
+        if (term < m_state.term) {
+            send(from, AppendReply { m_state.term, false, lastIndex(), sentAt });
+            return false;
+        }
+        requireInvariant(m_role != ReplicaRole::Leader || term > m_state.term, "one leader in a term");
+        becomeFollower(now, term);
+        m_leader = from;
+        m_lastContact = now;
+        resetElectionDeadline(now);
+        return true;
+    }
+
+    void handle(Time now, Member from, const AppendRequest<M>& request)
+    {
+        if (!followLeader(now, from, request.term, request.sentAt))
+            return;
+        const bool isBeforeLog = request.previousIndex + 1 < m_firstIndex;
+        const bool isMatching = request.previousIndex <= lastIndex() && termAt(request.previousIndex) == request.previousTerm;
+        if (!isBeforeLog && !isMatching) {
+            const uint64_t goOnFrom = std::max(m_commitIndex, std::min(lastIndex(), request.previousIndex - 1));
+            send(from, AppendReply { m_state.term, false, goOnFrom, request.sentAt });
+            return;
+        }
+        for (const Entry& entry : request.entries)
+            acceptEntry(entry);
+        const uint64_t matchIndex = std::max(m_commitIndex, request.previousIndex + request.entries.size());
+        m_commitIndex = std::max(m_commitIndex, std::min(request.commitIndex, matchIndex));
+        applyCommitted();
+        send(from, AppendReply { m_state.term, true, matchIndex, request.sentAt }, true);
+    }
+
+    void acceptEntry(const Entry& entry)
+    {
+        if (entry.index <= m_commitIndex)
+            return;
+        if (entry.index <= lastIndex()) {
+            if (termAt(entry.index) == entry.term)
+                return;
+            truncateFrom(entry.index);
+        }
+        requireInvariant(entry.index == lastIndex() + 1, "the log has no gaps");
+        m_newEntriesFrom = std::min(m_newEntriesFrom, entry.index);
+        pushEntry(entry);
+    }
+
+    void handle(Time now, Member from, const SnapshotRequest<M>& request)
+    {
+        if (!followLeader(now, from, request.term, request.sentAt))
+            return;
+        if (request.snapshot.index > m_commitIndex) {
+            adoptSnapshot(request.snapshot);
+            m_newSnapshot = request.snapshot;
+            m_newEntriesFrom = noIndex;
+            m_durableIndex = 0;
+            m_pendingWrites.clear();
+            m_truncateFrom = 1;
+            m_output.wasRestored = true;
+        }
+        send(from, AppendReply { m_state.term, true, m_commitIndex, request.sentAt }, true);
+    }
+
+    // Leader side of replication.
+
+    void tickLeader(Time now)
+    {
+        if (now >= quorumContact(now) + electionTimeout() && now >= m_becameLeaderAt + electionTimeout()) {
+            m_leader = {};
+            becomeFollower(now, m_state.term);
+            return;
+        }
+        changeMembership(now);
+        if (now >= m_nextHeartbeat)
+            sendEntriesToAll(now);
+    }
+
+    /// Latest time at which a quorum, this leader included, is known to have followed it.
+    Time quorumContact(Time now) const
+    {
+        std::vector<Time> contacts;
+        for (const Member& voter : membership().voters)
+            contacts.push_back(voter == m_self ? now : progressOf(voter).lastAck);
+        return contacts.empty() ? Time {} : quorumValue(std::move(contacts));
+    }
+
+    /// Largest value that a quorum of the voters has reached.
+    template <typename Value>
+    Value quorumValue(std::vector<Value> values) const
+    {
+        const auto position = values.begin() + static_cast<ptrdiff_t>(membership().quorum()) - 1;
+        std::nth_element(values.begin(), position, values.end(), std::greater<>());
+        return *position;
+    }
+
+    Progress progressOf(const Member& member) const
+    {
+        const auto found = m_progress.find(member);
+        return found == m_progress.end() ? Progress {} : found->second;
+    }
+
+    Progress& progress(const Member& member)
+    {
+        const auto [position, isNew] = m_progress.try_emplace(member);
+        if (isNew)
+            position->second.next = lastIndex() + 1;
+        return position->second;
+    }
+
+    void sendEntriesToAll(Time now)
+    {
+        m_hasUnsentEntries = false;
+        m_nextHeartbeat = now + m_options.heartbeat;
+        for (const auto* list : { &membership().voters, &membership().learners }) {
+            for (const Member& member : *list) {
+                if (member != m_self)
+                    sendEntries(now, member);
+            }
+        }
+    }
+
+    void sendEntries(Time now, const Member& member)
+    {
+        Progress& peer = progress(member);
+        if (peer.next < m_firstIndex) {
+            sendSnapshot(now, member, peer);
+            return;
+        }
+        AppendRequest<M> request;
+        request.term = m_state.term;
+        request.previousIndex = peer.next - 1;
+        request.previousTerm = termAt(peer.next - 1);
+        request.commitIndex = m_commitIndex;
+        request.sentAt = now;
+        const uint64_t end = std::min(lastIndex() + 1, peer.next + config::maxEntriesPerAppend);
+        for (uint64_t i = peer.next; i < end; ++i)
+            request.entries.push_back(*entryAt(i));
+        peer.next = end; // Pipelining: the next message goes on before this one is answered.
+        send(member, std::move(request));
+    }
+
+    void sendSnapshot(Time now, const Member& member, Progress& peer)
+    {
+        if (now < peer.snapshotSentAt + electionTimeout())
+            return;
+        peer.snapshotSentAt = now;
+        ++m_snapshotsSent;
+        send(member, SnapshotRequest<M> { m_state.term, now, currentSnapshot() });
+    }
+
+    void handle(Time now, Member from, const AppendReply& reply)
+    {
+        if (observeTerm(now, reply.term) || m_role != ReplicaRole::Leader || reply.term != m_state.term)
+            return;
+        Progress& peer = progress(from);
+        peer.lastAck = std::max(peer.lastAck, reply.sentAt);
+        if (!reply.isAccepted) {
+            peer.next = std::max(peer.match + 1, std::min(reply.index + 1, lastIndex() + 1));
+            sendEntries(now, from);
+            return;
+        }
+        requireInvariant(reply.index <= lastIndex(), "a follower holds no entry that its leader lacks");
+        peer.match = std::max(peer.match, reply.index);
+        peer.next = std::max(peer.next, peer.match + 1);
+        advanceCommit();
+        if (peer.next <= lastIndex())
+            sendEntries(now, from);
+    }
+
+    void advanceCommit()
+    {
+        std::vector<uint64_t> matches;
+        for (const Member& voter : membership().voters)
+            matches.push_back(voter == m_self ? m_durableIndex : progressOf(voter).match);
+        if (matches.empty())
+            return;
+        const uint64_t index = quorumValue(std::move(matches));
+        if (index <= m_commitIndex || termAt(index) != m_state.term)
+            return;
+        m_commitIndex = index;
+        applyCommitted();
+    }
+
+    bool hasCommittedInTerm() const { return m_commitIndex >= m_termStartIndex; }
+
+    void applyCommitted()
+    {
+        requireInvariant(m_commitIndex <= lastIndex(), "a committed entry is in the log");
+        while (m_appliedIndex < m_commitIndex) {
+            const Entry& entry = *entryAt(++m_appliedIndex);
+            if (const auto* command = std::get_if<Command>(&entry.payload))
+                m_output.applied.push_back({ entry.index, entry.term, m_machine.apply(entry.at, *command) });
+        }
+        compact();
+    }
+
+    // Membership.
+
+    /// Proposes at most one change of one member, and only after the last one is committed.
+    void changeMembership(Time now)
+    {
+        if (!hasCommittedInTerm() || m_memberships.back().index > m_commitIndex)
+            return;
+        Membership next = membership();
+        if (admitSeen(next) || promoteLearner(next))
+            append(now, std::move(next));
+    }
+
+    bool admitSeen(Membership& next) const
+    {
+        for (const auto& [host, incarnation] : m_seen) {
+            const Member seen { host, incarnation };
+            if (next.hasVoter(seen) || host == m_self.host)
+                continue;
+            const auto learner = std::find_if(next.learners.begin(), next.learners.end(),
+                [&](const Member& member) { return member.host == seen.host; });
+            if (learner == next.learners.end()) {
+                const Member* known = next.find(host);
+                if (known && known->incarnation > incarnation)
+                    continue;
+                next.learners.push_back(seen);
+                return true;
+            }
+            if (learner->incarnation < incarnation) {
+                *learner = seen;
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /// A learner that holds everything committed takes the vote of its host's former identity,
+    /// which never votes again, or a new vote where the settings want one.
+    bool promoteLearner(Membership& next) const
+    {
+        for (auto learner = next.learners.begin(); learner != next.learners.end(); ++learner) {
+            const Member member = *learner;
+            if (progressOf(member).match < m_commitIndex || !wantsVote(member.host))
+                continue;
+            next.learners.erase(learner);
+            for (Member& voter : next.voters) {
+                if (voter.host == member.host) {
+                    voter = member;
+                    return true;
+                }
+            }
+            next.voters.push_back(member);
+            return true;
+        }
+        return false;
+    }
+
+    bool wantsVote(HostId host) const
+    {
+        return std::find(m_options.voterHosts.begin(), m_options.voterHosts.end(), host) != m_options.voterHosts.end();
+    }
+
+    static constexpr uint64_t noIndex = UINT64_MAX;
+
+    Member m_self;
+    ReplicaOptions m_options;
+    Random m_random;
+    ReplicaRole m_role = ReplicaRole::Learner;
+    HardState m_state;
+    HardState m_writtenState;
+    Member m_leader;
+    M m_machine;
+
+    std::deque<Entry> m_entries;
+    uint64_t m_firstIndex = 1;
+    uint64_t m_previousTerm = 0;
+    uint64_t m_snapshotIndex = 0;
+    Time m_snapshotTime {};
+    uint64_t m_commitIndex = 0;
+    uint64_t m_appliedIndex = 0;
+    uint64_t m_durableIndex = 0;
+    std::deque<MembershipAt> m_memberships;
+
+    uint64_t m_newEntriesFrom = noIndex;
+    uint64_t m_truncateFrom = 0;
+    std::optional<Snapshot<M>> m_newSnapshot;
+    uint64_t m_lastSequence = 0;
+    uint64_t m_writtenSequence = 0;
+    uint64_t m_voteSequence = 0;
+    std::deque<PendingWrite> m_pendingWrites;
+
+    Time m_lastContact;
+    Time m_electionDeadline {};
+    Time m_nextHeartbeat {};
+    Time m_becameLeaderAt {};
+    uint64_t m_termStartIndex = 0;
+    bool m_hasUnsentEntries = false;
+    std::vector<Member> m_votes;
+    std::map<Member, Progress> m_progress;
+    std::map<HostId, uint64_t> m_seen;
+    uint64_t m_electionsStarted = 0;
+    uint64_t m_electionsWon = 0;
+    uint64_t m_snapshotsSent = 0;
+    Output m_output;
+};
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/share_agent.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "node_step.h"
+#include "share_ledger.h"
+#include "upstream_set.h"
+
+namespace eelgrassloft {
+
+/// Reports an entry host's shares and demand to the leader of its data centre, and runs the
+/// ledger while this host leads.
+class ShareAgent {
+public:
+    /// Leadership as of this step. `term` orders the grants of successive leaders.
+    void setLeader(NodeStep& step, HostId leader, bool hasLease, uint64_t term)
+    {
+        m_leader = leader;
+        m_hasLease = hasLease;
+        if (hasLease && (!m_ledger.isActive() || term != m_term)) {
+            m_ledger.start(step.now, step.peers.settings().hostsIn(step.peers.ownDataCentre()));
+            m_nextReport = step.now;
+        }
+        if (!hasLease && leader != step.peers.self())
+            m_ledger.stop();
+        m_term = term;
+    }
+
+    void announced(const UpstreamAnnouncement& announcement) { m_ledger.announce(announcement); }
+    void withdrawn(const std::string& upstream) { m_ledger.withdraw(upstream); }
+
+    /// Sends what is due. `demands` is empty where nothing waits.
+    void tick(NodeStep& step, UpstreamSet& upstreams, const std::vector<ShareDemand>& demands, bool hasQueue)
+    {
+        if (step.now >= m_nextReport) {
+            m_nextReport = step.now + config::shareReportPeriod;
+            m_nextDemand = step.now + config::shareDemandPeriod;
+            report(step, upstreams, { step.now, true, upstreams.shares(), demands });
+        } else if (step.hasReturnedShares || ((hasQueue || m_hadQueue) && step.now >= m_nextDemand)) {
+            m_nextDemand = step.now + config::shareDemandPeriod;
+            report(step, upstreams, { step.now, false, step.hasReturnedShares ? upstreams.shares() : std::vector<ShareState> {}, demands });
+        }
+        step.hasReturnedShares = false;
+        m_hadQueue = hasQueue;
+        if (m_ledger.isActive() && m_hasLease && step.now >= m_ledger.nextDeadline())
+            divide(step, upstreams);
+    }
+
+    void receive(NodeStep& step, UpstreamSet& upstreams, HostId from, const ShareReport& report)
+    {
+        if (!m_ledger.isActive() || !m_hasLease)
+            return;
+        m_ledger.report(step.now, from, report);
+        m_lastReportSent[from] = report.sentAt;
+        if (report.isWhole)
+            m_owedRenewal.insert(from);
+        divide(step, upstreams);
+    }
+
+    /// Takes over grants of a leader no older than the last one.
+    void receive(UpstreamSet& upstreams, const ShareGrants& grants)
+    {
+        if (grants.term < m_grantTerm)
+            return;
+        m_grantTerm = grants.term;
+        const Time leaseEnd = grants.reportSentAt + config::shareLease;
+        upstreams.renewLease(leaseEnd);
+        for (const ShareGrant& grant : grants.grants)
+            upstreams.grant(leaseEnd, grant);
+    }
+
+    void receive(NodeStep& step, UpstreamSet& upstreams, const ShareRecalls& recalls)
+    {
+        for (const ShareRecall& recall : recalls.recalls) {
+            step.counters.add(CounterKind::SharesRecalled);
+            if (upstreams.recall(recall))
+                step.hasReturnedShares = true;
+        }
+    }
+
+    Time nextDeadline(bool hasQueue) const
+    {
+        return std::min({ m_nextReport, hasQueue || m_hadQueue ? m_nextDemand : never, m_ledger.nextDeadline() });
+    }
+
+    const ShareLedger& ledger() const { return m_ledger; }
+
+private:
+    void report(NodeStep& step, UpstreamSet& upstreams, ShareReport report)
+    {
+        if (m_leader == step.peers.self())
+            receive(step, upstreams, m_leader, report);
+        else if (m_leader.isValid() && step.peers.isConnected(m_leader))
+            step.send(m_leader, std::move(report));
+    }
+
+    void divide(NodeStep& step, UpstreamSet& upstreams)
+    {
+        ShareLedger::Output output = m_ledger.divide(step.now);
+        for (const HostId host : std::exchange(m_owedRenewal, {}))
+            output.grants.try_emplace(host);
+        for (auto& [host, grants] : output.grants) {
+            step.counters.add(CounterKind::SharesGranted, grants.size());
+            ShareGrants message { m_term, m_lastReportSent[host], std::move(grants) };
+            if (host == step.peers.self())
+                receive(upstreams, message);
+            else if (step.peers.isConnected(host))
+                step.send(host, std::move(message));
+        }
+        for (auto& [host, recalls] : output.recalls) {
+            ShareRecalls message { std::move(recalls) };
+            if (host == step.peers.self())
+                receive(step, upstreams, message);
+            else if (step.peers.isConnected(host))
+                step.send(host, std::move(message));
+        }
+    }
+
+    ShareLedger m_ledger;
+    HostId m_leader;
+    bool m_hasLease = false;
+    uint64_t m_term = 0;
+    uint64_t m_grantTerm = 0;
+    Time m_nextReport {};
+    Time m_nextDemand {};
+    bool m_hadQueue = false;
+    std::map<HostId, Time> m_lastReportSent;
+    std::set<HostId> m_owedRenewal;
+};
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/share_ledger.cpp
@@ -0,0 +1,263 @@
+#include "share_ledger.h"
+
+#include "invariant.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace eelgrassloft {
+
+void ShareLedger::start(Time now, std::vector<HostId> hosts)
+{
+    m_hosts.clear();
+    for (const HostId host : hosts)
+        m_hosts[host] = {};
+    for (auto& [upstreamName, upstream] : m_upstreams)
+        upstream.holdings.clear();
+    m_quietUntil = now + config::shareLease + config::clockBound;
+    m_mayGrant = false;
+}
+
+void ShareLedger::announce(const UpstreamAnnouncement& announcement)
+{
+    if (announcement.isLeaving) {
+        withdraw(announcement.name);
+        return;
+    }
+    Upstream& upstream = m_upstreams[announcement.name];
+    upstream.service = announcement.service;
+    upstream.slots = announcement.slots;
+    m_services[announcement.service].insert(announcement.name);
+}
+
+void ShareLedger::withdraw(const std::string& upstream)
+{
+    const auto found = m_upstreams.find(upstream);
+    if (found != m_upstreams.end())
+        found->second.slots = 0; // Holdings stay until their hosts give them back or fall silent.
+}
+
+void ShareLedger::report(Time now, HostId host, const ShareReport& report)
+{
+    const auto found = m_hosts.find(host);
+    if (found == m_hosts.end())
+        return;
+    Host& sender = found->second;
+    if (!sender.hasReported && !report.isWhole)
+        return; // Without a whole report first, the host's holdings are not known.
+    sender.hasReported = true;
+    sender.leaseEnd = now + config::shareLease + config::clockBound;
+    for (const ShareState& state : report.shares)
+        adopt(now, host, state);
+    if (report.isWhole)
+        sender.demands.clear();
+    for (const ShareDemand& demand : report.demands)
+        sender.demands[demand.service] = { demand.queued, demand.oldestArrival };
+}
+
+void ShareLedger::adopt(Time now, HostId host, const ShareState& state)
+{
+    const auto found = m_upstreams.find(state.upstream);
+    if (found == m_upstreams.end()) {
+        // Held under a former leader; counted until the upstream announces itself here too.
+        m_upstreams[state.upstream].holdings[host] = { state.slots, state.inUse, state.version, 0, {}, false };
+        return;
+    }
+    const auto [position, isNew] = found->second.holdings.try_emplace(host);
+    Holding& holding = position->second;
+    if (!isNew && state.version < holding.version) {
+        holding.needsResend = true; // The newer grant is on its way or lost; it may be given twice.
+        return;
+    }
+    if (state.slots < holding.slots) {
+        const uint32_t returned = holding.slots - state.slots;
+        holding.recalled -= std::min(holding.recalled, returned);
+    }
+    holding.slots = state.slots;
+    holding.inUse = state.inUse;
+    holding.version = state.version;
+    if (now >= holding.recalledUntil)
+        holding.recalled = 0;
+}
+
+ShareLedger::Output ShareLedger::divide(Time now)
+{
+    Output output;
+    if (m_hosts.empty())
+        return output;
+    if (!m_mayGrant) {
+        const bool allReported = std::all_of(m_hosts.begin(), m_hosts.end(), [](const auto& host) { return host.second.hasReported; });
+        if (!allReported && now < m_quietUntil)
+            return output;
+        m_mayGrant = true;
+    }
+    expireLeases(now);
+    resendLostGrants(output);
+    for (const auto& [service, upstreams] : m_services) {
+        serveDemand(service, output);
+        recallFor(now, service, output);
+    }
+    spreadFree(output);
+    return output;
+}
+
+void ShareLedger::resendLostGrants(Output& output)
+{
+    for (auto& [upstreamName, upstream] : m_upstreams) {
+        for (auto& [host, holding] : upstream.holdings) {
+            if (std::exchange(holding.needsResend, false))
+                output.grants[host].push_back({ upstreamName, holding.slots, holding.version });
+        }
+    }
+}
+
+void ShareLedger::expireLeases(Time now)
+{
+    for (auto& [id, host] : m_hosts) {
+        if (!host.hasReported || now < host.leaseEnd)
+            continue;
+        host.hasReported = false;
+        host.demands.clear();
+        for (auto& [upstreamName, upstream] : m_upstreams)
+            upstream.holdings.erase(id);
+    }
+}
+
+uint32_t ShareLedger::freeSlots(const Upstream& upstream) const
+{
+    uint32_t held = 0;
+    for (const auto& [host, holding] : upstream.holdings)
+        held += holding.slots;
+    return held < upstream.slots ? upstream.slots - held : 0;
+}
+
+uint32_t ShareLedger::granted(Time now, const std::string& upstream) const
+{
+    uint32_t held = 0;
+    const auto found = m_upstreams.find(upstream);
+    if (found == m_upstreams.end())
+        return 0;
+    for (const auto& [host, holding] : found->second.holdings)
+        held += m_hosts.at(host).leaseEnd > now ? holding.slots : 0;
+    return held;
+}
+
+void ShareLedger::grant(const std::string& upstreamName, Upstream& upstream, HostId host, uint32_t slots, Output& output)
+{
+    requireInvariant(slots <= freeSlots(upstream), "shares of an upstream sum to no more than its slots");
+    Holding& holding = upstream.holdings[host];
+    holding.slots += slots;
+    ++holding.version;
+    std::vector<ShareGrant>& grants = output.grants[host];
+    if (grants.empty() || grants.back().upstream != upstreamName)
+        grants.push_back({ upstreamName, 0, 0 });
+    grants.back().slots = holding.slots;
+    grants.back().version = holding.version;
+}
+
+HostId ShareLedger::neediest(const std::string& service) const
+{
+    HostId result;
+    Time oldest = never;
+    for (const auto& [id, host] : m_hosts) {
+        const auto demand = host.demands.find(service);
+        if (!host.hasReported || demand == host.demands.end() || !demand->second.queued)
+            continue;
+        if (demand->second.oldestArrival < oldest) {
+            oldest = demand->second.oldestArrival;
+            result = id;
+        }
+    }
+    return result;
+}
+
+void ShareLedger::serveDemand(const std::string& service, Output& output)
+{
+    for (const std::string& upstreamName : m_services[service]) {
+        Upstream& upstream = m_upstreams[upstreamName];
+        while (freeSlots(upstream)) {
+            const HostId host = neediest(service);
+            if (!host.isValid())
+                return;
+            --m_hosts[host].demands[service].queued;
+            grant(upstreamName, upstream, host, 1, output);
+        }
+    }
+}
+
+/// Slots that nobody waits for go to the hosts with the fewest idle ones, so that the next
+/// request finds one without asking.
+void ShareLedger::spreadFree(Output& output)
+{
+    for (auto& [upstreamName, upstream] : m_upstreams) {
+        while (freeSlots(upstream)) {
+            HostId poorest;
+            int64_t fewestIdle = INT64_MAX;
+            for (const auto& [id, host] : m_hosts) {
+                const auto holding = upstream.holdings.find(id);
+                const int64_t idle = holding == upstream.holdings.end()
+                    ? 0
+                    : int64_t { holding->second.slots } - holding->second.inUse;
+                if (host.hasReported && idle < fewestIdle) {
+                    fewestIdle = idle;
+                    poorest = id;
+                }
+            }
+            if (!poorest.isValid())
+                return;
+            grant(upstreamName, upstream, poorest, 1, output);
+        }
+    }
+}
+
+/// Moves slots to the host whose request has waited longest: idle ones of hosts without a queue
+/// first, then one at a time from the host whose queue is youngest.
+void ShareLedger::recallFor(Time now, const std::string& service, Output& output)
+{
+    const HostId needy = neediest(service);
+    if (!needy.isValid())
+        return;
+    const Demand demand = m_hosts[needy].demands[service];
+    uint32_t wanted = demand.queued;
+    HostId youngest;
+    Time youngestArrival = demand.oldestArrival + config::shareFairnessGap;
+    for (const auto& [id, host] : m_hosts) {
+        if (id == needy || !host.hasReported)
+            continue;
+        const auto own = host.demands.find(service);
+        if (own == host.demands.end() || !own->second.queued) {
+            wanted -= std::min(wanted, recallFrom(now, service, id, wanted, output));
+        } else if (own->second.oldestArrival > youngestArrival) {
+            youngestArrival = own->second.oldestArrival;
+            youngest = id;
+        }
+    }
+    if (wanted && youngest.isValid())
+        recallFrom(now, service, youngest, 1, output);
+}
+
+uint32_t ShareLedger::recallFrom(Time now, const std::string& service, HostId donor, uint32_t wanted, Output& output)
+{
+    uint32_t asked = 0;
+    for (const bool takeBusy : { false, true }) {
+        for (const std::string& upstreamName : m_services[service]) {
+            const auto found = m_upstreams[upstreamName].holdings.find(donor);
+            if (asked == wanted || found == m_upstreams[upstreamName].holdings.end())
+                continue;
+            Holding& holding = found->second;
+            if (now >= holding.recalledUntil)
+                holding.recalled = 0;
+            const uint32_t available = takeBusy ? holding.slots : holding.slots - std::min(holding.slots, holding.inUse);
+            const uint32_t count = std::min(wanted - asked, available - std::min(available, holding.recalled));
+            if (!count)
+                continue;
+            holding.recalled += count;
+            holding.recalledUntil = now + config::shareRecallLifetime;
+            output.recalls[donor].push_back({ upstreamName, count });
+            asked += count;
+        }
+    }
+    return asked;
+}
+
+} // namespace eelgrassloft
