--- /dev/null
+++ b/src/task_table.h
@@ -0,0 +1,256 @@
+#pragma once
+
+#include "eelgrassloft/job.h"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
+
+namespace eelgrassloft {
+
+/// One task of a job.
+struct TaskRecord {
+    std::string job;
+    uint32_t number = 0; ///< Within the job.
+    TaskState state = TaskState::Queued;
+    TaskState afterStop = TaskState::Queued; ///< State that a confirmed stop leads to.
+    uint32_t epoch = 0; ///< Raised by each placement; a worker acts only on its own epoch.
+    uint32_t failures = 0;
+    std::string worker;
+    uint64_t workerIncarnation = 0;
+    Resources size; ///< Reserved on the worker.
+    std::string detail; ///< Last message of a worker.
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&TaskRecord::job, &TaskRecord::number, &TaskRecord::state, &TaskRecord::afterStop,
+            &TaskRecord::epoch, &TaskRecord::failures, &TaskRecord::worker, &TaskRecord::workerIncarnation,
+            &TaskRecord::size, &TaskRecord::detail);
+    }
+};
+
+struct JobRecord {
+    JobSpec spec;
+    std::vector<TaskId> tasks;
+    bool isCancelled = false;
+    bool isRemoved = false; ///< No longer in the sheet; erased once its tasks have ended.
+    uint32_t heldTasks = 0; ///< Tasks that hold a worker, replaced ones included. Derived.
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&JobRecord::spec, &JobRecord::tasks, &JobRecord::isCancelled, &JobRecord::isRemoved);
+    }
+};
+
+struct WorkerRecord {
+    uint64_t incarnation = 0;
+    std::string rack;
+    Resources capacity;
+    Resources committed; ///< Sum of the tasks that hold this worker.
+    WorkerState state = WorkerState::Ready;
+    Time pausedUntil {};
+    std::vector<std::string> failedJobs; ///< Distinct jobs that failed here since the last success.
+    std::set<TaskId> tasks; ///< That hold this worker. Derived.
+    Resources preemptible; ///< Sum of the tasks that may be stopped for urgent ones. Derived.
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&WorkerRecord::incarnation, &WorkerRecord::rack, &WorkerRecord::capacity,
+            &WorkerRecord::committed, &WorkerRecord::state, &WorkerRecord::pausedUntil, &WorkerRecord::failedJobs);
+    }
+
+    /// What is free; nothing where a smaller capacity was announced than is committed.
+    Resources room() const { return committed.fitsIn(capacity) ? capacity - committed : Resources {}; }
+
+    bool hasRoomFor(const Resources& size) const { return committed.fitsIn(capacity) && size.fitsIn(capacity - committed); }
+};
+
+/// Changes what a waiting task reserves, as learned from its use.
+struct ResizeTask {
+    TaskId task;
+    Resources size;
+
+    static constexpr auto members() { return std::make_tuple(&ResizeTask::task, &ResizeTask::size); }
+};
+
+/// Takes over what the cell's sheet wants of this data centre.
+struct SyncJobs {
+    uint64_t cellRevision = 0;
+    std::vector<JobSpec> setJobs;
+    std::vector<std::string> removeJobs;
+    std::vector<TeamQuota> setTeams;
+    std::vector<std::string> removeTeams;
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&SyncJobs::cellRevision, &SyncJobs::setJobs, &SyncJobs::removeJobs, &SyncJobs::setTeams,
+            &SyncJobs::removeTeams);
+    }
+};
+
+struct SetWorker {
+    std::string name;
+    uint64_t incarnation = 0;
+    std::string rack;
+    Resources capacity;
+    bool isLeaving = false;
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&SetWorker::name, &SetWorker::incarnation, &SetWorker::rack, &SetWorker::capacity, &SetWorker::isLeaving);
+    }
+};
+
+/// The worker's lease has run out; its tasks have stopped.
+struct LoseWorker {
+    std::string name;
+    uint64_t incarnation = 0;
+
+    static constexpr auto members() { return std::make_tuple(&LoseWorker::name, &LoseWorker::incarnation); }
+};
+
+struct Placement {
+    TaskId task;
+    uint32_t epoch = 0; ///< The task's epoch after the placement.
+    std::string worker;
+    uint64_t workerIncarnation = 0;
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&Placement::task, &Placement::epoch, &Placement::worker, &Placement::workerIncarnation);
+    }
+};
+
+/// Places tasks; with `isTogether` all of them or none.
+struct PlaceTasks {
+    std::vector<Placement> placements;
+    bool isTogether = false;
+
+    static constexpr auto members() { return std::make_tuple(&PlaceTasks::placements, &PlaceTasks::isTogether); }
+};
+
+/// What a worker said of one of its tasks: Running, Finished, Failed, or Cancelled for a confirmed stop.
+struct TaskReport {
+    TaskId task;
+    uint32_t epoch = 0;
+    TaskState state = TaskState::Running;
+    std::string detail;
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&TaskReport::task, &TaskReport::epoch, &TaskReport::state, &TaskReport::detail);
+    }
+};
+
+struct ReportTasks {
+    std::vector<TaskReport> reports;
+
+    static constexpr auto members() { return std::make_tuple(&ReportTasks::reports); }
+};
+
+/// Stops tasks so that others can run; they go back to the queue.
+struct PreemptTasks {
+    std::vector<TaskId> tasks;
+
+    static constexpr auto members() { return std::make_tuple(&PreemptTasks::tasks); }
+};
+
+struct CancelJobs {
+    std::vector<std::string> jobs;
+
+    static constexpr auto members() { return std::make_tuple(&CancelJobs::jobs); }
+};
+
+using TaskCommand = std::variant<SyncJobs, SetWorker, LoseWorker, PlaceTasks, ReportTasks, PreemptTasks, CancelJobs, ResizeTask>;
+
+/// Reply to a `TaskCommand`.
+struct TaskCommandResult {
+    uint32_t accepted = 0;
+    uint32_t refused = 0; ///< Parts that no longer fit the state.
+
+    static constexpr auto members() { return std::make_tuple(&TaskCommandResult::accepted, &TaskCommandResult::refused); }
+};
+
+/// Jobs, tasks and workers of one data centre. Part of its replicated state: every change comes
+/// from the log, and each is checked against the state it meets, so a late command does no harm.
+class TaskTable {
+public:
+    TaskCommandResult apply(Time at, const TaskCommand& command);
+
+    uint64_t cellRevision() const { return m_cellRevision; }
+    const std::map<std::string, JobRecord>& jobs() const { return m_jobs; }
+    const std::map<TaskId, TaskRecord>& tasks() const { return m_tasks; }
+    const std::map<std::string, WorkerRecord>& workers() const { return m_workers; }
+    const std::set<TaskId>& queued(Urgency urgency) const { return m_queued[urgency]; }
+
+    /// Number of changes of workers so far, on this member.
+    uint64_t changeCount() const { return m_firstChange + m_changes.size(); }
+    /// Workers changed since `count`, or nothing where that is too long ago.
+    std::optional<std::vector<std::string>> changesSince(uint64_t count) const;
+
+    const TaskRecord* task(TaskId id) const;
+    const JobRecord* job(const std::string& jobName) const;
+    const WorkerRecord* worker(const std::string& workerName) const;
+
+    const std::map<std::string, TeamQuota>& teams() const { return m_teams; }
+    /// Limit of a team, if it has one.
+    const Resources* quota(const std::string& team) const;
+    /// What the tasks of a team hold on workers.
+    Resources teamUse(const std::string& team) const;
+
+    /// Whether a task may be stopped so that an urgent one can run.
+    bool isPreemptible(const TaskRecord& task) const;
+
+    /// Rebuilds what is derived from the records, after they were decoded.
+    void rebuild();
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&TaskTable::m_cellRevision, &TaskTable::m_nextTask, &TaskTable::m_jobs,
+            &TaskTable::m_tasks, &TaskTable::m_workers, &TaskTable::m_teams);
+    }
+
+private:
+    TaskCommandResult handle(Time at, const SyncJobs& command);
+    TaskCommandResult handle(Time at, const SetWorker& command);
+    TaskCommandResult handle(Time at, const LoseWorker& command);
+    TaskCommandResult handle(Time at, const PlaceTasks& command);
+    TaskCommandResult handle(Time at, const ReportTasks& command);
+    TaskCommandResult handle(Time at, const PreemptTasks& command);
+    TaskCommandResult handle(Time at, const CancelJobs& command);
+    TaskCommandResult handle(Time at, const ResizeTask& command);
+
+    void setJob(const JobSpec& spec);
+    void addTasks(JobRecord& job);
+    void cancelJob(JobRecord& job);
+    void stopTask(TaskId id, TaskState afterStop);
+    bool canPlace(const Placement& placement) const;
+    void place(const Placement& placement);
+    bool report(Time at, const TaskReport& report);
+    void reportFailure(Time at, TaskId id, const std::string& detail);
+    static void noteWorkerFailure(Time at, WorkerRecord& worker, const std::string& job);
+    static void noteWorkerSuccess(WorkerRecord& worker);
+    void leaveWorker(TaskId id, TaskRecord& task);
+    void setState(TaskId id, TaskRecord& task, TaskState state);
+    void holdWorker(TaskId id, const TaskRecord& task);
+    void noteChange(const std::string& workerName);
+    void releaseWorkerTasks(WorkerRecord& worker);
+    void collectEnded(const std::string& jobName, TaskId id);
+    void eraseIfEnded(const std::string& jobName);
+    void checkWorker(const WorkerRecord& worker) const;
+
+    uint64_t m_cellRevision = 0;
+    uint64_t m_nextTask = 1;
+    std::map<std::string, JobRecord> m_jobs;
+    std::map<TaskId, TaskRecord> m_tasks;
+    std::map<std::string, WorkerRecord> m_workers;
+    std::map<std::string, TeamQuota> m_teams;
+    EnumArray<Urgency, std::set<TaskId>> m_queued; // Derived.
+    std::deque<std::string> m_changes; // Derived.
+    uint64_t m_firstChange = 0; // Derived.
+    std::map<std::string, Resources> m_teamUse; // Derived.
+};
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/upstream_set.cpp
@@ -0,0 +1,166 @@
+#include "upstream_set.h"
+
+#include "invariant.h"
+
+#include <algorithm>
+
+namespace eelgrassloft {
+
+UpstreamId UpstreamSet::announce(Time now, const UpstreamAnnouncement& announcement)
+{
+    UpstreamId id = find(announcement.name);
+    if (!id.isValid()) {
+        if (m_upstreams.size() >= config::maxUpstreams)
+            return {};
+        id = UpstreamId { static_cast<uint32_t>(m_upstreams.size()) };
+        m_upstreams.emplace_back();
+        m_byName[announcement.name] = id;
+    }
+    Upstream& upstream = m_upstreams[id.value];
+    if (upstream.announcement.service != announcement.service) {
+        std::erase(m_services[upstream.announcement.service], id);
+        m_services[announcement.service].push_back(id);
+    }
+    upstream.announcement = announcement;
+    upstream.announcedUntil = now + config::announcementLifetime;
+    return id;
+}
+
+UpstreamId UpstreamSet::find(const std::string& upstreamName) const
+{
+    const auto found = m_byName.find(upstreamName);
+    return found == m_byName.end() ? UpstreamId {} : found->second;
+}
+
+bool UpstreamSet::isServed(Time now, const std::string& service) const
+{
+    const auto found = m_services.find(service);
+    return found != m_services.end() && std::any_of(found->second.begin(), found->second.end(), [&](UpstreamId id) { return at(id).isAnnounced(now); });
+}
+
+uint32_t UpstreamSet::connectionLimit(const Upstream& upstream) const
+{
+    return std::max(1U, upstream.announcement.connections / m_hostsInDataCentre);
+}
+
+uint32_t UpstreamSet::freeSlots(Time now, const Upstream& upstream) const
+{
+    if (!upstream.isAnnounced(now) || now < upstream.pausedUntil || now >= m_leaseEnd)
+        return 0;
+    const uint32_t limit = std::min(upstream.share - std::min(upstream.share, upstream.owed), connectionLimit(upstream));
+    return limit - std::min(limit, upstream.inFlight);
+}
+
+std::vector<RouteCandidate> UpstreamSet::candidates(Time now, const std::string& service, const std::vector<UpstreamId>& except) const
+{
+    std::vector<RouteCandidate> result;
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
+        return result;
+    for (const UpstreamId id : found->second) {
+        const Upstream& upstream = at(id);
+        const uint32_t free = freeSlots(now, upstream);
+        if (free && std::find(except.begin(), except.end(), id) == except.end())
+            result.push_back({ id, upstream.inFlight, free, upstream.latency });
+    }
+    return result;
+}
+
+bool UpstreamSet::hasOther(Time now, const std::string& service, const std::vector<UpstreamId>& except) const
+{
+    const auto found = m_services.find(service);
+    return found != m_services.end() && std::any_of(found->second.begin(), found->second.end(), [&](UpstreamId id) {
+        return at(id).isAnnounced(now) && std::find(except.begin(), except.end(), id) == except.end();
+    });
+}
+
+uint32_t UpstreamSet::slots(Time now, const std::string& service) const
+{
+    uint32_t total = 0;
+    const auto found = m_services.find(service);
+    if (found == m_services.end() || now >= m_leaseEnd)
+        return 0;
+    for (const UpstreamId id : found->second)
+        total += at(id).isAnnounced(now) ? at(id).share : 0;
+    return total;
+}
+
+bool UpstreamSet::attemptEnded(UpstreamId id)
+{
+    Upstream& upstream = m_upstreams[id.value];
+    requireInvariant(upstream.inFlight > 0, "an attempt ends once");
+    --upstream.inFlight;
+    if (!upstream.owed || !upstream.share)
+        return false;
+    --upstream.owed;
+    --upstream.share;
+    return true;
+}
+
+void UpstreamSet::noteAnswer(UpstreamId id, Duration latency)
+{
+    Upstream& upstream = m_upstreams[id.value];
+    upstream.failuresInRow = 0;
+    if (upstream.latency == Duration {})
+        upstream.latency = latency;
+    else
+        upstream.latency += (latency - upstream.latency) / (1 << config::latencyWeightShift);
+}
+
+bool UpstreamSet::noteFailure(Time now, UpstreamId id)
+{
+    Upstream& upstream = m_upstreams[id.value];
+    if (++upstream.failuresInRow < config::outlierFailures)
+        return false;
+    upstream.failuresInRow = config::outlierFailures - 1; // One more failure after the pause sets it aside again.
+    upstream.pausedUntil = now + config::outlierPause;
+    return true;
+}
+
+void UpstreamSet::grant(Time leaseEnd, const ShareGrant& grant)
+{
+    renewLease(leaseEnd);
+    const UpstreamId id = find(grant.upstream);
+    if (!id.isValid())
+        return;
+    Upstream& upstream = m_upstreams[id.value];
+    if (grant.version <= upstream.shareVersion && upstream.shareVersion)
+        return;
+    upstream.share = grant.slots;
+    upstream.shareVersion = grant.version;
+    upstream.owed = 0;
+}
+
+void UpstreamSet::dropShares()
+{
+    for (Upstream& upstream : m_upstreams) {
+        upstream.share = upstream.owed = 0;
+        upstream.shareVersion = 0;
+    }
+    m_leaseEnd = {};
+}
+
+bool UpstreamSet::recall(const ShareRecall& recall)
+{
+    const UpstreamId id = find(recall.upstream);
+    if (!id.isValid())
+        return false;
+    Upstream& upstream = m_upstreams[id.value];
+    const uint32_t idle = upstream.share - std::min(upstream.share, upstream.inFlight);
+    const uint32_t given = std::min(idle, recall.slots);
+    upstream.share -= given;
+    upstream.owed = std::min(upstream.share, recall.slots - given);
+    return given > 0;
+}
+
+std::vector<ShareState> UpstreamSet::shares() const
+{
+    std::vector<ShareState> result;
+    for (const Upstream& upstream : m_upstreams) {
+        if (upstream.share || upstream.shareVersion)
+            result.push_back({ upstream.announcement.name, upstream.share, upstream.inFlight, upstream.shareVersion });
+    }
+    return result;
+}
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/worker_desk.cpp
@@ -0,0 +1,242 @@
+#include "worker_desk.h"
+
+#include <algorithm>
+
+namespace eelgrassloft {
+
+void sendWorkerReply(NodeStep& step, WorkerCall call, WorkerReply reply)
+{
+    if (call.host == step.peers.self())
+        step.emit(AnswerWorker { call.call, std::move(reply) });
+    else if (step.peers.isConnected(call.host))
+        step.send(call.host, ForwardedReply { call.call, std::move(reply) });
+}
+
+void WorkerDesk::start(const TaskTable& tasks, Time now)
+{
+    m_sessions.clear();
+    m_deadlines.clear();
+    m_commands.clear();
+    m_changesSeen = tasks.changeCount();
+    for (const auto& [workerName, worker] : tasks.workers()) {
+        if (worker.state == WorkerState::Lost)
+            continue;
+        Session& session = m_sessions[workerName];
+        session.incarnation = worker.incarnation;
+        session.leaseEnd = now + config::taskLease + config::clockBound;
+        session.knownState = worker.state;
+        schedule(workerName, session);
+    }
+}
+
+void WorkerDesk::stop(NodeStep& step)
+{
+    for (auto& [workerName, session] : m_sessions) {
+        if (session.held)
+            sendWorkerReply(step, session.held->call, { WorkerReplyStatus::NoLeader, {}, {} });
+    }
+    m_sessions.clear();
+    m_deadlines.clear();
+    m_commands.clear();
+}
+
+void WorkerDesk::schedule(const std::string& workerName, Session& session)
+{
+    m_deadlines.erase({ session.deadline, workerName });
+    session.deadline = session.held ? std::min(session.held->until, session.leaseEnd) : session.leaseEnd;
+    m_deadlines.insert({ session.deadline, workerName });
+}
+
+void WorkerDesk::report(NodeStep& step, const TaskTable& tasks, const WorkerReport& report, WorkerCall call)
+{
+    if (!m_mayRenew) {
+        sendWorkerReply(step, call, { WorkerReplyStatus::NoLeader, {}, {} });
+        return;
+    }
+    Session& session = m_sessions[report.name];
+    const WorkerRecord* record = tasks.worker(report.name);
+    const uint64_t known = std::max(session.incarnation, record ? record->incarnation : 0);
+    if (report.incarnation < known || (report.incarnation == session.incarnation && report.sequence <= session.sequence)) {
+        sendWorkerReply(step, call, { WorkerReplyStatus::Outdated, {}, {} });
+        return;
+    }
+    if (session.held) // The worker gave up waiting for it.
+        sendWorkerReply(step, session.held->call, { WorkerReplyStatus::Outdated, {}, {} });
+    session.incarnation = report.incarnation;
+    session.sequence = report.sequence;
+    session.leaseEnd = step.now + config::taskLease + config::clockBound;
+    session.seen = report.tasks;
+    session.held = Held { call, step.now + config::workerReplyHold };
+    schedule(report.name, session);
+    const bool isChanged = !record || record->incarnation != report.incarnation || record->capacity != report.capacity
+        || record->rack != report.rack || record->state == WorkerState::Lost
+        || report.isLeaving != (record->state == WorkerState::Leaving);
+    if (isChanged)
+        m_commands.emplace_back(SetWorker { report.name, report.incarnation, report.rack, report.capacity, report.isLeaving });
+    if (record && record->incarnation == report.incarnation)
+        noteTasks(step, tasks, report);
+    answerIfNews(step, tasks, report.name, session);
+}
+
+/// Answers at once where there is a command that the last reply did not hold. Commands that the
+/// worker is still carrying out are repeated only when the reply falls due.
+void WorkerDesk::answerIfNews(NodeStep& step, const TaskTable& tasks, const std::string& workerName, Session& session)
+{
+    std::vector<WorkerCommand> commands = commandsFor(tasks, workerName, session);
+    const bool hasNews = std::any_of(commands.begin(), commands.end(), [&](const WorkerCommand& command) {
+        return !session.sent.contains({ command.kind, command.task, command.epoch });
+    });
+    if (hasNews)
+        answer(step, workerName, session, std::move(commands));
+}
+
+void WorkerDesk::noteTasks(NodeStep& step, const TaskTable& tasks, const WorkerReport& report)
+{
+    ReportTasks command;
+    for (const WorkerTask& task : report.tasks) {
+        if (auto entry = compare(tasks, report, task))
+            command.reports.push_back(std::move(*entry));
+        noteUsage(step, tasks, task);
+    }
+    if (!command.reports.empty())
+        m_commands.emplace_back(std::move(command));
+}
+
+/// What the log does not know yet of a reported task.
+std::optional<TaskReport> WorkerDesk::compare(const TaskTable& tasks, const WorkerReport& report, const WorkerTask& task) const
+{
+    const TaskRecord* record = tasks.task(task.task);
+    if (!record || record->epoch != task.epoch || record->worker != report.name || !holdsWorker(record->state))
+        return std::nullopt;
+    const bool isNews = task.state == TaskState::Running ? record->state == TaskState::Starting : isEnded(task.state);
+    if (!isNews)
+        return std::nullopt;
+    return TaskReport { task.task, task.epoch, task.state, task.detail };
+}
+
+void WorkerDesk::noteUsage(NodeStep& step, const TaskTable& tasks, const WorkerTask& task)
+{
+    const TaskRecord* record = tasks.task(task.task);
+    if (!record || record->epoch != task.epoch || record->state != TaskState::Running || task.state != TaskState::Running)
+        return;
+    if (!m_learned.note(record->job, record->size, task.usage))
+        return;
+    step.counters.add(CounterKind::TasksPreempted);
+    m_commands.emplace_back(PreemptTasks { { task.task } });
+}
+
+std::optional<WorkerCommand> WorkerDesk::commandFor(const TaskTable& tasks, const std::string& workerName, const WorkerTask& task) const
+{
+    const TaskRecord* record = tasks.task(task.task);
+    const bool isCurrent = record && record->epoch == task.epoch && record->worker == workerName && holdsWorker(record->state);
+    if (isEnded(task.state)) {
+        if (isCurrent)
+            return std::nullopt; // Its end is on the way into the log.
+        return WorkerCommand { WorkerCommandKind::Forget, task.task, task.epoch, {}, {}, {} };
+    }
+    if (!isCurrent)
+        return WorkerCommand { WorkerCommandKind::Stop, task.task, task.epoch, {}, {}, {} };
+    if (record->state == TaskState::Stopping) {
+        const bool isPreempted = record->afterStop == TaskState::Queued && tasks.job(record->job)->spec.canCheckpoint;
+        return WorkerCommand { isPreempted ? WorkerCommandKind::Checkpoint : WorkerCommandKind::Stop, task.task, task.epoch, {}, {}, {} };
+    }
+    if (LearnedSizes::exceeds(task.usage.processorMillis, record->size.processorMillis))
+        return WorkerCommand { WorkerCommandKind::Throttle, task.task, task.epoch, {}, {}, record->size };
+    return std::nullopt;
+}
+
+std::vector<WorkerCommand> WorkerDesk::commandsFor(const TaskTable& tasks, const std::string& workerName, const Session& session) const
+{
+    std::vector<WorkerCommand> commands;
+    for (const WorkerTask& task : session.seen) {
+        if (auto command = commandFor(tasks, workerName, task))
+            commands.push_back(std::move(*command));
+    }
+    const WorkerRecord* worker = tasks.worker(workerName);
+    if (!worker || worker->incarnation != session.incarnation)
+        return commands;
+    for (const TaskId id : worker->tasks) {
+        const TaskRecord& record = *tasks.task(id);
+        const bool isSeen = std::any_of(session.seen.begin(), session.seen.end(),
+            [&](const WorkerTask& task) { return task.task == id && task.epoch == record.epoch; });
+        if (isSeen)
+            continue;
+        if (record.state == TaskState::Starting)
+            commands.push_back({ WorkerCommandKind::Run, id, record.epoch, record.job, tasks.job(record.job)->spec.command, record.size });
+        else // Running but not listed: the worker confirms that it does not run the task before another does.
+            commands.push_back({ WorkerCommandKind::Stop, id, record.epoch, {}, {}, {} });
+    }
+    return commands;
+}
+
+void WorkerDesk::answer(NodeStep& step, const std::string& workerName, Session& session, std::vector<WorkerCommand> commands)
+{
+    const auto status = m_mayRenew ? WorkerReplyStatus::Renewed : WorkerReplyStatus::NoLeader;
+    if (!m_mayRenew)
+        commands.clear();
+    session.sent.clear();
+    for (const WorkerCommand& command : commands)
+        session.sent.insert({ command.kind, command.task, command.epoch });
+    sendWorkerReply(step, session.held->call, { status, config::taskLease, std::move(commands) });
+    session.held.reset();
+    schedule(workerName, session);
+}
+
+void WorkerDesk::stateChanged(NodeStep& step, const TaskTable& tasks)
+{
+    const auto changes = tasks.changesSince(m_changesSeen);
+    m_changesSeen = tasks.changeCount();
+    std::set<std::string> changed;
+    if (changes)
+        changed.insert(changes->begin(), changes->end());
+    for (auto& [workerName, session] : m_sessions) {
+        if (changes && !changed.contains(workerName))
+            continue;
+        if (const WorkerRecord* worker = tasks.worker(workerName))
+            noteState(step, workerName, *worker, session);
+        if (!session.held)
+            continue;
+        answerIfNews(step, tasks, workerName, session);
+    }
+}
+
+void WorkerDesk::noteState(NodeStep& step, const std::string& workerName, const WorkerRecord& worker, Session& session)
+{
+    if (std::exchange(session.knownState, worker.state) == worker.state)
+        return;
+    if (worker.state == WorkerState::SetAside) {
+        step.counters.add(CounterKind::WorkersSetAside);
+        step.log(LogEventKind::WorkerSetAside, { { "worker", workerName }, { "jobs", std::to_string(worker.failedJobs.size()) } });
+    } else if (worker.state == WorkerState::Ready) {
+        step.log(LogEventKind::WorkerJoined, { { "worker", workerName }, { "rack", worker.rack } });
+    }
+}
+
+void WorkerDesk::tick(NodeStep& step, const TaskTable& tasks)
+{
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= step.now) {
+        const std::string workerName = m_deadlines.begin()->second;
+        Session& session = m_sessions[workerName];
+        if (session.held && session.held->until <= step.now) {
+            answer(step, workerName, session, commandsFor(tasks, workerName, session));
+            continue;
+        }
+        if (!m_mayRenew) { // Another leader may be renewing the lease; ask again when this one knows.
+            session.leaseEnd = step.now + config::taskLease + config::clockBound;
+            schedule(workerName, session);
+            continue;
+        }
+        m_deadlines.erase(m_deadlines.begin());
+        const WorkerRecord* worker = tasks.worker(workerName);
+        if (worker && worker->state != WorkerState::Lost) {
+            step.log(LogEventKind::WorkerLost, { { "worker", workerName }, { "tasks", std::to_string(worker->tasks.size()) } });
+            step.counters.add(CounterKind::TasksLost, worker->tasks.size());
+            m_commands.emplace_back(LoseWorker { workerName, session.incarnation });
+        }
+        if (session.held)
+            sendWorkerReply(step, session.held->call, { WorkerReplyStatus::NoLeader, {}, {} });
+        m_sessions.erase(workerName);
+    }
+}
+
+} // namespace eelgrassloft
