--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -11,9 +11,9 @@
 using namespace std::chrono_literals;
 
 // Requests.
-inline constexpr size_t maxHeaderBytes = 8 * 1024;
-inline constexpr size_t maxBodyBytes = 1024 * 1024;
-inline constexpr size_t maxRecordedAnswerBytes = 64 * 1024;
+inline constexpr size_t maxHeaderBytes = 8UL * 1024;
+inline constexpr size_t maxBodyBytes = 1024UL * 1024;
+inline constexpr size_t maxRecordedAnswerBytes = 64UL * 1024;
 inline constexpr size_t maxKeyBytes = 128;
 inline constexpr size_t maxServiceNameBytes = 64;
 inline constexpr size_t maxQueuedRequests = 4096; // per service and entry host
@@ -44,6 +44,8 @@
 inline constexpr int keepAliveProbes = 3;
 inline constexpr uint32_t outlierFailures = 5;
 inline constexpr Duration outlierPause = 5s;
+inline constexpr Duration refusalPause = 20ms; // doubled with each refusal in a row
+inline constexpr Duration maxRefusalPause = 1s;
 inline constexpr int latencyWeightShift = 3; // weight of a new sample: 1/8
 
 // Shares of the slots of an upstream.
@@ -64,7 +66,7 @@
 
 // Peer connections.
 inline constexpr uint32_t peerProtocolVersion = 1;
-inline constexpr size_t maxFrameBytes = 16 * 1024 * 1024;
+inline constexpr size_t maxFrameBytes = 16UL * 1024 * 1024;
 inline constexpr size_t maxPeerMailbox = 8192;
 inline constexpr Duration peerReconnectDelay = 200ms;
 inline constexpr Duration peerSilenceLimit = 2s;
@@ -87,7 +89,7 @@
 // Configuration.
 inline constexpr size_t maxOperationIdBytes = 128;
 inline constexpr size_t maxRememberedOperations = 4096;
-inline constexpr size_t maxConfigurationBytes = 1024 * 1024;
+inline constexpr size_t maxConfigurationBytes = 1024UL * 1024;
 
 // Tasks.
 inline constexpr Duration taskLease = 5s;
@@ -99,7 +101,7 @@
 inline constexpr size_t maxRememberedChanges = 8192; // of workers, for indexes that follow the state
 inline constexpr size_t bestFitCandidates = 16;
 inline constexpr size_t spreadCandidateRacks = 8;
-inline constexpr double idleAcceleratorWeight = -4; // keeps accelerators free for tasks that use them
+inline constexpr double idleAcceleratorWeight = 4; // keeps accelerators free for tasks that use them
 inline constexpr size_t maxPlacementsPerStep = 256;
 
 // Daemon.
--- a/src/io/node_task.cpp
+++ b/src/io/node_task.cpp
@@ -28,7 +28,7 @@
 void NodeTask::step(const Event& event)
 {
     if (const auto* written = std::get_if<LogWritten>(&event))
-        noteWritten(*written);
+        release(*written);
     const auto start = std::chrono::steady_clock::now();
     Effects effects = m_node.step(m_clock.now(), event);
     m_timers[TimerKind::Step].add(std::chrono::steady_clock::now() - start);
@@ -125,12 +125,8 @@
 
 void NodeTask::perform(SendPeer effect)
 {
-    if (effect.afterWrite > m_written[effect.log]) {
-        const uint64_t afterWrite = effect.afterWrite;
-        m_held[effect.log].push_back({ afterWrite, std::move(effect) });
-        return;
-    }
-    m_parts.peers.send(effect.to, effect.message);
+    if (const auto message = m_gate.pass(std::move(effect)))
+        m_parts.peers.send(message->to, message->message);
 }
 
 void NodeTask::perform(WriteLog<CellMachine> effect) { m_parts.cellWriter.write(effect.incarnation, std::move(effect.write)); }
@@ -144,15 +140,10 @@
 
 void NodeTask::perform(DrainFinished effect) { m_parts.drained.tryPush(effect); }
 
-/// Lets go the messages that waited for a write.
-void NodeTask::noteWritten(const LogWritten& event)
+void NodeTask::release(const LogWritten& event)
 {
-    m_written[event.log] = std::max(m_written[event.log], event.sequence);
-    auto& held = m_held[event.log];
-    while (!held.empty() && held.front().afterWrite <= m_written[event.log]) {
-        m_parts.peers.send(held.front().message.to, held.front().message.message);
-        held.pop_front();
-    }
+    for (const SendPeer& message : m_gate.written(event))
+        m_parts.peers.send(message.to, message.message);
 }
 
 } // namespace eelgrassloft::io
--- a/src/io/node_task.h
+++ b/src/io/node_task.h
@@ -5,6 +5,7 @@
 #include "io/metrics.h"
 #include "io/node_messages.h"
 #include "io/peer_network.h"
+#include "io/sync_gate.h"
 #include "io/upstream_client.h"
 #include "io/wall_clock.h"
 #include "node.h"
@@ -44,11 +45,6 @@
         std::chrono::steady_clock::time_point arrivedAt;
     };
 
-    struct HeldMessage {
-        uint64_t afterWrite = 0;
-        SendPeer message;
-    };
-
     void receive(NodeMessage message);
     void handle(Event event) { step(event); }
     void handle(SubmitRequest submit);
@@ -67,7 +63,7 @@
     void perform(WriteLog<DataCentreMachine> effect);
     void perform(LogEvent effect);
     void perform(DrainFinished effect);
-    void noteWritten(const LogWritten& event);
+    void release(const LogWritten& event);
     std::string metricsText() const;
 
     DaemonNode m_node;
@@ -78,8 +74,7 @@
     std::map<CallId, ReplyBox<WorkerReply>> m_workerCalls;
     std::map<CallId, ReplyBox<OperatorReply>> m_operatorCalls;
     EnumArray<TimerKind, DurationStatistic> m_timers;
-    EnumArray<LogKind, uint64_t> m_written;
-    EnumArray<LogKind, std::deque<HeldMessage>> m_held;
+    SyncGate m_gate;
 };
 
 } // namespace eelgrassloft::io
--- a/src/log_member.h
+++ b/src/log_member.h
@@ -74,7 +74,7 @@
             (isVoter ? membership.voters : membership.learners).push_back(member);
         }
         m_isForming = false;
-        m_replica.form(step.now, std::move(membership));
+        m_replica.form(step.now, membership);
         step.log(LogEventKind::LogFormed, { { "log", std::string(name(m_options.log)) } });
     }
 
--- a/src/node.h
+++ b/src/node.h
@@ -558,4 +558,7 @@
     bool m_hasDrained = false;
 };
 
+// The daemon's node is compiled once, in node.cpp.
+extern template class Node<>;
+
 } // namespace eelgrassloft
--- a/src/replica.h
+++ b/src/replica.h
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <utility>
 
 namespace eelgrassloft {
 
@@ -78,12 +79,14 @@
     }
 
     /// Starts a new log with the given voters. Every voter must be known to hold no state.
-    void form(Time now, Membership membership)
+    void form(Time now, const Membership& initial)
     {
-        m_memberships.front().membership = std::move(membership);
+        m_memberships.front().membership = initial;
         m_lastContact = now - electionTimeout();
         m_role = isVoter() ? ReplicaRole::Follower : ReplicaRole::Learner;
         resetElectionDeadline(now);
+        if (membership().voters.size() == 1)
+            m_electionDeadline = now; // Nobody else can stand.
     }
 
     /// Takes up the state that storage kept under this incarnation.
--- a/src/request_router.h
+++ b/src/request_router.h
@@ -218,7 +218,11 @@
 
     void noteFailure(NodeStep& step, const Attempt& attempt, AttemptFailure failure)
     {
-        if (failure == AttemptFailure::RefusedByUpstream || !m_upstreams.noteFailure(step.now, attempt.upstream))
+        if (failure == AttemptFailure::RefusedByUpstream) {
+            m_upstreams.noteRefusal(step.now, attempt.upstream);
+            return;
+        }
+        if (!m_upstreams.noteFailure(step.now, attempt.upstream))
             return;
         step.counters.add(CounterKind::OutliersSetAside);
         step.log(LogEventKind::UpstreamSetAside, { { "upstream", m_upstreams.at(attempt.upstream).announcement.name }, { "reason", std::string(name(failure)) } });
--- a/src/share_ledger.cpp
+++ b/src/share_ledger.cpp
@@ -7,7 +7,7 @@
 
 namespace eelgrassloft {
 
-void ShareLedger::start(Time now, std::vector<HostId> hosts)
+void ShareLedger::start(Time now, const std::vector<HostId>& hosts)
 {
     m_hosts.clear();
     for (const HostId host : hosts)
--- a/src/share_ledger.h
+++ b/src/share_ledger.h
@@ -21,7 +21,7 @@
     };
 
     /// Begins a term of leadership with nothing known.
-    void start(Time now, std::vector<HostId> hosts);
+    void start(Time now, const std::vector<HostId>& hosts);
     void stop() { m_hosts.clear(); }
     bool isActive() const { return !m_hosts.empty(); }
 
--- a/src/task_controller.h
+++ b/src/task_controller.h
@@ -52,8 +52,8 @@
             m_plan.commands.push_back(std::move(m_plan.single));
         if (!m_plan.preempted.tasks.empty())
             m_plan.commands.push_back(std::move(m_plan.preempted));
-        for (ResizeTask& resize : m_plan.resized)
-            m_plan.commands.push_back(std::move(resize));
+        for (const ResizeTask& resize : m_plan.resized)
+            m_plan.commands.emplace_back(resize);
         m_learned = nullptr;
         m_isPlanOpen = !m_plan.commands.empty();
         return std::move(m_plan.commands);
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -100,13 +100,23 @@
 void UpstreamSet::noteAnswer(UpstreamId id, Duration latency)
 {
     Upstream& upstream = m_upstreams[id.value];
-    upstream.failuresInRow = 0;
+    upstream.failuresInRow = upstream.refusalsInRow = 0;
     if (upstream.latency == Duration {})
         upstream.latency = latency;
     else
         upstream.latency += (latency - upstream.latency) / (1 << config::latencyWeightShift);
 }
 
+void UpstreamSet::noteRefusal(Time now, UpstreamId id)
+{
+    Upstream& upstream = m_upstreams[id.value];
+    Duration pause = config::refusalPause;
+    for (uint32_t i = 0; i < upstream.refusalsInRow && pause < config::maxRefusalPause; ++i)
+        pause *= 2;
+    ++upstream.refusalsInRow;
+    upstream.pausedUntil = std::max(upstream.pausedUntil, now + std::min(pause, config::maxRefusalPause));
+}
+
 bool UpstreamSet::noteFailure(Time now, UpstreamId id)
 {
     Upstream& upstream = m_upstreams[id.value];
--- a/src/upstream_set.h
+++ b/src/upstream_set.h
@@ -21,6 +21,7 @@
     uint32_t owed = 0; ///< Slots to give back as requests end.
     Duration latency {}; ///< Exponentially weighted mean of whole answers.
     uint32_t failuresInRow = 0;
+    uint32_t refusalsInRow = 0;
     Time pausedUntil {};
 
     bool isAnnounced(Time now) const { return !announcement.isLeaving && now < announcedUntil; }
@@ -56,6 +57,8 @@
     /// Gives true where a slot was given back.
     bool attemptEnded(UpstreamId id);
     void noteAnswer(UpstreamId id, Duration latency);
+    /// The upstream said that it did not start the work: it is left alone for a short time.
+    void noteRefusal(Time now, UpstreamId id);
     /// Gives true where the upstream was set aside.
     bool noteFailure(Time now, UpstreamId id);
 
--- /dev/null
+++ b/tests/log_file_test.cpp
@@ -0,0 +1,181 @@
+#include "io/log_file.h"
+#include "support/replica_cluster.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+#include <unistd.h>
+
+using namespace eelgrassloft;
+using namespace eelgrassloft::io;
+using eelgrassloft::testing::ListMachine;
+namespace fs = std::filesystem;
+
+namespace {
+
+struct Folder {
+    Folder()
+        : path(fs::temp_directory_path() / ("eelgrassloft-test-" + std::to_string(::getpid())))
+    {
+        fs::remove_all(path);
+    }
+
+    ~Folder() { fs::remove_all(path); }
+
+    fs::path segment(int number) const { return path / ("segment-" + std::to_string(number)); }
+
+    void change(const fs::path& file, size_t offset, char value) const
+    {
+        std::fstream stream(file, std::ios::in | std::ios::out | std::ios::binary);
+        stream.seekp(static_cast<std::streamoff>(offset));
+        stream.put(value);
+    }
+
+    fs::path path;
+};
+
+LogWrite<ListMachine> writeOf(uint64_t sequence, std::vector<uint64_t> indexes, uint64_t truncateFrom = 0)
+{
+    LogWrite<ListMachine> write;
+    write.sequence = sequence;
+    write.truncateFrom = truncateFrom;
+    for (const uint64_t index : indexes)
+        write.entries.push_back({ index, 1, Time {}, ListMachine::Append { index * 10 } });
+    return write;
+}
+
+std::vector<uint64_t> indexesOf(const RestoredLog<ListMachine>& log)
+{
+    std::vector<uint64_t> indexes;
+    for (const auto& entry : log.entries)
+        indexes.push_back(entry.index);
+    return indexes;
+}
+
+using Indexes = std::vector<uint64_t>;
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(LogFileTests, Folder)
+
+BOOST_AUTO_TEST_CASE(anEmptyFolderHoldsNoLog)
+{
+    FileLog<ListMachine> log(path);
+    BOOST_TEST(!log.restore().has_value());
+    BOOST_TEST((log.lastError().kind == ErrorKind::None));
+}
+
+BOOST_AUTO_TEST_CASE(whatWasWrittenIsRestored)
+{
+    {
+        FileLog<ListMachine> log(path);
+        log.restore();
+        auto first = writeOf(1, { 1, 2, 3 });
+        first.state = HardState { 4, { HostId { 2 }, 7 } };
+        BOOST_REQUIRE(log.write(42, { first, writeOf(2, { 3, 4 }, 3) }));
+    }
+    FileLog<ListMachine> again(path);
+    const auto restored = again.restore();
+    BOOST_REQUIRE(restored.has_value());
+    BOOST_TEST(restored->incarnation == 42U);
+    BOOST_TEST((restored->state == HardState { 4, { HostId { 2 }, 7 } }));
+    BOOST_TEST((indexesOf(*restored) == Indexes { 1, 2, 3, 4 }));
+}
+
+BOOST_AUTO_TEST_CASE(aSnapshotReplacesOldSegments)
+{
+    {
+        FileLog<ListMachine> log(path);
+        log.restore();
+        BOOST_REQUIRE(log.write(42, { writeOf(1, { 1, 2, 3, 4 }) }));
+        auto write = writeOf(2, { 5 });
+        write.snapshot = Snapshot<ListMachine> { 4, 1, Time {}, {}, { { 10, 20, 30, 40 } } };
+        BOOST_REQUIRE(log.write(42, { write }));
+    }
+    BOOST_TEST(!fs::exists(segment(1)));
+    FileLog<ListMachine> again(path);
+    const auto restored = again.restore();
+    BOOST_REQUIRE(restored.has_value());
+    BOOST_TEST(restored->snapshot->machine.ids.size() == 4U);
+    BOOST_TEST((indexesOf(*restored) == Indexes { 5 }));
+}
+
+BOOST_AUTO_TEST_CASE(entriesAfterASnapshotSurviveIt)
+{
+    {
+        FileLog<ListMachine> log(path);
+        log.restore();
+        BOOST_REQUIRE(log.write(42, { writeOf(1, { 1, 2, 3, 4 }) }));
+        LogWrite<ListMachine> write;
+        write.sequence = 2;
+        write.snapshot = Snapshot<ListMachine> { 2, 1, Time {}, {}, { { 10, 20 } } };
+        BOOST_REQUIRE(log.write(42, { write, writeOf(3, { 5 }) }));
+    }
+    FileLog<ListMachine> again(path);
+    const auto restored = again.restore();
+    BOOST_REQUIRE(restored.has_value());
+    BOOST_TEST((indexesOf(*restored) == Indexes { 3, 4, 5 }));
+}
+
+BOOST_AUTO_TEST_CASE(aTornTailIsCut)
+{
+    {
+        FileLog<ListMachine> log(path);
+        log.restore();
+        BOOST_REQUIRE(log.write(42, { writeOf(1, { 1, 2, 3 }) }));
+    }
+    const auto whole = fs::file_size(segment(1));
+    for (uintmax_t size = whole - 1; size > whole - 8; --size) {
+        fs::resize_file(segment(1), size);
+        FileLog<ListMachine> again(path);
+        const auto restored = again.restore();
+        BOOST_REQUIRE(restored.has_value());
+        BOOST_TEST((indexesOf(*restored) == Indexes { 1, 2 }));
+    }
+    FileLog<ListMachine> again(path);
+    again.restore();
+    BOOST_REQUIRE(again.write(42, { writeOf(1, { 3 }) }));
+    FileLog<ListMachine> last(path);
+    BOOST_TEST((indexesOf(*last.restore()) == Indexes { 1, 2, 3 }));
+}
+
+BOOST_AUTO_TEST_CASE(aCorruptMiddleIsRefusedWithTheFileAndTheRemedy)
+{
+    {
+        FileLog<ListMachine> log(path);
+        log.restore();
+        BOOST_REQUIRE(log.write(42, { writeOf(1, { 1, 2, 3 }) }));
+    }
+    const auto size = fs::file_size(segment(1));
+    for (size_t offset = 0; offset + 30 < size; offset += 3) {
+        const auto copy = fs::path(path.string() + "-copy");
+        fs::remove_all(copy);
+        fs::copy(path, copy, fs::copy_options::recursive);
+        change(copy / "segment-1", offset, static_cast<char>(0xee));
+        FileLog<ListMachine> again(copy);
+        BOOST_TEST(!again.restore().has_value());
+        BOOST_TEST((again.lastError().kind == ErrorKind::FileCorrupt));
+        BOOST_TEST(again.lastError().message.find("segment-1") != std::string::npos);
+        BOOST_TEST(!again.lastError().remedy.empty());
+        fs::remove_all(copy);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aRestoredReplicaGoesOnWithItsTermAndEntries)
+{
+    Replica<ListMachine> replica({ HostId { 0 }, 42 }, {}, Time(std::chrono::hours(1)));
+    {
+        FileLog<ListMachine> log(path);
+        log.restore();
+        auto write = writeOf(1, { 1, 2 });
+        write.state = HardState { 9, {} };
+        BOOST_REQUIRE(log.write(42, { write }));
+    }
+    FileLog<ListMachine> again(path);
+    replica.restore(Time(std::chrono::hours(1)), *again.restore());
+    BOOST_TEST(replica.term() == 9U);
+    BOOST_TEST(replica.lastIndex() == 2U);
+    BOOST_TEST(replica.machine().ids.empty()); // Nothing is known to be committed yet.
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/mailbox_test.cpp
@@ -0,0 +1,119 @@
+#include "io/mailbox.h"
+#include "io/wall_clock.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrassloft;
+using namespace eelgrassloft::io;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A clock that tests pause and advance.
+struct TestClock {
+    using duration = std::chrono::microseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<TestClock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() { return s_now; }
+    static inline time_point s_now {};
+};
+
+/// Lets timers look at the test clock without waiting in real time.
+struct TestWaitTraits {
+    static TestClock::duration to_wait_duration(const TestClock::duration&) { return TestClock::duration::zero(); }
+    static TestClock::duration to_wait_duration(const TestClock::time_point& time) { return to_wait_duration(time - TestClock::now()); }
+};
+
+using TestTimer = asio::basic_waitable_timer<TestClock, TestWaitTraits>;
+
+struct Fixture {
+    void run()
+    {
+        context.restart();
+        context.poll();
+    }
+
+    asio::io_context context;
+    Mailbox<int, TestTimer> mailbox { context.get_executor(), 2 };
+    std::vector<int> taken;
+    int timeouts = 0;
+
+    awaitable<void> takeOne(TestClock::time_point deadline = TestClock::time_point::max())
+    {
+        const auto message = co_await mailbox.pop(deadline);
+        if (message)
+            taken.push_back(*message);
+        else
+            ++timeouts;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(MailboxTests, Fixture)
+
+BOOST_AUTO_TEST_CASE(messagesArriveInOrder)
+{
+    BOOST_TEST(mailbox.tryPush(1));
+    BOOST_TEST(mailbox.tryPush(2));
+    asio::co_spawn(context, takeOne(), asio::detached);
+    asio::co_spawn(context, takeOne(), asio::detached);
+    run();
+    BOOST_TEST((taken == std::vector<int> { 1, 2 }));
+}
+
+BOOST_AUTO_TEST_CASE(aFullMailboxRefuses)
+{
+    mailbox.tryPush(1);
+    mailbox.tryPush(2);
+    BOOST_TEST(!mailbox.tryPush(3));
+}
+
+BOOST_AUTO_TEST_CASE(aWaitingTaskIsWoken)
+{
+    asio::co_spawn(context, takeOne(), asio::detached);
+    run();
+    BOOST_TEST(taken.empty());
+    mailbox.tryPush(7);
+    run();
+    BOOST_TEST((taken == std::vector<int> { 7 }));
+}
+
+BOOST_AUTO_TEST_CASE(theDeadlineFollowsTheClockAndNotTheTime)
+{
+    asio::co_spawn(context, takeOne(TestClock::now() + 1h), asio::detached);
+    run();
+    BOOST_TEST(timeouts == 0);
+    TestClock::s_now += 59min;
+    run();
+    BOOST_TEST(timeouts == 0);
+    TestClock::s_now += 1min;
+    run();
+    BOOST_TEST(timeouts == 1);
+}
+
+BOOST_AUTO_TEST_CASE(aClosedMailboxGivesWhatItHasAndThenNothing)
+{
+    mailbox.tryPush(1);
+    mailbox.close();
+    BOOST_TEST(!mailbox.tryPush(2));
+    asio::co_spawn(context, takeOne(), asio::detached);
+    asio::co_spawn(context, takeOne(), asio::detached);
+    run();
+    BOOST_TEST((taken == std::vector<int> { 1 }));
+    BOOST_TEST(timeouts == 1);
+}
+
+BOOST_AUTO_TEST_CASE(theWallClockMovesWithItsSteadyClock)
+{
+    const BasicWallClock<TestClock> clock(Time(10s));
+    BOOST_TEST((clock.now() == Time(10s)));
+    TestClock::s_now += 5s;
+    BOOST_TEST((clock.now() == Time(15s)));
+    BOOST_TEST((clock.steadyTime(Time(15s)) == TestClock::now()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/replica_test.cpp
@@ -0,0 +1,273 @@
+#include "support/replica_cluster.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrassloft;
+using namespace eelgrassloft::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+ClusterOptions threeHosts(std::set<uint32_t> disks = {})
+{
+    ClusterOptions options;
+    options.disks = std::move(disks);
+    options.seed = 7;
+    return options;
+}
+
+void proposeMany(ReplicaCluster& cluster, uint64_t from, uint64_t count)
+{
+    for (uint64_t id = from; id < from + count; ++id) {
+        BOOST_REQUIRE(cluster.propose(id));
+        cluster.run(5ms);
+    }
+}
+
+uint32_t requireLeader(const ReplicaCluster& cluster)
+{
+    const auto leader = cluster.leader();
+    BOOST_REQUIRE(leader.has_value());
+    return *leader;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ReplicaTests)
+
+BOOST_AUTO_TEST_CASE(electsOneLeaderAndAppliesEverywhere)
+{
+    ReplicaCluster cluster(threeHosts());
+    cluster.run(3s);
+    requireLeader(cluster);
+    proposeMany(cluster, 1, 10);
+    cluster.run(1s);
+    for (uint32_t i = 0; i < 3; ++i)
+        BOOST_TEST(cluster.replica(i).machine().ids.size() == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(anIsolatedLeaderLosesItsLeaseBeforeAnotherActs)
+{
+    ReplicaCluster cluster(threeHosts({ 0, 1, 2 }));
+    cluster.run(3s);
+    const uint32_t old = requireLeader(cluster);
+    cluster.apply({ FaultKind::Isolate, old, 0, 0 });
+    // `run` checks after every step that no two members hold a lease.
+    cluster.run(5s);
+    const uint32_t next = requireLeader(cluster);
+    BOOST_TEST(next != old);
+    BOOST_TEST(!cluster.replica(old).hasLease(cluster.now()));
+    BOOST_TEST((cluster.replica(old).role() != ReplicaRole::Leader));
+}
+
+BOOST_AUTO_TEST_CASE(aPausedLeaderHasNoLeaseWhenItWakes)
+{
+    ReplicaCluster cluster(threeHosts());
+    cluster.run(3s);
+    const uint32_t old = requireLeader(cluster);
+    cluster.apply({ FaultKind::Pause, old, 2900, 0 });
+    cluster.run(2899ms);
+    const uint32_t next = requireLeader(cluster);
+    BOOST_TEST(next != old);
+    cluster.run(1ms);
+    BOOST_TEST(!cluster.replica(old).hasLease(cluster.now()));
+    cluster.run(3s);
+    BOOST_TEST(requireLeader(cluster) == next);
+}
+
+BOOST_AUTO_TEST_CASE(aReturningHostDoesNotDisturbTheLeader)
+{
+    ReplicaCluster cluster(threeHosts({ 0, 1, 2 }));
+    cluster.run(3s);
+    const uint32_t leader = requireLeader(cluster);
+    const uint32_t other = (leader + 1) % 3;
+    const uint64_t term = cluster.replica(leader).term();
+    cluster.apply({ FaultKind::Isolate, other, 0, 0 });
+    cluster.run(60s);
+    cluster.heal();
+    cluster.run(5s);
+    BOOST_TEST(requireLeader(cluster) == leader);
+    BOOST_TEST(cluster.replica(leader).term() == term);
+}
+
+BOOST_AUTO_TEST_CASE(aMemoryVoterReturnsUnderANewIdentity)
+{
+    ReplicaCluster cluster(threeHosts());
+    cluster.run(3s);
+    const uint32_t leader = requireLeader(cluster);
+    proposeMany(cluster, 1, 20);
+    const uint32_t other = (leader + 1) % 3;
+    const Member before = cluster.memberOf(other);
+    BOOST_REQUIRE(cluster.crash(other));
+    const Member after = cluster.memberOf(other);
+    BOOST_TEST((after.incarnation > before.incarnation));
+    cluster.run(3s);
+    const Membership& membership = cluster.replica(requireLeader(cluster)).membership();
+    BOOST_TEST(membership.hasVoter(after));
+    BOOST_TEST(!membership.hasVoter(before));
+    BOOST_TEST(membership.voters.size() == 3U);
+    BOOST_TEST(cluster.replica(other).machine().ids.size() == 20U);
+}
+
+BOOST_AUTO_TEST_CASE(aSecondLossRightAfterARepairLosesNothing)
+{
+    ReplicaCluster cluster(threeHosts());
+    cluster.run(3s);
+    const uint32_t leader = requireLeader(cluster);
+    proposeMany(cluster, 1, 200);
+    const uint32_t first = (leader + 1) % 3;
+    BOOST_REQUIRE(cluster.crash(first));
+    while (!cluster.isWhole())
+        cluster.run(10ms);
+    // The repaired host now counts, and the leader itself is lost.
+    BOOST_REQUIRE(cluster.crash(requireLeader(cluster)));
+    cluster.run(10s);
+    const auto& ids = cluster.replica(requireLeader(cluster)).machine().ids;
+    BOOST_TEST(ids.size() == 200U);
+    BOOST_TEST(cluster.isWhole());
+}
+
+BOOST_AUTO_TEST_CASE(aHostCatchesUpAfterHundredsOfChanges)
+{
+    ReplicaCluster cluster(threeHosts({ 0, 1, 2 }));
+    cluster.run(3s);
+    const uint32_t leader = requireLeader(cluster);
+    const uint32_t other = (leader + 1) % 3;
+    cluster.apply({ FaultKind::Isolate, other, 0, 0 });
+    proposeMany(cluster, 1, 500);
+    BOOST_TEST(cluster.replica(leader).snapshotIndex() > 400U);
+    cluster.heal();
+    const Time healedAt = cluster.now();
+    while (cluster.replica(other).machine().ids.size() < 500U && cluster.now() < healedAt + 30s)
+        cluster.run(1ms);
+    BOOST_TEST(cluster.replica(other).machine().ids.size() == 500U);
+    BOOST_TEST(cluster.replica(leader).snapshotsSent() > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(nothingIsAcceptedWithoutAQuorum)
+{
+    ReplicaCluster cluster(threeHosts({ 0, 1, 2 }));
+    cluster.run(3s);
+    const uint32_t leader = requireLeader(cluster);
+    cluster.apply({ FaultKind::Isolate, leader, 0, 0 });
+    cluster.propose(1); // The lease may still hold at this moment.
+    cluster.run(30s);
+    BOOST_TEST(cluster.accepted().empty());
+    cluster.heal();
+    cluster.run(10s);
+    BOOST_TEST(cluster.replica(requireLeader(cluster)).machine().ids.empty());
+}
+
+BOOST_AUTO_TEST_CASE(aDiskVoterKeepsItsVoteAcrossARestart)
+{
+    const Member self { HostId { 0 }, 1 };
+    const Member first { HostId { 1 }, 1 };
+    const Member second { HostId { 2 }, 1 };
+    const Time start(1h);
+    Replica<ListMachine> replica(self, {}, start);
+    replica.form(start, { { self, first, second }, {} });
+    replica.receive(start, { first, self, VoteRequest { 5, 0, 0, false } });
+    const auto output = replica.takeOutput(start);
+    BOOST_REQUIRE(output.write && output.write->state);
+    BOOST_TEST(output.messages.at(0).afterWrite == output.write->sequence);
+
+    RestoredLog<ListMachine> restored;
+    restored.incarnation = 1;
+    restored.state = *output.write->state;
+    Replica<ListMachine> again(self, {}, start);
+    again.form(start, { { self, first, second }, {} });
+    again.restore(start, restored);
+    const Time later = start + 10s;
+    again.receive(later, { second, self, VoteRequest { 5, 0, 0, false } });
+    const auto reply = again.takeOutput(later);
+    BOOST_TEST(!std::get<VoteReply>(reply.messages.at(0).message.body).isGranted);
+}
+
+BOOST_AUTO_TEST_CASE(anAcknowledgementWaitsForItsWrite)
+{
+    const Member self { HostId { 0 }, 1 };
+    const Member leader { HostId { 1 }, 1 };
+    const Time start(1h);
+    Replica<ListMachine> replica(self, {}, start);
+    AppendRequest<ListMachine> request;
+    request.term = 1;
+    request.entries.push_back({ 1, 1, start, ListMachine::Append { 9 } });
+    replica.receive(start, { leader, self, request });
+    const auto output = replica.takeOutput(start);
+    BOOST_REQUIRE(output.write.has_value());
+    BOOST_TEST(output.messages.at(0).afterWrite == output.write->sequence);
+}
+
+BOOST_AUTO_TEST_CASE(aCandidateCountsItsOwnVoteOnceItIsDurable)
+{
+    const Member self { HostId { 0 }, 1 };
+    const Member other { HostId { 1 }, 1 };
+    const Member third { HostId { 2 }, 1 };
+    const Time start(1h);
+    Replica<ListMachine> replica(self, {}, start);
+    replica.form(start, { { self, other, third }, {} });
+    const Time later = start + 10s;
+    replica.tick(later);
+    replica.receive(later, { other, self, VoteReply { 1, true, true } });
+    const auto output = replica.takeOutput(later);
+    replica.receive(later, { other, self, VoteReply { 1, true, false } });
+    BOOST_TEST((replica.role() == ReplicaRole::Candidate));
+    replica.written(later, output.write->sequence);
+    BOOST_TEST((replica.role() == ReplicaRole::Leader));
+}
+
+BOOST_AUTO_TEST_CASE(aRestartedVoterKeepsItsPromiseToTheLeader)
+{
+    const Member self { HostId { 0 }, 1 };
+    const Member other { HostId { 1 }, 1 };
+    const Time start(1h);
+    RestoredLog<ListMachine> restored;
+    restored.incarnation = 1;
+    restored.state = { 3, {} };
+    Replica<ListMachine> replica(self, {}, start);
+    replica.restore(start, restored);
+    replica.receive(start + 10ms, { other, self, VoteRequest { 4, 0, 0, false } });
+    const auto reply = replica.takeOutput(start + 10ms);
+    BOOST_TEST(!std::get<VoteReply>(reply.messages.at(0).message.body).isGranted);
+}
+
+BOOST_AUTO_TEST_CASE(anEntryOfAFormerTermCountsOnlyWithOneOfTheOwnTerm)
+{
+    const Member self { HostId { 0 }, 1 };
+    const Member other { HostId { 1 }, 1 };
+    const Member third { HostId { 2 }, 1 };
+    const Time start(1h);
+    Replica<ListMachine> replica(self, {}, start);
+    replica.form(start, { { self, other, third }, {} });
+    AppendRequest<ListMachine> request;
+    request.term = 1;
+    request.entries.push_back({ 1, 1, start, ListMachine::Append { 9 } });
+    replica.receive(start, { other, self, request });
+    replica.written(start, replica.takeOutput(start).write->sequence);
+    const Time later = start + 10s;
+    replica.tick(later);
+    replica.receive(later, { third, self, VoteReply { 2, true, true } });
+    replica.receive(later, { third, self, VoteReply { 2, true, false } });
+    replica.written(later, replica.takeOutput(later).write->sequence);
+    BOOST_REQUIRE((replica.role() == ReplicaRole::Leader));
+    const auto own = replica.takeOutput(later);
+    replica.written(later, own.write->sequence);
+    replica.receive(later, { third, self, AppendReply { 2, true, 1, later } });
+    BOOST_TEST(replica.commitIndex() == 0U);
+    replica.receive(later, { third, self, AppendReply { 2, true, 2, later } });
+    BOOST_TEST(replica.commitIndex() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(aMessageForAFormerIdentityIsDropped)
+{
+    const Member self { HostId { 0 }, 2 };
+    const Member former { HostId { 0 }, 1 };
+    const Member other { HostId { 1 }, 1 };
+    const Time start(1h);
+    Replica<ListMachine> replica(self, {}, start);
+    replica.receive(start + 10s, { other, former, VoteRequest { 5, 0, 0, false } });
+    BOOST_TEST(replica.takeOutput(start + 10s).messages.empty());
+    BOOST_TEST(replica.term() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/support/node_cluster.h
@@ -0,0 +1,607 @@
+#pragma once
+
+#include "../../examples/worker_model.h"
+#include "node.h"
+
+#include <map>
+#include <set>
+
+namespace eelgrassloft::testing {
+
+/// Places and delays of a small system.
+struct SystemOptions {
+    uint32_t dataCentres = 1;
+    uint32_t hostsPerDataCentre = 3;
+    uint32_t dataCentresPerRegion = 2;
+    Duration delayInside = std::chrono::microseconds(100); ///< Between hosts of a data centre.
+    Duration delayNear = std::chrono::microseconds(500); ///< Between data centres of a region.
+    Duration delayFar = std::chrono::milliseconds(12); ///< Between regions.
+    Duration syncTime {}; ///< Of a write.
+    uint64_t seed = 1;
+    bool keepsJournal = false; ///< Keeps the encoded size of every effect, for comparisons.
+};
+
+/// An upstream that counts what it runs.
+struct UpstreamModel {
+    UpstreamAnnouncement announcement;
+    std::string dataCentre;
+    Duration serviceTime = std::chrono::milliseconds(10);
+    bool refuses = false;
+    bool isSilent = false; ///< Takes requests and never answers.
+    bool losesAnswers = false; ///< Runs the work and loses the connection.
+    bool isAnnouncing = true;
+    uint32_t running = 0;
+    uint32_t maxRunning = 0;
+    uint64_t started = 0;
+    std::map<std::string, uint32_t> startsByKey;
+};
+
+/// Nodes driven message by message in virtual time, with fakes at their interfaces. Checks on
+/// every step what must hold over all nodes.
+template <typename NodeType = Node<>>
+class NodeCluster {
+public:
+    explicit NodeCluster(SystemOptions options)
+        : m_options(std::move(options))
+        , m_random(m_options.seed)
+    {
+        const uint32_t count = m_options.dataCentres * m_options.hostsPerDataCentre;
+        for (uint32_t i = 0; i < count; ++i) {
+            const uint32_t dataCentre = i / m_options.hostsPerDataCentre;
+            m_settings.host(i, "dc-" + std::to_string(dataCentre), "region-" + std::to_string(dataCentre / m_options.dataCentresPerRegion));
+        }
+        m_hosts.resize(count);
+        for (uint32_t i = 0; i < count; ++i)
+            startHost(i, true);
+        for (uint32_t i = 0; i < count; ++i)
+            connectAll(i);
+    }
+
+    // Time.
+
+    Time now() const { return m_now; }
+
+    void run(Duration duration) { runUntil(m_now + duration); }
+
+    void runUntil(Time end)
+    {
+        while (m_now < end) {
+            const Time next = nextTime();
+            m_now = std::min(end, std::max(next, m_now));
+            if (next > end)
+                return;
+            runDue();
+        }
+    }
+
+    /// Runs until `condition` holds; false where it does not within `limit`.
+    template <typename Condition>
+    bool runUntilTrue(Condition&& condition, Duration limit)
+    {
+        const Time end = m_now + limit;
+        while (!condition()) {
+            if (m_now >= end)
+                return false;
+            run(std::chrono::milliseconds(1));
+        }
+        return true;
+    }
+
+    // Hosts.
+
+    NodeType& node(uint32_t i) { return *m_hosts[i].node; }
+    size_t hostCount() const { return m_hosts.size(); }
+    bool isUp(uint32_t i) const { return m_hosts[i].node.has_value(); }
+
+    /// Ends a process; what it held in memory is gone and its connections close.
+    void kill(uint32_t i)
+    {
+        m_hosts[i].node.reset();
+        ++m_hosts[i].life;
+        for (uint32_t other = 0; other < m_hosts.size(); ++other)
+            later(other, {}, Event(PeerDown { HostId { i } }));
+    }
+
+    void restart(uint32_t i)
+    {
+        startHost(i, false);
+        connectAll(i);
+    }
+
+    void cut(uint32_t a, uint32_t b)
+    {
+        m_cuts.insert({ std::min(a, b), std::max(a, b) });
+        later(a, std::chrono::seconds(2), Event(PeerDown { HostId { b } }));
+        later(b, std::chrono::seconds(2), Event(PeerDown { HostId { a } }));
+    }
+
+    void healAll()
+    {
+        for (const auto& [a, b] : std::exchange(m_cuts, {})) {
+            later(a, {}, Event(PeerUp { HostId { b } }));
+            later(b, {}, Event(PeerUp { HostId { a } }));
+        }
+    }
+
+    /// Host that leads the log of a data centre with a lease.
+    std::optional<uint32_t> dataCentreLeader(uint32_t dataCentre)
+    {
+        for (uint32_t i = dataCentre * m_options.hostsPerDataCentre; i < (dataCentre + 1) * m_options.hostsPerDataCentre; ++i) {
+            if (isUp(i) && node(i).dataCentre().hasLease(m_now))
+                return i;
+        }
+        return std::nullopt;
+    }
+
+    std::optional<uint32_t> cellLeader()
+    {
+        for (uint32_t i = 0; i < m_hosts.size(); ++i) {
+            if (isUp(i) && node(i).cell().hasLease(m_now))
+                return i;
+        }
+        return std::nullopt;
+    }
+
+    /// Runs until all logs have leaders.
+    bool settle()
+    {
+        return runUntilTrue([&] {
+            for (uint32_t i = 0; i < m_options.dataCentres; ++i) {
+                if (!dataCentreLeader(i))
+                    return false;
+            }
+            return cellLeader().has_value();
+        },
+            std::chrono::seconds(30));
+    }
+
+    // Upstreams.
+
+    UpstreamModel& addUpstream(uint32_t dataCentre, const std::string& service, uint32_t slots, Duration serviceTime)
+    {
+        auto& model = m_upstreams.emplace_back(std::make_unique<UpstreamModel>());
+        model->announcement = { "upstream-" + std::to_string(m_upstreams.size()), service, "10.0.0.1", static_cast<uint16_t>(m_upstreams.size()), slots, slots * 8, false };
+        model->dataCentre = "dc-" + std::to_string(dataCentre);
+        model->serviceTime = serviceTime;
+        announce(m_upstreams.size() - 1);
+        return *model;
+    }
+
+    UpstreamModel& upstream(size_t i) { return *m_upstreams[i]; }
+
+    /// Announces that an upstream leaves.
+    void leave(size_t i)
+    {
+        m_upstreams[i]->announcement.isLeaving = true;
+        tellHost(i);
+    }
+
+    // Callers.
+
+    RequestId request(uint32_t host, const std::string& service, Duration timeout, const std::string& key = {}, uint64_t digest = 1)
+    {
+        Request request { RequestId { m_nextRequest++ }, service, m_now + timeout, key.empty(), key, digest };
+        m_arrivals[request.id] = m_now;
+        m_keys[request.id] = key;
+        later(host, {}, Event(RequestArrived { request }));
+        return request.id;
+    }
+
+    const EndedRequest* ended(RequestId id) const
+    {
+        const auto found = m_ended.find(id);
+        return found == m_ended.end() ? nullptr : &found->second.request;
+    }
+
+    Duration latency(RequestId id) const { return m_ended.at(id).at - m_arrivals.at(id); }
+
+    // Operators.
+
+    CallId applySheet(uint32_t host, const Sheet& sheet, const std::string& operationId, std::optional<uint64_t> expectRevision = {})
+    {
+        const CallId call { m_nextCall++ };
+        later(host, {}, Event(SheetApplied { call, operationId, expectRevision, sheet }));
+        return call;
+    }
+
+    CallId cancel(uint32_t host, const std::string& dataCentre, std::vector<std::string> jobs)
+    {
+        const CallId call { m_nextCall++ };
+        later(host, {}, Event(JobsCancelled { call, dataCentre, std::move(jobs) }));
+        return call;
+    }
+
+    const decltype(AnswerOperator::reply)* operatorReply(CallId call) const
+    {
+        const auto found = m_operatorReplies.find(call);
+        return found == m_operatorReplies.end() ? nullptr : &found->second;
+    }
+
+    // Workers.
+
+    examples::WorkerModel& addWorker(uint32_t dataCentre, const std::string& workerName, const std::string& rack, Resources capacity)
+    {
+        auto& worker = m_workers.emplace_back(std::make_unique<WorkerHost>(examples::WorkerModel(workerName, ++m_nextIncarnation, rack, capacity), dataCentre));
+        m_actions.emplace(m_now, actionOf(ActionKind::WorkerReport, static_cast<uint32_t>(m_workers.size() - 1)));
+        return worker->model;
+    }
+
+    /// Cuts a worker off from all hosts, or connects it again.
+    void setWorkerCut(size_t i, bool isCut) { m_workers[i]->isCut = isCut; }
+
+    const std::vector<examples::WorkerEvent>& workerEvents() const { return m_workerEvents; }
+    uint64_t countEvents(const std::string& what, const std::string& job) const
+    {
+        return static_cast<uint64_t>(std::count_if(m_workerEvents.begin(), m_workerEvents.end(), [&](const auto& event) { return event.what == what && event.job == job; }));
+    }
+
+    /// When a job's task was last started.
+    Time startedAt(const std::string& job) const
+    {
+        const auto found = m_startTimes.find(job);
+        return found == m_startTimes.end() ? never : found->second;
+    }
+
+    const std::vector<size_t>& journal() const { return m_journal; }
+    void sendEvent(uint32_t host, Event event) { later(host, {}, std::move(event)); }
+    bool hasDrained(uint32_t host) const { return m_hosts[host].hasDrained; }
+
+private:
+    struct Host {
+        std::optional<NodeType> node;
+        uint64_t life = 0;
+        EnumArray<LogKind, uint64_t> written;
+        EnumArray<LogKind, std::deque<SendPeer>> held;
+        std::map<CallId, size_t> workerCalls;
+        bool hasDrained = false;
+    };
+
+    struct WorkerHost {
+        WorkerHost(examples::WorkerModel modelValue, uint32_t dataCentreValue)
+            : model(std::move(modelValue))
+            , dataCentre(dataCentreValue)
+        {
+        }
+
+        examples::WorkerModel model;
+        uint32_t dataCentre;
+        bool isCut = false;
+        uint64_t turn = 0;
+        Time sentAt {};
+        CallId call;
+    };
+
+    struct EndedAt {
+        EndedRequest request;
+        Time at {};
+    };
+
+    enum class ActionKind : uint8_t {
+        HostEvent,
+        Announce,
+        WorkerReport,
+        WorkerTimeout,
+        UpstreamDone,
+        Count
+    };
+
+    struct Action {
+        ActionKind kind = ActionKind::HostEvent;
+        uint32_t target = 0;
+        Event event;
+        AttemptId attempt;
+        uint64_t life = 0;
+        uint32_t upstream = 0;
+        HostId from; ///< Sender of a peer message, for cuts.
+    };
+
+    static Action actionOf(ActionKind kind, uint32_t target, uint64_t life = 0)
+    {
+        Action action;
+        action.kind = kind;
+        action.target = target;
+        action.life = life;
+        return action;
+    }
+
+    uint32_t dataCentreOf(uint32_t host) const { return host / m_options.hostsPerDataCentre; }
+
+    Duration delay(uint32_t a, uint32_t b) const
+    {
+        if (dataCentreOf(a) == dataCentreOf(b))
+            return m_options.delayInside;
+        const bool isNear = dataCentreOf(a) / m_options.dataCentresPerRegion == dataCentreOf(b) / m_options.dataCentresPerRegion;
+        return isNear ? m_options.delayNear : m_options.delayFar;
+    }
+
+    bool isCut(uint32_t a, uint32_t b) const { return m_cuts.contains({ std::min(a, b), std::max(a, b) }); }
+
+    void startHost(uint32_t i, bool mayForm)
+    {
+        NodeStart start;
+        start.settings = m_settings.self(i).build();
+        start.now = m_now;
+        start.seed = m_options.seed * 1000 + i + m_hosts[i].life;
+        start.incarnation = ++m_nextIncarnation;
+        start.mayForm = mayForm;
+        m_hosts[i].node.emplace(std::move(start));
+        m_hosts[i].written = {};
+        m_hosts[i].held = {};
+    }
+
+    void connectAll(uint32_t i)
+    {
+        for (uint32_t other = 0; other < m_hosts.size(); ++other) {
+            if (other == i || !isUp(other) || isCut(i, other))
+                continue;
+            later(i, {}, Event(PeerUp { HostId { other } }));
+            later(other, {}, Event(PeerUp { HostId { i } }));
+        }
+    }
+
+    void later(uint32_t host, Duration delay, Event event, HostId from = {})
+    {
+        m_actions.emplace(m_now + delay, Action { ActionKind::HostEvent, host, std::move(event), {}, m_hosts[host].life, 0, from });
+    }
+
+    Time nextTime() const
+    {
+        Time next = m_actions.empty() ? never : m_actions.begin()->first;
+        for (const Host& host : m_hosts) {
+            if (host.node)
+                next = std::min(next, host.node->nextDeadline());
+        }
+        return next;
+    }
+
+    void runDue()
+    {
+        while (!m_actions.empty() && m_actions.begin()->first <= m_now) {
+            const Action action = std::move(m_actions.begin()->second);
+            m_actions.erase(m_actions.begin());
+            runAction(action);
+        }
+        for (uint32_t i = 0; i < m_hosts.size(); ++i) {
+            if (isUp(i) && m_hosts[i].node->nextDeadline() <= m_now)
+                step(i, Tick {});
+        }
+        for (auto& worker : m_workers) {
+            if (worker->model.nextChange() <= m_now) {
+                worker->model.advance(m_now);
+                noteWorkerEvents(*worker);
+            }
+        }
+    }
+
+    void runAction(const Action& action)
+    {
+        switch (action.kind) {
+        case ActionKind::HostEvent:
+            if (isUp(action.target) && m_hosts[action.target].life == action.life && !(action.from.isValid() && isCut(action.from.value, action.target)))
+                step(action.target, action.event);
+            break;
+        case ActionKind::Announce:
+            announce(action.target);
+            break;
+        case ActionKind::WorkerReport:
+            reportWorker(action.target);
+            break;
+        case ActionKind::WorkerTimeout:
+            if (m_workers[action.target]->turn == action.life)
+                reportWorker(action.target);
+            break;
+        default:
+            finishAttempt(action);
+        }
+    }
+
+    void step(uint32_t i, const Event& event)
+    {
+        if (const auto* written = std::get_if<LogWritten>(&event))
+            releaseHeld(i, *written);
+        Effects effects = m_hosts[i].node->step(m_now, event);
+        if (m_options.keepsJournal)
+            m_journal.push_back(effects.size());
+        for (Effect& effect : effects)
+            std::visit([&](auto& body) { perform(i, body); }, effect);
+        checkShares(i);
+    }
+
+    void releaseHeld(uint32_t i, const LogWritten& written)
+    {
+        Host& host = m_hosts[i];
+        host.written[written.log] = written.sequence;
+        auto& held = host.held[written.log];
+        while (!held.empty() && held.front().afterWrite <= written.sequence) {
+            transmit(i, held.front());
+            held.pop_front();
+        }
+    }
+
+    void transmit(uint32_t i, const SendPeer& effect)
+    {
+        if (!isCut(i, effect.to.value))
+            later(effect.to.value, delay(i, effect.to.value), Event(PeerReceived { HostId { i }, effect.message }), HostId { i });
+    }
+
+    void perform(uint32_t i, SendPeer& effect)
+    {
+        if (m_journal.size() && m_options.keepsJournal)
+            m_journal.push_back(encodedSize(effect.message));
+        if (effect.afterWrite > m_hosts[i].written[effect.log])
+            m_hosts[i].held[effect.log].push_back(effect);
+        else
+            transmit(i, effect);
+    }
+
+    template <typename M>
+    void performWrite(uint32_t i, LogKind log, const WriteLog<M>& effect)
+    {
+        later(i, m_options.syncTime, Event(LogWritten { log, effect.write.sequence }));
+    }
+
+    void perform(uint32_t i, WriteLog<CellMachine>& effect) { performWrite(i, LogKind::Cell, effect); }
+    void perform(uint32_t i, WriteLog<DataCentreMachine>& effect) { performWrite(i, LogKind::DataCentre, effect); }
+    void perform(uint32_t, LogEvent&) { }
+    void perform(uint32_t i, DrainFinished&) { m_hosts[i].hasDrained = true; }
+
+    void perform(uint32_t, AnswerCaller& effect)
+    {
+        const RequestId id = effect.ended.request;
+        requireInvariant(m_ended.try_emplace(id, EndedAt { effect.ended, m_now }).second, "a request is answered once");
+        if (effect.ended.outcome == Outcome::NotRun)
+            requireInvariant(!m_startedRequests.contains(id), "work that was said not to run did not run");
+    }
+
+    void perform(uint32_t, AnswerOperator& effect) { m_operatorReplies.emplace(effect.call, effect.reply); }
+
+    // Upstreams.
+
+    void announce(size_t i)
+    {
+        if (m_upstreams[i]->isAnnouncing)
+            tellHost(i);
+        m_actions.emplace(m_now + std::chrono::milliseconds(500), actionOf(ActionKind::Announce, static_cast<uint32_t>(i)));
+    }
+
+    void tellHost(size_t i)
+    {
+        const uint32_t dataCentre = static_cast<uint32_t>(std::stoul(m_upstreams[i]->dataCentre.substr(3)));
+        for (uint32_t k = 0; k < m_options.hostsPerDataCentre; ++k) {
+            const uint32_t host = dataCentre * m_options.hostsPerDataCentre + (static_cast<uint32_t>(i) + k) % m_options.hostsPerDataCentre;
+            if (isUp(host)) {
+                later(host, m_options.delayInside, Event(UpstreamAnnounced { m_upstreams[i]->announcement }));
+                return;
+            }
+        }
+    }
+
+    void perform(uint32_t i, DispatchAttempt& effect)
+    {
+        const uint32_t index = effect.port - 1U;
+        UpstreamModel& model = *m_upstreams[index];
+        Action done { ActionKind::UpstreamDone, i, {}, effect.attempt, m_hosts[i].life, index, {} };
+        if (model.refuses) {
+            done.event = AttemptFailed { effect.attempt, AttemptFailure::RefusedByUpstream };
+            m_actions.emplace(m_now + m_options.delayInside * 2, std::move(done));
+            return;
+        }
+        ++model.running;
+        model.maxRunning = std::max(model.maxRunning, model.running);
+        requireInvariant(model.running <= model.announcement.slots, "an upstream runs no more than its slots");
+        ++model.started;
+        m_startedRequests.insert(effect.request);
+        const std::string& key = m_keys[effect.request];
+        if (!key.empty())
+            requireInvariant(++model.startsByKey[key] && ++m_keyStarts[key] == 1, "a request that may run once is started once");
+        if (model.isSilent)
+            done.event = AttemptFailed { effect.attempt, AttemptFailure::Silent };
+        else if (model.losesAnswers)
+            done.event = AttemptFailed { effect.attempt, AttemptFailure::AnswerLost };
+        else
+            done.event = AttemptAnswered { effect.attempt, Answer { 200, "text/plain", makeBlob("answer to " + std::to_string(effect.request.value)) } };
+        const Duration time = model.isSilent ? std::chrono::seconds(3) : model.serviceTime;
+        m_actions.emplace(m_now + time, std::move(done));
+    }
+
+    void finishAttempt(const Action& action)
+    {
+        UpstreamModel& model = *m_upstreams[action.upstream];
+        const auto* failed = std::get_if<AttemptFailed>(&action.event);
+        if (!failed || failed->failure != AttemptFailure::RefusedByUpstream)
+            --model.running;
+        if (isUp(action.target) && m_hosts[action.target].life == action.life)
+            step(action.target, action.event);
+    }
+
+    /// Shares of living hosts never sum past an upstream's slots.
+    void checkShares(uint32_t i)
+    {
+        for (const Upstream& known : m_hosts[i].node->router().upstreams().all()) {
+            uint32_t sum = 0;
+            for (uint32_t other = 0; other < m_hosts.size(); ++other) {
+                if (!isUp(other))
+                    continue;
+                const UpstreamSet& set = m_hosts[other].node->router().upstreams();
+                const UpstreamId id = set.find(known.announcement.name);
+                if (id.isValid() && m_now < set.leaseEnd())
+                    sum += set.at(id).share;
+            }
+            requireInvariant(sum <= known.announcement.slots, "shares of an upstream sum to no more than its slots");
+        }
+    }
+
+    // Workers.
+
+    void reportWorker(uint32_t i)
+    {
+        WorkerHost& worker = *m_workers[i];
+        ++worker.turn;
+        m_actions.emplace(m_now + std::chrono::seconds(2), actionOf(ActionKind::WorkerTimeout, i, worker.turn));
+        const uint32_t host = worker.dataCentre * m_options.hostsPerDataCentre + static_cast<uint32_t>(worker.turn % m_options.hostsPerDataCentre);
+        WorkerReport report = worker.model.report(m_now);
+        noteWorkerEvents(worker);
+        if (worker.isCut || !isUp(host))
+            return;
+        worker.call = CallId { m_nextCall++ };
+        worker.sentAt = m_now;
+        m_hosts[host].workerCalls[worker.call] = i;
+        later(host, m_options.delayInside, Event(WorkerReported { worker.call, std::move(report) }));
+    }
+
+    void perform(uint32_t i, AnswerWorker& effect)
+    {
+        const auto found = m_hosts[i].workerCalls.find(effect.call);
+        if (found == m_hosts[i].workerCalls.end())
+            return;
+        const size_t index = found->second;
+        m_hosts[i].workerCalls.erase(found);
+        WorkerHost& worker = *m_workers[index];
+        if (worker.isCut || worker.call != effect.call)
+            return;
+        const bool isRenewed = worker.model.take(m_now, worker.sentAt, effect.reply);
+        noteWorkerEvents(worker);
+        ++worker.turn;
+        m_actions.emplace(m_now + std::chrono::milliseconds(isRenewed ? 10 : 100), actionOf(ActionKind::WorkerReport, static_cast<uint32_t>(index)));
+    }
+
+    void noteWorkerEvents(WorkerHost& worker)
+    {
+        for (examples::WorkerEvent& event : worker.model.takeEvents()) {
+            std::set<std::string>& places = m_running[event.task];
+            if (event.what == "started") {
+                places.insert(worker.model.name());
+                m_startTimes[event.job] = m_now;
+            } else {
+                places.erase(worker.model.name());
+            }
+            requireInvariant(places.size() <= 1, "no task runs in two places at once");
+            m_workerEvents.push_back(std::move(event));
+        }
+    }
+
+    SystemOptions m_options;
+    Random m_random;
+    NodeSettingsBuilder m_settings;
+    Time m_now { std::chrono::hours(1) };
+    std::vector<Host> m_hosts;
+    std::vector<std::unique_ptr<UpstreamModel>> m_upstreams;
+    std::vector<std::unique_ptr<WorkerHost>> m_workers;
+    std::multimap<Time, Action> m_actions;
+    std::set<std::pair<uint32_t, uint32_t>> m_cuts;
+    std::map<RequestId, EndedAt> m_ended;
+    std::map<RequestId, Time> m_arrivals;
+    std::map<RequestId, std::string> m_keys;
+    std::set<RequestId> m_startedRequests;
+    std::map<std::string, uint32_t> m_keyStarts;
+    std::map<CallId, decltype(AnswerOperator::reply)> m_operatorReplies;
+    std::map<TaskId, std::set<std::string>> m_running;
+    std::map<std::string, Time> m_startTimes;
+    std::vector<examples::WorkerEvent> m_workerEvents;
+    std::vector<size_t> m_journal;
+    uint64_t m_nextIncarnation = 0;
+    uint64_t m_nextRequest = 1;
+    uint64_t m_nextCall = 1;
+};
+
+} // namespace eelgrassloft::testing
--- /dev/null
+++ b/tests/support/replica_cluster.h
@@ -0,0 +1,393 @@
+#pragma once
+
+#include "replica.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace eelgrassloft::testing {
+
+/// A state machine that remembers the order of its commands.
+struct ListMachine {
+    struct Append {
+        uint64_t id = 0;
+        static constexpr auto members() { return std::make_tuple(&Append::id); }
+    };
+    using Command = Append;
+    using Result = uint64_t;
+
+    std::vector<uint64_t> ids;
+    static constexpr auto members() { return std::make_tuple(&ListMachine::ids); }
+
+    Result apply(Time, const Command& command)
+    {
+        ids.push_back(command.id);
+        return ids.size();
+    }
+};
+
+enum class FaultKind : uint8_t {
+    Cut,
+    Heal,
+    Pause,
+    Crash,
+    Isolate,
+    Count
+};
+
+struct Fault {
+    FaultKind kind = FaultKind::Heal;
+    uint32_t a = 0;
+    uint32_t b = 0;
+    uint32_t milliseconds = 0; ///< Before the next fault.
+};
+
+struct ClusterOptions {
+    uint32_t hosts = 3;
+    std::set<uint32_t> disks; ///< Hosts that keep what they synced.
+    uint64_t seed = 1;
+    uint32_t lossPercent = 0;
+    uint32_t duplicatePercent = 0;
+    Duration maxDelay = std::chrono::milliseconds(5);
+    Duration maxSync = std::chrono::milliseconds(3);
+    size_t snapshotThreshold = 64;
+};
+
+/// Replicas of one log in virtual time, with messages, disks and faults between them. Checks on
+/// every step that the logs agree and that no two members hold a lease.
+class ReplicaCluster {
+public:
+    using Machine = ListMachine;
+    using Member_ = Replica<Machine>;
+
+    explicit ReplicaCluster(ClusterOptions options)
+        : m_options(std::move(options))
+        , m_random(m_options.seed)
+        , m_hosts(m_options.hosts)
+    {
+        Membership membership;
+        for (uint32_t i = 0; i < m_options.hosts; ++i) {
+            m_hosts[i].incarnation = ++m_nextIncarnation;
+            membership.voters.push_back(memberOf(i));
+        }
+        for (uint32_t i = 0; i < m_options.hosts; ++i) {
+            m_hosts[i].replica.emplace(memberOf(i), replicaOptions(i), m_now);
+            m_hosts[i].replica->form(m_now, membership);
+            greet(i);
+        }
+    }
+
+    Time now() const { return m_now; }
+    const Member_& replica(uint32_t host) const { return *m_hosts[host].replica; }
+    bool isUp(uint32_t host) const { return m_hosts[host].replica.has_value(); }
+
+    void run(Duration duration)
+    {
+        const Time end = m_now + duration;
+        while (m_now < end) {
+            m_now = std::min(end, nextTime());
+            deliverDue();
+            for (uint32_t i = 0; i < m_hosts.size(); ++i) {
+                Host& host = m_hosts[i];
+                if (host.replica && !isPaused(i) && m_now >= host.replica->nextDeadline()) {
+                    host.replica->tick(m_now);
+                    flush(i);
+                }
+            }
+            checkLeases();
+        }
+    }
+
+    std::optional<uint32_t> leader() const
+    {
+        for (uint32_t i = 0; i < m_hosts.size(); ++i) {
+            if (m_hosts[i].replica && !isPaused(i) && m_hosts[i].replica->hasLease(m_now))
+                return i;
+        }
+        return std::nullopt;
+    }
+
+    /// Proposes at the leader, if there is one. Accepted ids are later checked against loss.
+    bool propose(uint64_t id)
+    {
+        const auto host = leader();
+        if (!host)
+            return false;
+        const auto index = m_hosts[*host].replica->propose(m_now, { id });
+        if (!index)
+            return false;
+        m_proposed[{ *index, m_hosts[*host].replica->term() }] = id;
+        flush(*host);
+        return true;
+    }
+
+    void apply(const Fault& fault)
+    {
+        const uint32_t a = fault.a % m_options.hosts;
+        const uint32_t b = fault.b % m_options.hosts;
+        ++m_faults[static_cast<size_t>(fault.kind)];
+        switch (fault.kind) {
+        case FaultKind::Cut:
+            m_cuts.insert({ a, b });
+            break;
+        case FaultKind::Isolate:
+            for (uint32_t i = 0; i < m_options.hosts; ++i)
+                m_cuts.insert({ a, i });
+            break;
+        case FaultKind::Heal:
+            m_cuts.clear();
+            break;
+        case FaultKind::Pause:
+            m_hosts[a].pausedUntil = m_now + std::chrono::milliseconds(fault.b % 3000);
+            break;
+        default:
+            crash(a);
+        }
+    }
+
+    void heal()
+    {
+        m_cuts.clear();
+        for (Host& host : m_hosts)
+            host.pausedUntil = {};
+    }
+
+    /// Ends a process and starts it anew. A host without a disk forgets everything; it is only
+    /// crashed while every other voter is up under its present identity, as one loss at a time
+    /// is what such hosts survive.
+    bool crash(uint32_t i)
+    {
+        Host& host = m_hosts[i];
+        if (!host.replica)
+            return false;
+        const bool hasDisk = m_options.disks.contains(i);
+        if (!hasDisk && !isWhole())
+            return false;
+        host.replica.reset();
+        host.held.clear();
+        if (!hasDisk) {
+            host.disk = {};
+            host.incarnation = ++m_nextIncarnation;
+        }
+        host.unsynced.clear(); // Lost.
+        ++host.life;
+        host.replica.emplace(memberOf(i), replicaOptions(i), m_now);
+        if (hasDisk && host.disk.incarnation)
+            host.replica->restore(m_now, host.disk);
+        for (uint32_t other = 0; other < m_hosts.size(); ++other)
+            greet(other);
+        return true;
+    }
+
+    /// Whether all hosts are up and vote under their present identities.
+    bool isWhole() const
+    {
+        const auto host = leader();
+        if (!host)
+            return false;
+        const Member_& leading = *m_hosts[*host].replica;
+        for (uint32_t i = 0; i < m_hosts.size(); ++i) {
+            if (!m_hosts[i].replica || !leading.membership().hasVoter(memberOf(i)))
+                return false;
+            if (m_hosts[i].replica->commitIndex() + 64 < leading.commitIndex())
+                return false;
+        }
+        return true;
+    }
+
+    /// Ids whose acceptance was reported, in log order.
+    const std::map<uint64_t, uint64_t>& accepted() const { return m_accepted; }
+    const std::vector<uint64_t>& faults() const { return m_faults; }
+    uint64_t steps() const { return m_steps; }
+    uint64_t messages() const { return m_messages; }
+    void setLoss(uint32_t percent) { m_options.lossPercent = percent; }
+    Member memberOf(uint32_t i) const { return { HostId { i }, m_hosts[i].incarnation }; }
+
+private:
+    struct Held {
+        uint64_t afterWrite = 0;
+        ReplicaMessage<Machine> message;
+    };
+
+    struct Unsynced {
+        Time syncedAt {};
+        LogWrite<Machine> write;
+    };
+
+    struct Host {
+        std::optional<Member_> replica;
+        uint64_t incarnation = 0;
+        uint64_t life = 0;
+        RestoredLog<Machine> disk;
+        std::deque<Unsynced> unsynced;
+        std::deque<Held> held;
+        Time pausedUntil {};
+    };
+
+    struct InFlight {
+        uint32_t to = 0;
+        ReplicaMessage<Machine> message;
+    };
+
+    ReplicaOptions replicaOptions(uint32_t i) const
+    {
+        ReplicaOptions options;
+        options.snapshotThreshold = m_options.snapshotThreshold;
+        options.seed = m_options.seed * 31 + i + m_hosts[i].life * 1000;
+        for (uint32_t host = 0; host < m_options.hosts; ++host)
+            options.voterHosts.push_back(HostId { host });
+        return options;
+    }
+
+    bool isPaused(uint32_t i) const { return m_now < m_hosts[i].pausedUntil; }
+    bool isCut(uint32_t a, uint32_t b) const { return m_cuts.contains({ a, b }) || m_cuts.contains({ b, a }); }
+
+    void greet(uint32_t i)
+    {
+        for (uint32_t other = 0; other < m_hosts.size(); ++other) {
+            if (m_hosts[i].replica && m_hosts[other].replica)
+                m_hosts[i].replica->memberSeen(memberOf(other));
+        }
+    }
+
+    Time nextTime() const
+    {
+        Time next = m_inFlight.empty() ? never : m_inFlight.begin()->first;
+        for (uint32_t i = 0; i < m_hosts.size(); ++i) {
+            const Host& host = m_hosts[i];
+            if (!host.replica)
+                continue;
+            if (isPaused(i)) {
+                next = std::min(next, host.pausedUntil);
+                continue;
+            }
+            next = std::min(next, host.replica->nextDeadline());
+            if (!host.unsynced.empty())
+                next = std::min(next, host.unsynced.front().syncedAt);
+        }
+        return std::max(next, m_now + Duration(1));
+    }
+
+    void deliverDue()
+    {
+        for (uint32_t i = 0; i < m_hosts.size(); ++i) {
+            while (m_hosts[i].replica && !isPaused(i) && !m_hosts[i].unsynced.empty() && m_hosts[i].unsynced.front().syncedAt <= m_now)
+                syncOne(i);
+        }
+        while (!m_inFlight.empty() && m_inFlight.begin()->first <= m_now) {
+            const InFlight flight = std::move(m_inFlight.begin()->second);
+            m_inFlight.erase(m_inFlight.begin());
+            if (m_hosts[flight.to].replica && isPaused(flight.to)) {
+                m_inFlight.emplace(m_hosts[flight.to].pausedUntil, flight);
+                continue;
+            }
+            if (m_hosts[flight.to].replica && !isCut(flight.message.from.host.value, flight.to)) {
+                m_hosts[flight.to].replica->receive(m_now, flight.message);
+                flush(flight.to);
+            }
+        }
+    }
+
+    void syncOne(uint32_t i)
+    {
+        Host& host = m_hosts[i];
+        const LogWrite<Machine> write = std::move(host.unsynced.front().write);
+        host.unsynced.pop_front();
+        store(host, write);
+        host.replica->written(m_now, write.sequence);
+        while (!host.held.empty() && host.held.front().afterWrite <= write.sequence) {
+            post(i, host.held.front().message);
+            host.held.pop_front();
+        }
+        flush(i);
+    }
+
+    static void store(Host& host, const LogWrite<Machine>& write)
+    {
+        RestoredLog<Machine>& disk = host.disk;
+        disk.incarnation = host.incarnation;
+        if (write.state)
+            disk.state = *write.state;
+        if (write.snapshot)
+            disk.snapshot = write.snapshot;
+        const uint64_t base = disk.snapshot ? disk.snapshot->index : 0;
+        std::erase_if(disk.entries, [&](const auto& entry) {
+            return entry.index <= base || (write.truncateFrom && entry.index >= write.truncateFrom);
+        });
+        for (const auto& entry : write.entries) {
+            if (entry.index > base)
+                disk.entries.push_back(entry);
+        }
+    }
+
+    void flush(uint32_t i)
+    {
+        ++m_steps;
+        Host& host = m_hosts[i];
+        auto output = host.replica->takeOutput(m_now);
+        if (output.write) {
+            const Time earliest = host.unsynced.empty() ? m_now : host.unsynced.back().syncedAt;
+            host.unsynced.push_back({ earliest + randomUpTo(m_options.maxSync), std::move(*output.write) });
+        }
+        for (auto& outgoing : output.messages) {
+            const bool isHeld = !host.unsynced.empty() && outgoing.afterWrite >= host.unsynced.front().write.sequence;
+            if (isHeld)
+                host.held.push_back({ outgoing.afterWrite, std::move(outgoing.message) });
+            else
+                post(i, outgoing.message);
+        }
+        for (const auto& applied : output.applied)
+            noteApplied(*host.replica, applied);
+    }
+
+    void post(uint32_t from, const ReplicaMessage<Machine>& message)
+    {
+        const uint32_t to = message.to.host.value;
+        ++m_messages;
+        if (isCut(from, to) || m_random.below(100) < m_options.lossPercent)
+            return;
+        m_inFlight.emplace(m_now + randomUpTo(m_options.maxDelay), InFlight { to, message });
+        if (m_random.below(100) < m_options.duplicatePercent)
+            m_inFlight.emplace(m_now + randomUpTo(m_options.maxDelay * 4), InFlight { to, message });
+    }
+
+    Duration randomUpTo(Duration limit) { return Duration(1 + static_cast<Duration::rep>(m_random.below(static_cast<uint64_t>(limit.count()) + 1))); }
+
+    void noteApplied(const Member_& replica, const Member_::Applied& applied)
+    {
+        const uint64_t id = replica.machine().ids.at(applied.result - 1);
+        const auto [known, isNew] = m_applied.try_emplace(applied.index, id);
+        requireInvariant(known->second == id, "all members apply the same command at an index");
+        const auto proposed = m_proposed.find({ applied.index, applied.term });
+        if (proposed != m_proposed.end())
+            m_accepted[applied.index] = proposed->second;
+        (void)isNew;
+    }
+
+    void checkLeases() const
+    {
+        int holders = 0;
+        for (uint32_t i = 0; i < m_hosts.size(); ++i)
+            holders += m_hosts[i].replica && !isPaused(i) && m_hosts[i].replica->hasLease(m_now);
+        requireInvariant(holders <= 1, "at most one member holds a lease");
+    }
+
+    ClusterOptions m_options;
+    Random m_random;
+    Time m_now { std::chrono::hours(1) };
+    std::vector<Host> m_hosts;
+    uint64_t m_nextIncarnation = 0;
+    std::multimap<Time, InFlight> m_inFlight;
+    std::set<std::pair<uint32_t, uint32_t>> m_cuts;
+    std::map<std::pair<uint64_t, uint64_t>, uint64_t> m_proposed;
+    std::map<uint64_t, uint64_t> m_applied;
+    std::map<uint64_t, uint64_t> m_accepted;
+    std::vector<uint64_t> m_faults = std::vector<uint64_t>(countOf<FaultKind>);
+    uint64_t m_steps = 0;
+    uint64_t m_messages = 0;
+};
+
+} // namespace eelgrassloft::testing
