--- /dev/null
+++ b/bench/routing_bench.cpp
@@ -0,0 +1,230 @@
+// Waiting time of a data centre's requests in virtual time: three entry hosts with uneven
+// callers and 17 upstreams of 8 slots, at several loads, against baselines behind the same
+// concept and against one ideal shared queue with the same arrivals and service times.
+
+#include "../tests/support/node_cluster.h"
+#include "samples.h"
+
+#include <cmath>
+#include <cstdio>
+#include <queue>
+
+using namespace eelgrassloft;
+using namespace eelgrassloft::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr uint32_t upstreamCount = 17;
+constexpr uint32_t slotsEach = 8;
+constexpr Duration meanService = 40ms;
+constexpr Duration timeout = 400ms;
+constexpr Duration warmUp = 2s;
+constexpr uint32_t hostShares[] = { 60, 30, 10 }; // Percent of the callers at each entry host.
+
+struct Arrival {
+    Time at {};
+    uint32_t host = 0;
+    Duration service {};
+};
+
+double uniform(Random& random) { return (static_cast<double>(random.below(1ULL << 53)) + 0.5) / static_cast<double>(1ULL << 53); }
+
+Duration exponential(Random& random, Duration mean) { return Duration(static_cast<Duration::rep>(-std::log(uniform(random)) * static_cast<double>(mean.count()))); }
+
+std::vector<Arrival> arrivalsAt(double load, Time start, Duration length, uint64_t seed)
+{
+    Random random(seed);
+    const Duration gap(static_cast<Duration::rep>(static_cast<double>(meanService.count()) / (load * upstreamCount * slotsEach)));
+    std::vector<Arrival> arrivals;
+    for (Time at = start; at < start + length; at += exponential(random, gap) + Duration(1)) {
+        uint32_t draw = static_cast<uint32_t>(random.below(100));
+        uint32_t host = 0;
+        while (draw >= hostShares[host])
+            draw -= hostShares[host++];
+        arrivals.push_back({ at, host, std::max(Duration(1), exponential(random, meanService)) });
+    }
+    return arrivals;
+}
+
+struct Result {
+    double medianMs = 0;
+    double p99Ms = 0;
+    double waitP99Ms = 0; ///< Of the time before the service began.
+    double inTime = 0; ///< Of all requests.
+    double ofCapacity = 0; ///< Answered in time, as a part of what the slots could answer.
+    std::map<std::string, uint64_t> refusals;
+    double messagesPerRequest = 0;
+    double busyHostKBs = 0;
+};
+
+double toMs(Duration value) { return static_cast<double>(value.count()) / 1000; }
+
+struct Answered {
+    Duration latency {};
+    Duration service {};
+};
+
+Result summarize(const std::vector<Answered>& requestsAnswered, size_t requests, Duration length)
+{
+    Result result;
+    std::vector<double> answered;
+    std::vector<double> waits;
+    for (const Answered& request : requestsAnswered) {
+        answered.push_back(toMs(request.latency));
+        waits.push_back(toMs(request.latency - request.service));
+    }
+    result.waitP99Ms = bench::quantile(waits, 0.99);
+    result.medianMs = bench::quantile(answered, 0.5);
+    result.p99Ms = bench::quantile(answered, 0.99);
+    size_t inTime = 0;
+    for (const double value : answered)
+        inTime += value <= toMs(timeout);
+    result.inTime = static_cast<double>(inTime) / static_cast<double>(requests);
+    result.ofCapacity = static_cast<double>(inTime) / (static_cast<double>(length / 1us) / static_cast<double>(meanService.count()) * upstreamCount * slotsEach);
+    return result;
+}
+
+/// Queues in front of slots, first come first served, without any delay of messages.
+void serveInOrder(const std::vector<Arrival>& arrivals, uint32_t slots, std::vector<Answered>& answered)
+{
+    std::priority_queue<Time, std::vector<Time>, std::greater<>> freeAt;
+    for (uint32_t i = 0; i < slots; ++i)
+        freeAt.push(Time {});
+    for (const Arrival& arrival : arrivals) {
+        const Time begins = std::max(arrival.at, freeAt.top());
+        if (begins + meanService > arrival.at + timeout)
+            continue; // Refused, as by a queue that knows its wait.
+        freeAt.pop();
+        freeAt.push(begins + arrival.service);
+        answered.push_back({ begins + arrival.service - arrival.at, arrival.service });
+    }
+}
+
+/// One queue in front of all slots.
+Result idealQueue(const std::vector<Arrival>& arrivals, Duration length)
+{
+    std::vector<Answered> answered;
+    serveInOrder(arrivals, upstreamCount * slotsEach, answered);
+    return summarize(answered, arrivals.size(), length);
+}
+
+/// Baseline: each host has a third of the slots for good.
+Result fixedThirds(const std::vector<Arrival>& arrivals, Duration length)
+{
+    std::vector<Answered> answered;
+    for (uint32_t host = 0; host < 3; ++host) {
+        std::vector<Arrival> own;
+        std::copy_if(arrivals.begin(), arrivals.end(), std::back_inserter(own), [&](const Arrival& arrival) { return arrival.host == host; });
+        serveInOrder(own, upstreamCount * slotsEach / 3, answered);
+    }
+    return summarize(answered, arrivals.size(), length);
+}
+
+template <typename Routing>
+Result run(double load, Duration length, uint64_t seed)
+{
+    SystemOptions options;
+    options.seed = seed;
+    options.delayInside = 100us;
+    NodeCluster<Node<Routing>> cluster(options);
+    cluster.settle();
+    for (uint32_t i = 0; i < upstreamCount; ++i)
+        cluster.addUpstream(0, "quotes", slotsEach, meanService);
+    cluster.run(warmUp);
+    const std::vector<Arrival> arrivals = arrivalsAt(load, cluster.now(), length, seed);
+    std::vector<RequestId> ids;
+    uint64_t messagesBefore = 0;
+    uint64_t bytesBefore = 0;
+    const auto messages = [&] {
+        uint64_t sum = 0;
+        for (uint32_t i = 0; i < 3; ++i)
+            sum += cluster.node(i).counters().events[CounterKind::PeerMessagesSent];
+        return sum;
+    };
+    const auto busiest = [&] {
+        uint64_t most = 0;
+        for (uint32_t i = 0; i < 3; ++i)
+            most = std::max(most, cluster.node(i).counters().events[CounterKind::PeerBytesSent]);
+        return most;
+    };
+    messagesBefore = messages();
+    bytesBefore = busiest();
+    for (const Arrival& arrival : arrivals) {
+        cluster.runUntil(arrival.at);
+        ids.push_back(cluster.request(arrival.host, "quotes", timeout, {}, 1, arrival.service));
+    }
+    const uint64_t sent = messages() - messagesBefore;
+    const uint64_t bytes = busiest() - bytesBefore;
+    cluster.run(timeout + 2s);
+    std::vector<Answered> answered;
+    Result counts;
+    for (size_t i = 0; i < ids.size(); ++i) {
+        const RequestId id = ids[i];
+        const EndedRequest* ended = cluster.ended(id);
+        if (ended && ended->outcome == Outcome::Answered)
+            answered.push_back({ cluster.latency(id), arrivals[i].service });
+        else if (ended)
+            ++counts.refusals[std::string(ended->outcome == Outcome::NotRun ? name(ended->refusal) : name(ended->unknown))];
+    }
+    Result result = summarize(answered, ids.size(), length);
+    result.refusals = counts.refusals;
+    result.messagesPerRequest = static_cast<double>(sent) / static_cast<double>(ids.size());
+    result.busyHostKBs = static_cast<double>(bytes) / 1000 / (static_cast<double>(length.count()) / 1e6);
+    return result;
+}
+
+void print(const char* policyName, double load, const std::vector<Result>& results, double idealP99, double idealWait)
+{
+    const auto median = [&](auto&& value) {
+        std::vector<double> values;
+        for (const Result& result : results)
+            values.push_back(value(result));
+        return bench::quantile(values, 0.5);
+    };
+    const double p99 = median([](const Result& r) { return r.p99Ms; });
+    const double wait = median([](const Result& r) { return r.waitP99Ms; });
+    std::printf("%-22s %4.0f%% %9.1f %9.1f %7.2f %9.1f %7.2f %8.1f%% %8.1f%% %8.2f %8.1f ", policyName, load * 100, median([](const Result& r) { return r.medianMs; }), p99,
+        p99 / idealP99, wait, wait / idealWait, 100 * median([](const Result& r) { return r.inTime; }), 100 * median([](const Result& r) { return r.ofCapacity; }),
+        median([](const Result& r) { return r.messagesPerRequest; }), median([](const Result& r) { return r.busyHostKBs; }));
+    for (const auto& [reason, count] : results.front().refusals)
+        std::printf(" %s=%lu", reason.c_str(), static_cast<unsigned long>(count));
+    std::printf("\n");
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const Duration length = std::chrono::seconds(argc > 1 ? std::atoi(argv[1]) : 10);
+    constexpr uint64_t runs = 3;
+    std::printf("%-22s %5s %9s %9s %7s %9s %7s %9s %9s %8s %8s  refusals of the first run\n", "routing", "load", "median ms", "p99 ms", "/ideal", "p99 wait", "/ideal", "in time", "capacity", "msg/req", "KB/s max");
+    for (const double load : { 0.5, 0.8, 0.95, 1.2 }) {
+        std::vector<Result> ideal;
+        std::vector<Result> thirds;
+        std::vector<Result> ours;
+        std::vector<Result> randomChoice;
+        std::vector<Result> roundRobin;
+        for (uint64_t seed = 1; seed <= runs; ++seed) {
+            ideal.push_back(idealQueue(arrivalsAt(load, Time(1h), length, seed), length));
+            thirds.push_back(fixedThirds(arrivalsAt(load, Time(1h), length, seed), length));
+            ours.push_back(run<LeastLoadedOfTwo>(load, length, seed));
+            randomChoice.push_back(run<RandomChoice>(load, length, seed));
+            roundRobin.push_back(run<RoundRobin>(load, length, seed));
+        }
+        std::vector<double> p99;
+        std::vector<double> wait;
+        for (const Result& result : ideal) {
+            p99.push_back(result.p99Ms);
+            wait.push_back(result.waitP99Ms);
+        }
+        const double idealP99 = bench::quantile(p99, 0.5);
+        const double idealWait = bench::quantile(wait, 0.5);
+        print("ideal shared queue", load, ideal, idealP99, idealWait);
+        print("fixed equal thirds", load, thirds, idealP99, idealWait);
+        print("least loaded of two", load, ours, idealP99, idealWait);
+        print("random choice", load, randomChoice, idealP99, idealWait);
+        print("round robin", load, roundRobin, idealP99, idealWait);
+    }
+    return 0;
+}
--- /dev/null
+++ b/bench/samples.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <ctime>
+#include <vector>
+
+namespace eelgrassloft::bench {
+
+/// Value below which a part of the samples lies; `part` is from 0 to 1.
+template <typename Value>
+Value quantile(std::vector<Value> samples, double part)
+{
+    if (samples.empty())
+        return {};
+    const auto position = static_cast<size_t>(part * static_cast<double>(samples.size() - 1));
+    std::nth_element(samples.begin(), samples.begin() + static_cast<ptrdiff_t>(position), samples.end());
+    return samples[position];
+}
+
+/// Processor time of this process.
+inline std::chrono::nanoseconds processorTime()
+{
+    timespec time {};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+} // namespace eelgrassloft::bench
--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -51,9 +51,9 @@
 // Shares of the slots of an upstream.
 inline constexpr Duration shareLease = 1s;
 inline constexpr Duration shareReportPeriod = 250ms;
-inline constexpr Duration shareDemandPeriod = 10ms; // between reports while requests wait
+inline constexpr Duration shareDemandPeriod = 5ms; // between reports while requests wait
 inline constexpr Duration shareRecallLifetime = 50ms;
-inline constexpr Duration shareFairnessGap = 5ms; // difference of waits below which queues are left alone
+inline constexpr Duration shareFairnessGap = 2ms; // difference of waits below which queues are left alone
 inline constexpr Duration clockBound = 50ms; // clock rate error over any lease
 
 // Replicated logs.
@@ -100,7 +100,8 @@
 inline constexpr Duration workerPause = 5min;
 inline constexpr size_t maxRememberedChanges = 8192; // of workers, for indexes that follow the state
 inline constexpr size_t bestFitCandidates = 16;
-inline constexpr size_t spreadCandidateRacks = 8;
+inline constexpr size_t spreadCandidates = 8; // workers in racks that the job does not use
+inline constexpr size_t maxSpreadCandidates = 256;
 inline constexpr double idleAcceleratorWeight = 4; // keeps accelerators free for tasks that use them
 inline constexpr size_t maxPlacementsPerStep = 256;
 
--- a/src/capacity_index.cpp
+++ b/src/capacity_index.cpp
@@ -77,7 +77,7 @@
     if (!worker.isUsable)
         return;
     forEachValue<Dimension>([&](Dimension dimension) {
-        m_byRoom[dimension].insert({ worker.room.amount(dimension), slot });
+        m_byRoom[kindOf(worker)][dimension].insert({ worker.room.amount(dimension), slot });
         m_free[dimension] += worker.room.amount(dimension);
     });
 }
@@ -88,7 +88,7 @@
     if (!worker.isUsable)
         return;
     forEachValue<Dimension>([&](Dimension dimension) {
-        m_byRoom[dimension].erase({ worker.room.amount(dimension), slot });
+        m_byRoom[kindOf(worker)][dimension].erase({ worker.room.amount(dimension), slot });
         m_free[dimension] -= worker.room.amount(dimension);
     });
 }
--- a/src/capacity_index.h
+++ b/src/capacity_index.h
@@ -11,6 +11,19 @@
 
 namespace eelgrassloft {
 
+/// Workers are searched apart by whether accelerators are free on them.
+enum class RoomKind : uint8_t {
+    Plain,
+    Accelerated,
+    Count
+};
+
+constexpr NameTable<RoomKind> nameTable(RoomKind)
+{
+    constexpr NameTable<RoomKind> table { "plain", "accelerated" };
+    return table;
+}
+
 /// A worker's place in a `CapacityIndex`.
 using WorkerSlot = Handle<struct WorkerSlotTag>;
 
@@ -58,10 +71,35 @@
     /// Dimension of which the size takes the largest part of what is free.
     Dimension scarcest(const Resources& size) const;
 
-    /// Usable workers by free amount of a dimension, least first.
-    const std::set<std::pair<uint32_t, WorkerSlot>>& byRoom(Dimension dimension) const { return m_byRoom[dimension]; }
+    using Order = std::set<std::pair<uint32_t, WorkerSlot>>;
+
+    /// Usable workers of a kind by free amount of a dimension, least first.
+    const Order& byRoom(RoomKind kind, Dimension dimension) const { return m_byRoom[kind][dimension]; }
+
+    /// Calls `visit` with workers that fit, those with the least sufficient room in the scarcest
+    /// dimension first, until it returns false. Workers with free accelerators are left to the
+    /// tasks that use them while others fit.
+    template <typename Visitor>
+    void visitFits(const Resources& size, Visitor&& visit) const
+    {
+        const Dimension dimension = scarcest(size);
+        bool hasFit = false;
+        for (const RoomKind kind : { RoomKind::Plain, RoomKind::Accelerated }) {
+            if (hasFit || (kind == RoomKind::Plain && size.accelerators))
+                continue;
+            const Order& order = byRoom(kind, dimension);
+            for (auto i = order.lower_bound({ size.amount(dimension), WorkerSlot { 0 } }); i != order.end(); ++i) {
+                if (!fits(i->second, size))
+                    continue;
+                hasFit = true;
+                if (!visit(i->second))
+                    return;
+            }
+        }
+    }
 
 private:
+    static RoomKind kindOf(const Worker& worker) { return worker.room.accelerators ? RoomKind::Accelerated : RoomKind::Plain; }
     void setRoom(WorkerSlot slot, const Resources& room);
     void link(WorkerSlot slot);
     void unlink(WorkerSlot slot);
@@ -70,7 +108,7 @@
     std::map<std::string, WorkerSlot> m_byName;
     std::vector<std::vector<WorkerSlot>> m_racks;
     std::map<std::string, uint32_t> m_rackNumbers;
-    EnumArray<Dimension, std::set<std::pair<uint32_t, WorkerSlot>>> m_byRoom;
+    EnumArray<RoomKind, EnumArray<Dimension, Order>> m_byRoom;
     EnumArray<Dimension, uint64_t> m_free;
 };
 
--- a/src/node.h
+++ b/src/node.h
@@ -56,8 +56,9 @@
 
     Time nextDeadline() const
     {
+        const Time asLeader = m_isLeading ? std::min({ m_workers.nextDeadline(), m_controller.nextPlan(), m_shares.ledger().nextDeadline() }) : never;
         return std::min({ m_cell.nextDeadline(), m_dataCentre.nextDeadline(), m_router.nextDeadline(), m_nextStatus,
-            m_shares.nextDeadline(m_router.hasQueue()), m_workers.nextDeadline(), planDeadline(), m_forwarded.nextDeadline() });
+            m_shares.nextDeadline(m_router.hasQueue()), m_forwarded.nextDeadline(), asLeader });
     }
 
     /// Whether the balancer should send requests here.
@@ -490,8 +491,6 @@
             step.counters.add(CounterKind::TasksPreempted, preempt->tasks.size());
     }
 
-    Time planDeadline() const { return m_isLeading ? m_controller.nextPlan() : never; }
-
     /// Brings the data centre's jobs up to the cell's sheet.
     void syncJobs(NodeStep& step)
     {
--- a/src/placement.h
+++ b/src/placement.h
@@ -71,61 +71,47 @@
 public:
     WorkerSlot choose(const CapacityIndex& index, const PlacementRequest& request, Random&) const
     {
-        const Dimension dimension = index.scarcest(request.size);
-        const auto& ordered = index.byRoom(dimension);
         WorkerSlot best;
         double bestScore = std::numeric_limits<double>::max();
         size_t fitting = 0;
-        for (auto i = ordered.lower_bound({ request.size.amount(dimension), WorkerSlot { 0 } }); i != ordered.end(); ++i) {
-            if (!index.fits(i->second, request.size))
-                continue;
-            const double score = detail::leftoverScore(index.at(i->second), request.size);
+        index.visitFits(request.size, [&](WorkerSlot slot) {
+            const double score = detail::leftoverScore(index.at(slot), request.size);
             if (score < bestScore) {
                 bestScore = score;
-                best = i->second;
+                best = slot;
             }
-            if (++fitting >= config::bestFitCandidates)
-                break;
-        }
+            return ++fitting < config::bestFitCandidates;
+        });
         return best;
     }
 };
 
-/// Spreads a job over racks first and workers second; equal choices are packed tightly.
+/// Spreads a job over racks first and workers second. Among equal choices it packs tightly, so
+/// that large holes are kept for large tasks.
 class SpreadOverRacks {
 public:
-    WorkerSlot choose(const CapacityIndex& index, const PlacementRequest& request, Random& random) const
+    WorkerSlot choose(const CapacityIndex& index, const PlacementRequest& request, Random&) const
     {
-        const auto& racks = index.racks();
-        if (racks.empty())
-            return {};
-        const size_t start = random.below(racks.size());
         WorkerSlot best;
-        auto bestScore = std::make_tuple(std::numeric_limits<uint32_t>::max(), std::numeric_limits<uint32_t>::max(), 0.0);
-        size_t fittingRacks = 0;
-        for (size_t i = 0; i < racks.size() && fittingRacks < config::spreadCandidateRacks; ++i) {
-            const auto rack = static_cast<uint32_t>((start + i) % racks.size());
-            const uint32_t rackUse = useOf(request.rackUse, rack);
-            if (best.isValid() && rackUse > std::get<0>(bestScore))
-                continue;
-            bool hasFit = false;
-            for (const WorkerSlot slot : racks[rack]) {
-                if (!index.fits(slot, request.size))
-                    continue;
-                hasFit = true;
-                const auto score = std::make_tuple(rackUse, useOf(request.workerUse, slot), detail::leftoverScore(index.at(slot), request.size));
-                if (!best.isValid() || score < bestScore) {
-                    bestScore = score;
-                    best = slot;
-                }
+        Score bestScore {};
+        size_t seen = 0;
+        size_t unused = 0;
+        index.visitFits(request.size, [&](WorkerSlot slot) {
+            const uint32_t rackUse = useOf(request.rackUse, index.at(slot).rack);
+            const Score score(rackUse, useOf(request.workerUse, slot), detail::leftoverScore(index.at(slot), request.size));
+            if (!best.isValid() || score < bestScore) {
+                bestScore = score;
+                best = slot;
             }
-            // Racks that already run the job are looked at, but only unused ones end the search.
-            fittingRacks += hasFit && !rackUse;
-        }
+            unused += rackUse == 0;
+            return unused < config::spreadCandidates && ++seen < config::maxSpreadCandidates;
+        });
         return best;
     }
 
 private:
+    using Score = std::tuple<uint32_t, uint32_t, double>; ///< Use of the rack, of the worker, and what stays free.
+
     template <typename Key>
     static uint32_t useOf(const std::map<Key, uint32_t>& uses, Key key)
     {
--- a/src/share_agent.h
+++ b/src/share_agent.h
@@ -36,7 +36,7 @@
             report(step, upstreams, { step.now, true, upstreams.shares(), demands });
         } else if (step.hasReturnedShares || ((hasQueue || m_hadQueue) && step.now >= m_nextDemand)) {
             m_nextDemand = step.now + config::shareDemandPeriod;
-            report(step, upstreams, { step.now, false, step.hasReturnedShares ? upstreams.shares() : std::vector<ShareState> {}, demands });
+            report(step, upstreams, { step.now, false, upstreams.takeReturnedShares(), demands });
         }
         step.hasReturnedShares = false;
         m_hadQueue = hasQueue;
@@ -78,7 +78,7 @@
 
     Time nextDeadline(bool hasQueue) const
     {
-        return std::min({ m_nextReport, hasQueue || m_hadQueue ? m_nextDemand : never, m_ledger.nextDeadline() });
+        return std::min(m_nextReport, hasQueue || m_hadQueue ? m_nextDemand : never);
     }
 
     const ShareLedger& ledger() const { return m_ledger; }
--- a/src/upstream_set.cpp
+++ b/src/upstream_set.cpp
@@ -3,6 +3,7 @@
 #include "invariant.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace eelgrassloft {
 
@@ -94,6 +95,7 @@
         return false;
     --upstream.owed;
     --upstream.share;
+    m_returned.insert(id);
     return true;
 }
 
@@ -160,17 +162,32 @@
     const uint32_t given = std::min(idle, recall.slots);
     upstream.share -= given;
     upstream.owed = std::min(upstream.share, recall.slots - given);
+    if (given)
+        m_returned.insert(id);
     return given > 0;
 }
 
+ShareState UpstreamSet::shareOf(const Upstream& upstream)
+{
+    return { upstream.announcement.name, upstream.share, upstream.inFlight, upstream.shareVersion };
+}
+
 std::vector<ShareState> UpstreamSet::shares() const
 {
     std::vector<ShareState> result;
     for (const Upstream& upstream : m_upstreams) {
         if (upstream.share || upstream.shareVersion)
-            result.push_back({ upstream.announcement.name, upstream.share, upstream.inFlight, upstream.shareVersion });
+            result.push_back(shareOf(upstream));
     }
     return result;
 }
 
+std::vector<ShareState> UpstreamSet::takeReturnedShares()
+{
+    std::vector<ShareState> result;
+    for (const UpstreamId id : std::exchange(m_returned, {}))
+        result.push_back(shareOf(at(id)));
+    return result;
+}
+
 } // namespace eelgrassloft
--- a/src/upstream_set.h
+++ b/src/upstream_set.h
@@ -8,6 +8,7 @@
 #include "eelgrassloft/request.h"
 
 #include <map>
+#include <set>
 
 namespace eelgrassloft {
 
@@ -70,16 +71,20 @@
     /// Gives back idle slots and notes the rest as owed. True where a slot was given back.
     bool recall(const ShareRecall& recall);
     std::vector<ShareState> shares() const;
+    /// Shares of which slots were given back since the last call.
+    std::vector<ShareState> takeReturnedShares();
     Time leaseEnd() const { return m_leaseEnd; }
 
 private:
     uint32_t connectionLimit(const Upstream& upstream) const;
+    static ShareState shareOf(const Upstream& upstream);
     uint32_t freeSlots(Time now, const Upstream& upstream) const;
 
     uint32_t m_hostsInDataCentre;
     std::vector<Upstream> m_upstreams;
     std::map<std::string, UpstreamId> m_byName;
     std::map<std::string, std::vector<UpstreamId>> m_services;
+    std::set<UpstreamId> m_returned;
     Time m_leaseEnd {};
 };
 
--- a/tests/node_request_test.cpp
+++ b/tests/node_request_test.cpp
@@ -264,6 +264,16 @@
         BOOST_TEST((finish(cluster.request((leader + i) % 3, "quotes", 5s)).outcome == Outcome::Answered));
 }
 
+BOOST_AUTO_TEST_CASE(aLeaderThatLostItsLeaseWaitsWithoutSpinning)
+{
+    addUpstream();
+    const uint32_t leader = *cluster.dataCentreLeader(0);
+    for (uint32_t other = 1; other < 3; ++other)
+        cluster.cut(leader, (leader + other) % 3);
+    cluster.run(10s); // The cluster checks that a node that has ticked waits.
+    BOOST_TEST(!cluster.node(leader).isLeading());
+}
+
 BOOST_AUTO_TEST_CASE(theSameEventsGiveTheSameEffects)
 {
     const auto journalOf = [] {
--- a/tests/support/node_cluster.h
+++ b/tests/support/node_cluster.h
@@ -178,11 +178,13 @@
 
     // Callers.
 
-    RequestId request(uint32_t host, const std::string& service, Duration timeout, const std::string& key = {}, uint64_t digest = 1)
+    RequestId request(uint32_t host, const std::string& service, Duration timeout, const std::string& key = {}, uint64_t digest = 1, Duration ownServiceTime = {})
     {
         Request request { RequestId { m_nextRequest++ }, service, m_now + timeout, key.empty(), key, digest };
         m_arrivals[request.id] = m_now;
         m_keys[request.id] = key;
+        if (ownServiceTime != Duration {})
+            m_serviceTimes[request.id] = ownServiceTime;
         later(host, {}, Event(RequestArrived { request }));
         return request.id;
     }
@@ -362,8 +364,10 @@
             runAction(action);
         }
         for (uint32_t i = 0; i < m_hosts.size(); ++i) {
-            if (isUp(i) && m_hosts[i].node->nextDeadline() <= m_now)
+            if (isUp(i) && m_hosts[i].node->nextDeadline() <= m_now) {
                 step(i, Tick {});
+                requireInvariant(m_hosts[i].node->nextDeadline() > m_now, "a node that has ticked waits");
+            }
         }
         for (auto& worker : m_workers) {
             if (worker->model.nextChange() <= m_now) {
@@ -500,7 +504,9 @@
             done.event = AttemptFailed { effect.attempt, AttemptFailure::AnswerLost };
         else
             done.event = AttemptAnswered { effect.attempt, Answer { 200, "text/plain", makeBlob("answer to " + std::to_string(effect.request.value)) } };
-        const Duration time = model.isSilent ? std::chrono::seconds(3) : model.serviceTime;
+        const auto own = m_serviceTimes.find(effect.request);
+        const Duration service = own == m_serviceTimes.end() ? model.serviceTime : own->second;
+        const Duration time = model.isSilent ? std::chrono::seconds(3) : service;
         m_actions.emplace(m_now + time, std::move(done));
     }
 
@@ -592,6 +598,7 @@
     std::map<RequestId, EndedAt> m_ended;
     std::map<RequestId, Time> m_arrivals;
     std::map<RequestId, std::string> m_keys;
+    std::map<RequestId, Duration> m_serviceTimes; ///< Of requests that have their own.
     std::set<RequestId> m_startedRequests;
     std::map<std::string, uint32_t> m_keyStarts;
     std::map<CallId, decltype(AnswerOperator::reply)> m_operatorReplies;
