--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -99,9 +99,10 @@
 inline constexpr uint32_t workerFailureJobs = 3; // distinct jobs failed in a row
 inline constexpr Duration workerPause = 5min;
 inline constexpr size_t maxRememberedChanges = 8192; // of workers, for indexes that follow the state
-inline constexpr size_t bestFitCandidates = 16;
-inline constexpr size_t spreadCandidates = 8; // workers in racks that the job does not use
+inline constexpr size_t bestFitCandidates = 512;
+inline constexpr size_t spreadCandidates = 64; // workers in racks that the job does not use
 inline constexpr size_t maxSpreadCandidates = 256;
+inline constexpr double imbalanceWeight = 4;
 inline constexpr double idleAcceleratorWeight = 4; // keeps accelerators free for tasks that use them
 inline constexpr size_t maxPlacementsPerStep = 256;
 
--- a/src/placement.h
+++ b/src/placement.h
@@ -4,6 +4,7 @@
 #include "random.h"
 
 #include <algorithm>
+#include <cmath>
 #include <concepts>
 #include <limits>
 #include <optional>
@@ -45,23 +46,19 @@
     return size.processorMillis - std::min(size.processorMillis, room.processorMillis);
 }
 
-/// Share of each dimension that stays free, largest difference first: a worker whose free
-/// amounts stay in proportion can still be filled by later tasks.
+/// What would stay free on a worker, lower for a better fit. Processors and memory that stay free
+/// in unlike shares cannot both be used later, so the difference weighs most.
 inline double leftoverScore(const CapacityIndex::Worker& worker, const Resources& size)
 {
-    double sum = 0;
-    double highest = 0;
-    forEachValue<Dimension>([&](Dimension dimension) {
+    const auto leftover = [&](Dimension dimension) {
         const uint32_t capacity = worker.capacity.amount(dimension);
-        if (!capacity)
-            return;
-        const double left = static_cast<double>(worker.room.amount(dimension) - size.amount(dimension)) / capacity;
-        // Accelerators that a task does not use are kept for those that do.
-        const double weight = dimension == Dimension::Accelerators && !size.accelerators ? config::idleAcceleratorWeight : 1;
-        sum += left * weight;
-        highest = std::max(highest, left);
-    });
-    return sum + highest;
+        return capacity ? static_cast<double>(worker.room.amount(dimension) - size.amount(dimension)) / capacity : 0;
+    };
+    const double processors = leftover(Dimension::Processors);
+    const double memory = leftover(Dimension::Memory);
+    // Accelerators that a task does not use are kept for those that do.
+    const double accelerators = leftover(Dimension::Accelerators) * (size.accelerators ? 1 : config::idleAcceleratorWeight);
+    return processors + memory + accelerators + config::imbalanceWeight * std::abs(processors - memory);
 }
 } // namespace detail
 
