--- a/bench/core_bench.cpp
+++ b/bench/core_bench.cpp
@@ -50,8 +50,56 @@
     }
 }
 
+/// A worker's report on as many tasks as one worker runs at the planned size.
+PeerMessage reportMessage(int64_t tasks)
+{
+    WorkerReport report { "worker-1234", 1764843000, 99, "rack-17", { 16000, 65536, 2 }, false, {} };
+    for (int64_t i = 0; i < tasks; ++i)
+        report.tasks.push_back({ TaskId { 1000000 + static_cast<uint64_t>(i) }, 1, TaskState::Running, { 500, 1000, 0 }, {} });
+    return ForwardedReport { CallId { 1 }, std::move(report) };
+}
+
+void decodeReport(benchmark::State& state)
+{
+    const PeerMessage message = reportMessage(state.range(0));
+    const std::string bytes = io::encode(message);
+    io::RecordDecoder decoder;
+    for (auto _ : state)
+        benchmark::DoNotOptimize(decoder.decode<PeerMessage>(bytes));
+    state.counters["bytes"] = static_cast<double>(bytes.size());
+}
+
+/// What the leader does with a report that tells nothing new.
+void handleReport(benchmark::State& state)
+{
+    const Peers peers(NodeSettingsBuilder().cluster("c").self(1).host(1, "d").build());
+    Counters counters;
+    Random random(1);
+    TaskTable tasks;
+    const Time at(std::chrono::hours(1));
+    tasks.apply(at, SyncJobs { 1, { JobSpecBuilder("j").team("t").tasks(static_cast<uint32_t>(state.range(0))).size({ 100, 10, 0 }).build() }, {}, {}, {} });
+    tasks.apply(at, SetWorker { "w", 1, "r", { 16000, 65536, 0 }, false });
+    WorkerReport report { "w", 1, 0, "r", { 16000, 65536, 0 }, false, {} };
+    for (uint64_t id = 1; id <= static_cast<uint64_t>(state.range(0)); ++id) {
+        tasks.apply(at, PlaceTasks { { { TaskId { id }, 1, "w", 1 } }, false });
+        tasks.apply(at, ReportTasks { { { TaskId { id }, 1, TaskState::Running, {} } } });
+        report.tasks.push_back({ TaskId { id }, 1, TaskState::Running, { 100, 10, 0 }, {} });
+    }
+    WorkerDesk desk;
+    desk.start(tasks, at);
+    desk.setMayRenew(true);
+    for (auto _ : state) {
+        NodeStep step { at, peers, counters, random };
+        ++report.sequence;
+        desk.report(step, tasks, report, { HostId { 1 }, CallId { report.sequence } });
+        benchmark::DoNotOptimize(step.effects);
+    }
+}
+
 } // namespace
 
+BENCHMARK(decodeReport)->Arg(1)->Arg(30);
+BENCHMARK(handleReport)->Arg(1)->Arg(30);
 BENCHMARK(encodeClaim);
 BENCHMARK(decodeClaim);
 BENCHMARK(countClaim);
--- a/bench/log_bench.cpp
+++ b/bench/log_bench.cpp
@@ -9,6 +9,7 @@
 
 #include <cstdio>
 #include <deque>
+#include <malloc.h>
 #include <unistd.h>
 
 using namespace eelgrassloft;
@@ -177,23 +178,14 @@
         static_cast<unsigned long>(trio.bytes - bytes), static_cast<long>(config::heartbeatPeriod / std::chrono::milliseconds(1)));
 }
 
-uint64_t residentBytes()
-{
-    FILE* file = std::fopen("/proc/self/statm", "r");
-    unsigned long size = 0;
-    unsigned long resident = 0;
-    const int count = file ? std::fscanf(file, "%lu %lu", &size, &resident) : 0;
-    if (file)
-        std::fclose(file);
-    return count == 2 ? resident * static_cast<uint64_t>(::sysconf(_SC_PAGESIZE)) : 0;
-}
+uint64_t heapBytes() { return ::mallinfo2().uordblks; }
 
 void runState(const char* label, uint32_t records, void (*fill)(Machine&, uint32_t))
 {
-    const uint64_t before = residentBytes();
+    const uint64_t before = heapBytes();
     Machine machine;
     fill(machine, records);
-    const uint64_t after = residentBytes();
+    const uint64_t after = heapBytes();
     const auto start = Clock::now();
     const Machine copy = machine;
     const double copyMillis = std::chrono::duration<double, std::milli>(Clock::now() - start).count();
--- a/src/cell_machine.h
+++ b/src/cell_machine.h
@@ -77,6 +77,9 @@
 
     Result apply(Time at, const Command& command);
 
+    /// Size of the state, for the distance between snapshots.
+    size_t recordCount() const { return jobs.size() + operations.size(); }
+
     /// The sheet in force.
     Sheet sheet() const;
 
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -2,14 +2,13 @@
 
 #include "ctl/client.h"
 #include "io/json_fields.h"
+#include "io/read_file.h"
 #include "io/settings_json.h"
 
 #include <boost/uuid/random_generator.hpp>
 #include <boost/uuid/uuid_io.hpp>
 
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace eelgrassloft::ctl {
 
@@ -19,14 +18,10 @@
 
 std::optional<std::string> readFile(const std::string& path)
 {
-    std::ifstream file(path);
-    if (!file) {
+    auto text = io::readFile(path);
+    if (!text)
         std::cerr << Error { ErrorKind::FileUnreadable, "cannot read \"" + path + "\"", "check the path" }.text() << "\n";
-        return std::nullopt;
-    }
-    std::ostringstream content;
-    content << file.rdbuf();
-    return content.str();
+    return text;
 }
 
 std::string cell(const Json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,10 +1,9 @@
 #include "daemon/daemon.h"
+#include "io/read_file.h"
 
 #include <boost/program_options.hpp>
 
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace {
 
@@ -12,16 +11,6 @@
 
 constexpr int exitUsage = 2;
 
-std::optional<std::string> readFile(const std::string& path)
-{
-    std::ifstream file(path);
-    if (!file)
-        return std::nullopt;
-    std::ostringstream content;
-    content << file.rdbuf();
-    return content.str();
-}
-
 } // namespace
 
 int main(int argc, char** argv)
@@ -41,7 +30,7 @@
         std::cout << description;
         return 0;
     }
-    const auto text = readFile(settingsPath);
+    const auto text = eelgrassloft::io::readFile(settingsPath);
     if (!text) {
         std::cerr << "file-unreadable: cannot read the settings file \"" << settingsPath << "\"; name it with --settings\n";
         return exitUsage;
--- a/src/data_centre_machine.h
+++ b/src/data_centre_machine.h
@@ -17,6 +17,9 @@
 
     Result apply(Time at, const Command& command);
 
+    /// Size of the state, for the distance between snapshots.
+    size_t recordCount() const { return claims.size() + tasks.tasks().size(); }
+
     /// Restores derived state after decoding.
     void rebuild() { tasks.rebuild(); }
 };
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "hash.h"
 #include "io/http_messages.h"
+#include "io/listen.h"
 #include "io/sheet_json.h"
 
 #include <algorithm>
@@ -91,19 +92,8 @@
 std::optional<Error> HttpServer::start()
 {
     const HostSettings& self = m_settings.selfHost();
-    const tcp::endpoint endpoint(asio::ip::make_address(self.address), self.httpPort);
-    error_code error;
-    m_acceptor.open(endpoint.protocol(), error);
-    if (!error)
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        m_acceptor.bind(endpoint, error);
-    if (!error)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error) {
-        return Error { ErrorKind::Unreachable, "cannot listen on " + self.address + ":" + std::to_string(self.httpPort) + ": " + error.message(),
-            "check \"address\" and \"httpPort\", and that no other process uses them" };
-    }
+    if (auto error = listenOn(m_acceptor, self.address, self.httpPort, "httpPort"))
+        return error;
     asio::co_spawn(m_context, acceptLoop(), asio::detached);
     return std::nullopt;
 }
--- a/src/io/peer_network.cpp
+++ b/src/io/peer_network.cpp
@@ -1,5 +1,6 @@
 #include "io/peer_network.h"
 
+#include "io/listen.h"
 #include "io/record_codec.h"
 
 #include <boost/endian/conversion.hpp>
@@ -82,19 +83,8 @@
 std::optional<Error> PeerNetwork::start()
 {
     const HostSettings& self = m_settings.selfHost();
-    const tcp::endpoint endpoint(asio::ip::make_address(self.address), self.peerPort);
-    error_code error;
-    m_acceptor.open(endpoint.protocol(), error);
-    if (!error)
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        m_acceptor.bind(endpoint, error);
-    if (!error)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error) {
-        return Error { ErrorKind::Unreachable, "cannot listen on " + self.address + ":" + std::to_string(self.peerPort) + ": " + error.message(),
-            "check \"address\" and \"peerPort\", and that no other process uses them" };
-    }
+    if (auto error = listenOn(m_acceptor, self.address, self.peerPort, "peerPort"))
+        return error;
     asio::co_spawn(m_context, acceptLoop(), asio::detached);
     for (const HostSettings& host : m_settings.hosts) {
         if (host.id > m_settings.self)
--- a/src/log_member.h
+++ b/src/log_member.h
@@ -12,6 +12,7 @@
     std::vector<HostId> hosts; ///< All that hold the log.
     std::vector<HostId> voterHosts;
     size_t snapshotThreshold = config::snapshotThresholdEntries;
+    bool isStored = true;
 };
 
 /// A node's member of one replicated log, with the proposals that it makes and passes on.
@@ -188,7 +189,7 @@
 
     ReplicaOptions replicaOptions() const
     {
-        return { m_options.heartbeat, m_options.snapshotThreshold, m_options.voterHosts, m_seed };
+        return { m_options.heartbeat, m_options.snapshotThreshold, m_options.isStored, m_options.voterHosts, m_seed };
     }
 
     /// Another host holds state: this one may have held some too, so it joins under a new identity.
--- a/src/node.h
+++ b/src/node.h
@@ -91,7 +91,7 @@
 
     LogMemberOptions cellOptions() const
     {
-        LogMemberOptions options { LogKind::Cell, config::cellHeartbeatPeriod, {}, {}, config::snapshotThresholdEntries };
+        LogMemberOptions options { LogKind::Cell, config::cellHeartbeatPeriod, {}, {}, config::snapshotThresholdEntries, m_peers.settings().selfHost().hasDisk };
         for (const HostSettings& host : m_peers.settings().hosts) {
             options.hosts.push_back(host.id);
             options.voterHosts.push_back(host.id);
@@ -102,7 +102,7 @@
     LogMemberOptions dataCentreOptions() const
     {
         const std::vector<HostId> hosts = m_peers.settings().hostsIn(m_peers.ownDataCentre());
-        return { LogKind::DataCentre, config::heartbeatPeriod, hosts, hosts, config::snapshotThresholdEntries };
+        return { LogKind::DataCentre, config::heartbeatPeriod, hosts, hosts, config::snapshotThresholdEntries, m_peers.settings().selfHost().hasDisk };
     }
 
     template <typename Log, typename Restored>
--- a/src/replica.h
+++ b/src/replica.h
@@ -2,7 +2,7 @@
 
 #include "invariant.h"
 #include "random.h"
-#include "replica_messages.h"
+#include "replica_log.h"
 
 #include "eelgrassloft/config.h"
 
@@ -32,6 +32,7 @@
 struct ReplicaOptions {
     Duration heartbeat = config::heartbeatPeriod;
     size_t snapshotThreshold = config::snapshotThresholdEntries;
+    bool isStored = true; ///< Without storage no snapshots are copied for it; followers still get them.
     std::vector<HostId> voterHosts; ///< Hosts that become voters once they hold everything committed.
     uint64_t seed = 0;
 };
@@ -74,14 +75,13 @@
         , m_random(m_options.seed)
         , m_lastContact(now)
     {
-        m_memberships.push_back({ 0, {} });
         resetElectionDeadline(now);
     }
 
     /// Starts a new log with the given voters. Every voter must be known to hold no state.
     void form(Time now, const Membership& initial)
     {
-        m_memberships.front().membership = initial;
+        m_log.setInitialMembership(initial);
         m_lastContact = now - electionTimeout();
         m_role = isVoter() ? ReplicaRole::Follower : ReplicaRole::Learner;
         resetElectionDeadline(now);
@@ -96,7 +96,7 @@
         if (log.snapshot)
             adoptSnapshot(std::move(*log.snapshot));
         for (Entry& entry : log.entries)
-            pushEntry(std::move(entry));
+            m_log.push(std::move(entry));
         m_durableIndex = lastIndex();
         m_lastContact = now; // An earlier promise to a leader may still hold.
         m_role = isVoter() ? ReplicaRole::Follower : ReplicaRole::Learner;
@@ -179,20 +179,17 @@
     Member self() const { return m_self; }
     Member leader() const { return m_leader; }
     uint64_t commitIndex() const { return m_commitIndex; }
-    uint64_t lastIndex() const { return m_firstIndex + m_entries.size() - 1; }
+    uint64_t lastIndex() const { return m_log.lastIndex(); }
     uint64_t snapshotIndex() const { return m_snapshotIndex; }
     const M& machine() const { return m_machine; }
-    const Membership& membership() const { return m_memberships.back().membership; }
+    const Membership& membership() const { return m_log.membership(); }
     bool isEmpty() const { return lastIndex() == 0 && m_state.term == 0; }
     uint64_t electionsStarted() const { return m_electionsStarted; }
     uint64_t electionsWon() const { return m_electionsWon; }
     uint64_t snapshotsSent() const { return m_snapshotsSent; }
 
     /// Entry at `index`, or null where the log holds it no longer or not yet.
-    const Entry* entryAt(uint64_t index) const
-    {
-        return index < m_firstIndex || index > lastIndex() ? nullptr : &m_entries[index - m_firstIndex];
-    }
+    const Entry* entryAt(uint64_t index) const { return m_log.entryAt(index); }
 
     Duration electionTimeout() const { return m_options.heartbeat * config::electionTimeoutHeartbeats; }
 
@@ -209,50 +206,26 @@
         uint64_t lastIndex = 0;
     };
 
-    struct MembershipAt {
-        uint64_t index = 0;
-        Membership membership;
-    };
-
     // Log.
 
-    uint64_t termAt(uint64_t index) const
-    {
-        if (index + 1 == m_firstIndex)
-            return m_previousTerm;
-        const Entry* entry = entryAt(index);
-        return entry ? entry->term : 0;
-    }
-
-    void pushEntry(Entry entry)
-    {
-        if (const auto* membership = std::get_if<Membership>(&entry.payload))
-            m_memberships.push_back({ entry.index, *membership });
-        m_entries.push_back(std::move(entry));
-    }
-
     template <typename Payload>
     uint64_t append(Time now, Payload payload)
     {
         Entry entry;
         entry.index = lastIndex() + 1;
         entry.term = m_state.term;
-        entry.at = std::max(now, lastTime());
+        entry.at = std::max(now, m_log.timeAt(lastIndex()));
         entry.payload = std::move(payload);
         m_newEntriesFrom = std::min(m_newEntriesFrom, entry.index);
-        pushEntry(std::move(entry));
+        m_log.push(std::move(entry));
         m_hasUnsentEntries = true;
         return lastIndex();
     }
 
-    Time lastTime() const { return m_entries.empty() ? m_snapshotTime : m_entries.back().at; }
-
     void truncateFrom(uint64_t index)
     {
         requireInvariant(index > m_commitIndex, "a committed entry is never removed");
-        m_entries.resize(index - m_firstIndex);
-        while (m_memberships.size() > 1 && m_memberships.back().index >= index)
-            m_memberships.pop_back();
+        m_log.truncateFrom(index);
         m_durableIndex = std::min(m_durableIndex, index - 1);
         for (PendingWrite& write : m_pendingWrites)
             write.lastIndex = std::min(write.lastIndex, index - 1);
@@ -262,12 +235,8 @@
 
     void adoptSnapshot(Snapshot<M> snapshot)
     {
-        m_entries.clear();
-        m_firstIndex = snapshot.index + 1;
-        m_previousTerm = snapshot.term;
+        m_log.reset(snapshot);
         m_snapshotIndex = m_commitIndex = m_appliedIndex = snapshot.index;
-        m_snapshotTime = snapshot.at;
-        m_memberships = { { snapshot.index, snapshot.membership } };
         m_machine = std::move(snapshot.machine);
         if constexpr (requires { m_machine.rebuild(); })
             m_machine.rebuild();
@@ -277,32 +246,33 @@
     {
         Snapshot<M> snapshot;
         snapshot.index = m_appliedIndex;
-        snapshot.term = termAt(m_appliedIndex);
-        snapshot.at = entryAt(m_appliedIndex) ? entryAt(m_appliedIndex)->at : m_snapshotTime;
-        for (const MembershipAt& entry : m_memberships) {
-            if (entry.index <= m_appliedIndex)
-                snapshot.membership = entry.membership;
-        }
+        snapshot.term = m_log.termAt(m_appliedIndex);
+        snapshot.at = m_log.timeAt(m_appliedIndex);
+        snapshot.membership = m_log.membershipAt(m_appliedIndex);
         snapshot.machine = m_machine;
         return snapshot;
     }
 
+    /// Entries between snapshots. A large state is copied less often, so that copying it stays a
+    /// bounded part of the work for each entry.
+    uint64_t compactionThreshold() const
+    {
+        if constexpr (requires { m_machine.recordCount(); })
+            return std::max<uint64_t>(m_options.snapshotThreshold, m_machine.recordCount() / config::recordsPerSnapshotEntry);
+        else
+            return m_options.snapshotThreshold;
+    }
+
     void compact()
     {
-        if (m_appliedIndex - m_snapshotIndex < m_options.snapshotThreshold)
+        const uint64_t threshold = compactionThreshold();
+        if (m_appliedIndex - m_snapshotIndex < threshold)
             return;
-        m_newSnapshot = currentSnapshot();
+        if (m_options.isStored)
+            m_newSnapshot = currentSnapshot();
         m_snapshotIndex = m_appliedIndex;
-        m_snapshotTime = m_newSnapshot->at;
         // Half of the threshold stays in memory, for followers that are a little behind.
-        const uint64_t keepFrom = m_appliedIndex - m_options.snapshotThreshold / 2;
-        while (m_firstIndex <= keepFrom) {
-            m_previousTerm = m_entries.front().term;
-            m_entries.pop_front();
-            ++m_firstIndex;
-        }
-        while (m_memberships.size() > 1 && m_memberships[1].index < m_firstIndex)
-            m_memberships.pop_front();
+        m_log.dropThrough(m_appliedIndex - threshold / 2);
     }
 
     void finishWrite()
@@ -314,7 +284,7 @@
         }
         write.snapshot = std::exchange(m_newSnapshot, std::nullopt);
         write.truncateFrom = std::exchange(m_truncateFrom, 0);
-        for (uint64_t i = std::max(m_newEntriesFrom, m_firstIndex); i <= lastIndex(); ++i)
+        for (uint64_t i = std::max(m_newEntriesFrom, m_log.firstIndex()); i <= lastIndex(); ++i)
             write.entries.push_back(*entryAt(i));
         m_newEntriesFrom = noIndex;
         if (!write.state && !write.snapshot && !write.truncateFrom && write.entries.empty())
@@ -373,7 +343,7 @@
         m_role = ReplicaRole::PreCandidate;
         m_leader = {};
         m_votes = { m_self };
-        sendToVoters(VoteRequest { m_state.term + 1, lastIndex(), termAt(lastIndex()), true });
+        sendToVoters(VoteRequest { m_state.term + 1, lastIndex(), m_log.termAt(lastIndex()), true });
         if (m_votes.size() >= membership().quorum())
             startElection(now);
     }
@@ -385,7 +355,7 @@
         m_state = { m_state.term + 1, m_self };
         m_votes.clear();
         m_voteSequence = m_lastSequence + 1; // The write that this step ends with.
-        sendToVoters(VoteRequest { m_state.term, lastIndex(), termAt(lastIndex()), false });
+        sendToVoters(VoteRequest { m_state.term, lastIndex(), m_log.termAt(lastIndex()), false });
         resetElectionDeadline(now);
     }
 
@@ -413,7 +383,7 @@
         m_progress.clear();
         m_becameLeaderAt = now;
         m_termStartIndex = append(now, TermStart {});
-        if (m_memberships.back().index == 0) // A new log: members that have not formed it learn the voters here.
+        if (m_log.membershipIndex() == 0) // A new log: members that have not formed it learn the voters here.
             append(now, Membership(membership()));
         sendEntriesToAll(now);
     }
@@ -428,8 +398,8 @@
         }
         if (!request.isPreVote)
             observeTerm(now, request.term);
-        const bool isUpToDate = request.lastTerm > termAt(lastIndex())
-            || (request.lastTerm == termAt(lastIndex()) && request.lastIndex >= lastIndex());
+        const bool isUpToDate = request.lastTerm > m_log.termAt(lastIndex())
+            || (request.lastTerm == m_log.termAt(lastIndex()) && request.lastIndex >= lastIndex());
         if (request.isPreVote) {
             const bool isGranted = request.term > m_state.term && isUpToDate;
             send(from, VoteReply { isGranted ? request.term : m_state.term, isGranted, true });
@@ -483,8 +453,8 @@
     {
         if (!followLeader(now, from, request.term, request.sentAt))
             return;
-        const bool isBeforeLog = request.previousIndex + 1 < m_firstIndex;
-        const bool isMatching = request.previousIndex <= lastIndex() && termAt(request.previousIndex) == request.previousTerm;
+        const bool isBeforeLog = request.previousIndex + 1 < m_log.firstIndex();
+        const bool isMatching = request.previousIndex <= lastIndex() && m_log.termAt(request.previousIndex) == request.previousTerm;
         if (!isBeforeLog && !isMatching) {
             const uint64_t goOnFrom = std::max(m_commitIndex, std::min(lastIndex(), request.previousIndex - 1));
             send(from, AppendReply { m_state.term, false, goOnFrom, request.sentAt });
@@ -503,13 +473,13 @@
         if (entry.index <= m_commitIndex)
             return;
         if (entry.index <= lastIndex()) {
-            if (termAt(entry.index) == entry.term)
+            if (m_log.termAt(entry.index) == entry.term)
                 return;
             truncateFrom(entry.index);
         }
         requireInvariant(entry.index == lastIndex() + 1, "the log has no gaps");
         m_newEntriesFrom = std::min(m_newEntriesFrom, entry.index);
-        pushEntry(entry);
+        m_log.push(entry);
     }
 
     void handle(Time now, Member from, const SnapshotRequest<M>& request)
@@ -589,14 +559,14 @@
     void sendEntries(Time now, const Member& member)
     {
         Progress& peer = progress(member);
-        if (peer.next < m_firstIndex) {
+        if (peer.next < m_log.firstIndex()) {
             sendSnapshot(now, member, peer);
             return;
         }
         AppendRequest<M> request;
         request.term = m_state.term;
         request.previousIndex = peer.next - 1;
-        request.previousTerm = termAt(peer.next - 1);
+        request.previousTerm = m_log.termAt(peer.next - 1);
         request.commitIndex = m_commitIndex;
         request.sentAt = now;
         const uint64_t end = std::min(lastIndex() + 1, peer.next + config::maxEntriesPerAppend);
@@ -642,7 +612,7 @@
         if (matches.empty())
             return;
         const uint64_t index = quorumValue(std::move(matches));
-        if (index <= m_commitIndex || termAt(index) != m_state.term)
+        if (index <= m_commitIndex || m_log.termAt(index) != m_state.term)
             return;
         m_commitIndex = index;
         applyCommitted();
@@ -666,7 +636,7 @@
     /// Proposes at most one change of one member, and only after the last one is committed.
     void changeMembership(Time now)
     {
-        if (!hasCommittedInTerm() || m_memberships.back().index > m_commitIndex)
+        if (!hasCommittedInTerm() || m_log.membershipIndex() > m_commitIndex)
             return;
         Membership next = membership();
         if (admitSeen(next) || promoteLearner(next))
@@ -733,15 +703,11 @@
     Member m_leader;
     M m_machine;
 
-    std::deque<Entry> m_entries;
-    uint64_t m_firstIndex = 1;
-    uint64_t m_previousTerm = 0;
+    ReplicaLog<M> m_log;
     uint64_t m_snapshotIndex = 0;
-    Time m_snapshotTime {};
     uint64_t m_commitIndex = 0;
     uint64_t m_appliedIndex = 0;
     uint64_t m_durableIndex = 0;
-    std::deque<MembershipAt> m_memberships;
 
     uint64_t m_newEntriesFrom = noIndex;
     uint64_t m_truncateFrom = 0;
--- /dev/null
+++ b/src/replica_log.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "replica_messages.h"
+
+#include <deque>
+#include <utility>
+
+namespace eelgrassloft {
+
+/// The entries that a member of a replicated log holds in memory, without gaps, and the
+/// memberships in force along them. What lies before the first entry is in a snapshot.
+template <StateMachine M>
+class ReplicaLog {
+public:
+    using Entry = LogEntry<M>;
+
+    ReplicaLog() { m_memberships.push_back({ 0, {} }); }
+
+    uint64_t firstIndex() const { return m_firstIndex; }
+    uint64_t lastIndex() const { return m_firstIndex + m_entries.size() - 1; }
+
+    /// Entry at `index`, or null where the log holds it no longer or not yet.
+    const Entry* entryAt(uint64_t index) const
+    {
+        return index < m_firstIndex || index > lastIndex() ? nullptr : &m_entries[index - m_firstIndex];
+    }
+
+    /// Term of the entry at `index`; 0 where it is not known.
+    uint64_t termAt(uint64_t index) const
+    {
+        if (index + 1 == m_firstIndex)
+            return m_previousTerm;
+        const Entry* entry = entryAt(index);
+        return entry ? entry->term : 0;
+    }
+
+    /// Time of the entry at `index`, or of the snapshot before the first entry.
+    Time timeAt(uint64_t index) const
+    {
+        const Entry* entry = entryAt(index);
+        return entry ? entry->at : m_previousTime;
+    }
+
+    void push(Entry entry)
+    {
+        if (const auto* membership = std::get_if<Membership>(&entry.payload))
+            m_memberships.push_back({ entry.index, *membership });
+        m_entries.push_back(std::move(entry));
+    }
+
+    /// Removes the entries from `index` on.
+    void truncateFrom(uint64_t index)
+    {
+        m_entries.resize(index - m_firstIndex);
+        while (m_memberships.size() > 1 && m_memberships.back().index >= index)
+            m_memberships.pop_back();
+    }
+
+    /// Forgets the entries up to and including `index`, which a snapshot covers.
+    void dropThrough(uint64_t index)
+    {
+        while (m_firstIndex <= index && !m_entries.empty()) {
+            m_previousTerm = m_entries.front().term;
+            m_previousTime = m_entries.front().at;
+            m_entries.pop_front();
+            ++m_firstIndex;
+        }
+        while (m_memberships.size() > 1 && m_memberships[1].index < m_firstIndex)
+            m_memberships.pop_front();
+    }
+
+    /// Starts over after a snapshot.
+    void reset(const Snapshot<M>& snapshot)
+    {
+        m_entries.clear();
+        m_firstIndex = snapshot.index + 1;
+        m_previousTerm = snapshot.term;
+        m_previousTime = snapshot.at;
+        m_memberships = { { snapshot.index, snapshot.membership } };
+    }
+
+    void setInitialMembership(const Membership& membership) { m_memberships.front().membership = membership; }
+
+    /// The membership in force, and the index of the entry that set it; 0 for the initial one.
+    const Membership& membership() const { return m_memberships.back().membership; }
+    uint64_t membershipIndex() const { return m_memberships.back().index; }
+
+    /// The membership after the entry at `index`.
+    const Membership& membershipAt(uint64_t index) const
+    {
+        auto found = m_memberships.begin();
+        for (auto i = m_memberships.begin(); i != m_memberships.end() && i->index <= index; ++i)
+            found = i;
+        return found->membership;
+    }
+
+private:
+    struct MembershipEntry {
+        uint64_t index = 0;
+        Membership membership;
+    };
+
+    std::deque<Entry> m_entries;
+    uint64_t m_firstIndex = 1;
+    uint64_t m_previousTerm = 0;
+    Time m_previousTime {};
+    std::deque<MembershipEntry> m_memberships;
+};
+
+} // namespace eelgrassloft
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -144,6 +144,27 @@
     BOOST_TEST(cluster.replica(leader).snapshotsSent() > 0U);
 }
 
+BOOST_AUTO_TEST_CASE(aMemberWithoutStorageCompactsItsLogWithoutCopies)
+{
+    const Member self { HostId { 0 }, 1 };
+    ReplicaOptions options;
+    options.snapshotThreshold = 8;
+    options.isStored = false;
+    Time now(1h);
+    Replica<ListMachine> replica(self, options, now);
+    replica.form(now, { { self }, {} });
+    replica.tick(now);
+    for (uint64_t id = 1; id <= 100; ++id) {
+        replica.propose(now, { id });
+        const auto output = replica.takeOutput(now);
+        BOOST_TEST((!output.write || !output.write->snapshot));
+        if (output.write)
+            replica.written(now, output.write->sequence);
+    }
+    BOOST_TEST(replica.snapshotIndex() > 80U);
+    BOOST_TEST(replica.entryAt(replica.snapshotIndex() - 8) == nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(nothingIsAcceptedWithoutAQuorum)
 {
     ReplicaCluster cluster(threeHosts({ 0, 1, 2 }));
