Reports that were passed on are answered when a peer goes

Cause: a follower that had passed a report on to a leader that then died kept the worker waiting for 3 s; with its retry the worker's lease of 5 s could end, and its tasks, though never in two places, were started anew.

--- a/src/node.h
+++ b/src/node.h
@@ -277,10 +277,13 @@
         step.send(event.host, PeerHello { cell.self().incarnation, dataCentre.self().incarnation, cell.isEmpty(), dataCentre.isEmpty() });
     }
 
-    void handle(NodeStep&, const PeerDown& event)
+    void handle(NodeStep& step, const PeerDown& event)
     {
         m_peers.setConnected(event.host, false);
         m_hostStatus.erase(event.host);
+        // A report that was passed on may be lost; its worker must report again before its lease ends.
+        for (const auto& [call, deadline] : std::exchange(m_forwarded.deadlines, {}))
+            step.emit(AnswerWorker { call, { WorkerReplyStatus::NoLeader, {}, {} } });
     }
 
     void handle(NodeStep& step, const PeerReceived& event)
