The cluster fake holds messages back with the shell's own gate

It had a second copy of SyncGate. The same class now serves both, so the tests of the whole cluster exercise the one that the daemons use.

--- a/tests/support/node_cluster.h
+++ b/tests/support/node_cluster.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../../examples/worker_model.h"
+#include "io/sync_gate.h"
 #include "node.h"
 
 #include <map>
@@ -252,8 +253,7 @@
     struct Host {
         std::optional<NodeType> node;
         uint64_t life = 0;
-        EnumArray<LogKind, uint64_t> written;
-        EnumArray<LogKind, std::deque<SendPeer>> held;
+        io::SyncGate gate;
         std::map<CallId, size_t> workerCalls;
         bool hasDrained = false;
     };
@@ -327,8 +327,7 @@
         start.incarnation = ++m_nextIncarnation;
         start.mayForm = mayForm;
         m_hosts[i].node.emplace(std::move(start));
-        m_hosts[i].written = {};
-        m_hosts[i].held = {};
+        m_hosts[i].gate = {};
     }
 
     void connectAll(uint32_t i)
@@ -413,13 +412,8 @@
 
     void releaseHeld(uint32_t i, const LogWritten& written)
     {
-        Host& host = m_hosts[i];
-        host.written[written.log] = written.sequence;
-        auto& held = host.held[written.log];
-        while (!held.empty() && held.front().afterWrite <= written.sequence) {
-            transmit(i, held.front());
-            held.pop_front();
-        }
+        for (const SendPeer& message : m_hosts[i].gate.written(written))
+            transmit(i, message);
     }
 
     void transmit(uint32_t i, const SendPeer& effect)
@@ -432,10 +426,8 @@
     {
         if (m_journal.size() && m_options.keepsJournal)
             m_journal.push_back(encodedSize(effect.message));
-        if (effect.afterWrite > m_hosts[i].written[effect.log])
-            m_hosts[i].held[effect.log].push_back(effect);
-        else
-            transmit(i, effect);
+        if (const auto message = m_hosts[i].gate.pass(std::move(effect)))
+            transmit(i, *message);
     }
 
     template <typename M>
