--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -107,6 +107,36 @@
 inline constexpr double idleAcceleratorWeight = 4; // keeps accelerators free for tasks that use them
 inline constexpr size_t maxPlacementsPerStep = 256;
 
+// Jobs that callers hand in.
+inline constexpr Duration endedJobLifetime = 180s; // callers may ask for the state for 120 s
+inline constexpr uint32_t maxOccurrences = 256;
+inline constexpr uint32_t maxStepsPerJob = 64;
+inline constexpr size_t maxWorkTextBytes = 4000;
+
+// Workers that are called.
+inline constexpr Duration lookGap = 120ms; // between two looks at one worker
+inline constexpr Duration lookHold = 2s; // longest wait of a worker before it answers a look
+inline constexpr Duration orderTimeout = 700ms; // without an answer
+inline constexpr Duration orderRetry = 150ms;
+inline constexpr int slowClockPercent = 98; // a worker's clock may be this slow
+inline constexpr Duration ticketMargin = 150ms; // before its end a ticket is no longer used
+inline constexpr uint32_t failuresToSetAside = 2; // distinct jobs failed in a row on a worker
+inline constexpr Duration setAsidePause = 5s;
+
+// Fleet.
+inline constexpr Duration fleetStatusPeriod = 400ms;
+inline constexpr Duration fleetLinkSilence = 2s;
+inline constexpr Duration leaderContactLimit = 2s; // an entry host without it is not ready
+inline constexpr Duration callRetry = 400ms; // of a call that was passed on
+inline constexpr Duration controlCallTimeout = 2500ms;
+inline constexpr Duration unsentCallPatience = 1s; // for a leader to be known
+inline constexpr Duration voterSilence = 3s; // before a voter is replaced
+inline constexpr Duration callerConnectionLifetime = 20s; // idle, to workers and services
+inline constexpr size_t maxAdviceWorkers = 100; // that one call may name
+inline constexpr size_t hostsForShortAdvice = 3; // kept free of long calls
+inline constexpr Duration longAdvice = 200ms;
+inline constexpr size_t maxFleetMailbox = 65536;
+
 // Daemon.
 inline constexpr size_t maxNodeMailbox = 65536;
 inline constexpr Duration drainNotice = 1s; // readiness fails this long before accepting ends
--- /dev/null
+++ b/src/call_forwarder.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "fleet_events.h"
+
+#include <algorithm>
+#include <map>
+
+namespace eelgrassloft {
+
+/// Calls that arrived at a host that does not lead. They are passed on to the leader and sent
+/// again until it answers or their time is over; all of them are idempotent.
+class CallForwarder {
+public:
+    explicit CallForwarder(HostId self)
+        : m_self(self)
+    {
+    }
+
+    void add(FleetStep& step, ControlCalled called)
+    {
+        const uint64_t number = m_nextNumber++;
+        Waiting& waiting = m_waiting[number];
+        waiting = { called.call, std::move(called.request), called.deadline, {}, step.now, false };
+        trySend(step, number, waiting);
+    }
+
+    /// The host that leads, or another one that may know it; invalid where there is none.
+    void setTarget(FleetStep& step, HostId target)
+    {
+        if (target == m_target)
+            return;
+        m_target = target;
+        for (auto& [number, waiting] : m_waiting)
+            trySend(step, number, waiting);
+    }
+
+    void receive(FleetStep& step, const ForwardedCallReply& message)
+    {
+        const auto found = m_waiting.find(message.number);
+        if (found == m_waiting.end())
+            return;
+        if (message.reply.status == ControlStatus::Unavailable && found->second.deadline > step.now)
+            return; // Tried again at its next time.
+        step.emit(AnswerControl { found->second.call, message.reply });
+        m_waiting.erase(found);
+    }
+
+    void tick(FleetStep& step)
+    {
+        for (auto i = m_waiting.begin(); i != m_waiting.end();) {
+            Waiting& waiting = i->second;
+            const Time end = waiting.wasSent ? waiting.deadline : std::min(waiting.deadline, waiting.arrivedAt + config::unsentCallPatience);
+            if (end <= step.now) {
+                const ControlStatus status = waiting.wasSent ? ControlStatus::Unavailable : ControlStatus::NotAccepted;
+                step.emit(AnswerControl { waiting.call, { status, {}, 0, {} } });
+                i = m_waiting.erase(i);
+                continue;
+            }
+            if (waiting.nextTry <= step.now)
+                trySend(step, i->first, waiting);
+            ++i;
+        }
+    }
+
+    /// Takes all calls back, for a host that has come to lead.
+    std::vector<ControlCalled> takeAll()
+    {
+        std::vector<ControlCalled> calls;
+        for (auto& [number, waiting] : m_waiting)
+            calls.push_back({ waiting.call, std::move(waiting.request), waiting.deadline });
+        m_waiting.clear();
+        return calls;
+    }
+
+    Time nextDeadline() const
+    {
+        Time next = never;
+        for (const auto& [number, waiting] : m_waiting)
+            next = std::min({ next, waiting.deadline, waiting.nextTry, waiting.wasSent ? never : waiting.arrivedAt + config::unsentCallPatience });
+        return next;
+    }
+
+    size_t size() const { return m_waiting.size(); }
+
+private:
+    struct Waiting {
+        CallId call;
+        ControlRequest request;
+        Time deadline {};
+        Time nextTry {};
+        Time arrivedAt {};
+        bool wasSent = false; ///< The leader may have carried it out.
+    };
+
+    void trySend(FleetStep& step, uint64_t number, Waiting& waiting)
+    {
+        waiting.nextTry = step.now + config::callRetry;
+        if (!m_target.isValid())
+            return;
+        waiting.wasSent = true;
+        step.send(m_target, ForwardedCall { number, 0, m_self, waiting.request });
+    }
+
+    HostId m_self;
+    HostId m_target;
+    uint64_t m_nextNumber = 1;
+    std::map<uint64_t, Waiting> m_waiting;
+};
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/control_node.cpp
@@ -0,0 +1,7 @@
+#include "control_node.h"
+
+namespace eelgrassloft {
+
+template class ControlNode<>;
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/control_node.h
@@ -0,0 +1,568 @@
+#pragma once
+
+#include "call_forwarder.h"
+#include "fleet_desk.h"
+#include "replica.h"
+#include "work_planner.h"
+
+namespace eelgrassloft {
+
+/// What a control host knows at its start.
+struct ControlStart {
+    FleetSettings settings;
+    Time now {};
+    uint64_t incarnation = 0;
+    uint64_t seed = 0;
+    std::optional<RestoredLog<WorkTable>> log;
+};
+
+/// Core of a control host: a member of the fleet's log. The one that leads plans, calls the
+/// workers and answers; the others pass calls on to it.
+template <QueueOrder Order = DeadlineOrder>
+class ControlNode {
+public:
+    ControlNode(ControlStart start)
+        : m_settings(start.settings)
+        , m_forwarder(start.settings.self)
+        , m_replica({ start.settings.self, start.log ? start.log->incarnation : start.incarnation }, replicaOptions(start), start.now)
+        , m_desk(start.settings)
+        , m_planner(start.settings.remoteFactor)
+    {
+        m_isForming = start.settings.mayForm && !start.log;
+        if (start.log)
+            m_replica.restore(start.now, std::move(*start.log));
+    }
+
+    std::vector<FleetEffect> step(Time now, const FleetEvent& event)
+    {
+        FleetStep step;
+        step.now = m_lastStep = std::max(now, m_lastStep);
+        std::visit([&](const auto& body) { handle(step, body); }, event);
+        tick(step);
+        return std::move(step.effects);
+    }
+
+    Time nextDeadline() const
+    {
+        Time next = std::min({ m_replica.nextDeadline(), m_forwarder.nextDeadline(), m_nextStatus });
+        if (m_isLeading)
+            next = std::min({ next, m_desk.nextDeadline(), m_advice.nextDeadline(), m_nextPlan });
+        return std::max(next, m_lastStep);
+    }
+
+    const WorkTable& table() const { return m_replica.machine(); }
+    const Replica<WorkTable>& replica() const { return m_replica; }
+    const FleetDesk& desk() const { return m_desk; }
+    bool isLeading() const { return m_isLeading; }
+    bool isReady() const { return !m_isStopping; }
+
+private:
+    /// Who waits for the result of a proposal.
+    struct ReplyTo {
+        HostId host; ///< This host for calls of its own.
+        HostId via; ///< Link that the call came over.
+        uint64_t number = 0;
+    };
+
+    struct Pending {
+        uint64_t term = 0;
+        std::optional<ReplyTo> reply;
+        std::vector<RunPlacement> placements;
+    };
+
+    static ReplicaOptions replicaOptions(const ControlStart& start)
+    {
+        ReplicaOptions options;
+        options.targetVoters = start.settings.voters;
+        options.seed = start.seed;
+        return options;
+    }
+
+    // Links.
+
+    void handle(FleetStep&, const FleetTick&) { }
+    void handle(FleetStep&, const FleetStopRequested&) { m_isStopping = true; }
+
+    void handle(FleetStep& step, const SeedsChanged& event)
+    {
+        m_settings.seeds = event.seeds;
+        m_dialed.clear();
+        dial(step);
+    }
+
+    void handle(FleetStep& step, const FleetLinkUp& event)
+    {
+        m_connected.insert(event.host);
+        step.send(event.host, LogHello { m_replica.self().incarnation, m_replica.isEmpty() });
+        step.send(event.host, status());
+        m_advice.setHosts(adviceHosts());
+    }
+
+    void handle(FleetStep&, const FleetLinkDown& event)
+    {
+        m_connected.erase(event.host);
+        m_entries.erase(event.host);
+        m_advice.setHosts(adviceHosts());
+    }
+
+    std::set<HostId> adviceHosts() const
+    {
+        std::set<HostId> hosts = m_connected;
+        hosts.insert(m_settings.self);
+        return hosts;
+    }
+
+    void dial(FleetStep& step)
+    {
+        std::set<HostId> hosts(m_settings.seeds.begin(), m_settings.seeds.end());
+        for (const auto* list : { &m_replica.membership().voters, &m_replica.membership().learners }) {
+            for (const Member& member : *list)
+                hosts.insert(member.host);
+        }
+        hosts.erase(m_settings.self);
+        if (hosts == m_dialed)
+            return;
+        m_dialed = hosts;
+        step.emit(DialHosts { { hosts.begin(), hosts.end() } });
+    }
+
+    ControlStatusReport status() const
+    {
+        ControlStatusReport report;
+        report.term = m_replica.term();
+        report.leader = m_replica.leader().host;
+        report.isLeading = m_isLeading;
+        for (const Member& member : m_replica.membership().voters)
+            report.hosts.push_back(member.host);
+        return report;
+    }
+
+    void handle(FleetStep& step, const FleetReceived& event)
+    {
+        std::visit([&](const auto& body) { receive(step, event.host, body); }, event.message);
+    }
+
+    void receive(FleetStep& step, HostId from, const LogHello& hello)
+    {
+        m_replica.memberSeen({ from, hello.incarnation });
+        if (!m_isForming)
+            return;
+        if (!hello.isEmpty)
+            m_isForming = false;
+        m_heardEmpty[from] = hello.incarnation;
+        formIfComplete(step);
+    }
+
+    /// The first seeds found the log, once each has said that it holds no state.
+    void formIfComplete(FleetStep& step)
+    {
+        if (!m_isForming)
+            return;
+        Membership membership;
+        for (const HostId seed : m_settings.seeds) {
+            if (seed == m_settings.self) {
+                membership.voters.push_back(m_replica.self());
+                continue;
+            }
+            const auto heard = m_heardEmpty.find(seed);
+            if (heard == m_heardEmpty.end())
+                return;
+            membership.voters.push_back({ seed, heard->second });
+        }
+        m_isForming = false;
+        if (!membership.hasVoter(m_replica.self()))
+            return; // Joins as a learner.
+        std::sort(membership.voters.begin(), membership.voters.end());
+        m_replica.form(step.now, membership);
+        step.log(LogEventKind::LogFormed, { { "log", "fleet" }, { "voters", std::to_string(membership.voters.size()) } });
+    }
+
+    void receive(FleetStep&, HostId, const ControlStatusReport&) { }
+    void receive(FleetStep&, HostId, const ConfigUpdate&) { }
+    void receive(FleetStep&, HostId, const AdviceRequest&) { }
+
+    void receive(FleetStep& step, HostId from, const EntryStatusReport& report)
+    {
+        m_entries.insert(from);
+        const bool isBehind = report.configVersion < table().config().version;
+        if (isBehind && (m_isLeading || !m_replica.leader().host.isValid()))
+            step.send(from, ConfigUpdate { table().config() });
+    }
+
+    void receive(FleetStep& step, HostId, const ReplicaMessage<WorkTable>& message)
+    {
+        m_replica.receive(step.now, message);
+        m_isForming = m_isForming && m_replica.isEmpty();
+    }
+
+    void receive(FleetStep& step, HostId, const AdviceReply& reply)
+    {
+        m_advice.answered(step.now, table(), reply);
+        m_nextPlan = step.now;
+    }
+
+    void handle(FleetStep& step, const AdviceAnswered& event) { receive(step, m_settings.self, event.reply); }
+
+    void handle(FleetStep& step, const WorkLogWritten& event) { m_replica.written(step.now, event.sequence); }
+
+    void handle(FleetStep& step, const WorkerAnswered& event)
+    {
+        m_desk.answered(step, table(), event.call, event.answer);
+        m_nextPlan = std::min(m_nextPlan, step.now);
+    }
+
+    // Calls.
+
+    void handle(FleetStep& step, const ControlCalled& event)
+    {
+        updateLeadership(step);
+        if (m_isLeading)
+            process(step, { m_settings.self, m_settings.self, event.call.value }, event.request);
+        else
+            m_forwarder.add(step, event);
+    }
+
+    void receive(FleetStep& step, HostId from, const ForwardedCall& call)
+    {
+        updateLeadership(step);
+        const ReplyTo reply { call.origin, from, call.number };
+        const HostId leader = m_replica.leader().host;
+        if (m_isLeading) {
+            process(step, reply, call.request);
+        } else if (call.hops == 0 && leader.isValid() && m_connected.count(leader)) {
+            ForwardedCall next = call;
+            ++next.hops;
+            step.send(leader, std::move(next));
+        } else {
+            answer(step, reply, { ControlStatus::Unavailable, {}, 0, {} });
+        }
+    }
+
+    void receive(FleetStep& step, HostId, const ForwardedCallReply& reply)
+    {
+        if (reply.origin == m_settings.self)
+            m_forwarder.receive(step, reply);
+        else if (m_connected.count(reply.origin))
+            step.send(reply.origin, reply);
+    }
+
+    void answer(FleetStep& step, const ReplyTo& to, ControlReply reply)
+    {
+        if (to.host == m_settings.self)
+            step.emit(AnswerControl { CallId { to.number }, std::move(reply) });
+        else if (m_connected.count(to.via))
+            step.send(to.via, ForwardedCallReply { to.number, to.host, std::move(reply) });
+    }
+
+    void process(FleetStep& step, const ReplyTo& to, const ControlRequest& request)
+    {
+        std::visit([&](const auto& body) { process(step, to, body); }, request);
+    }
+
+    void process(FleetStep& step, const ReplyTo& to, const SubmitJob& request)
+    {
+        if (table().job(request.work.key))
+            answer(step, to, {});
+        else
+            propose(step, request.work, to);
+    }
+
+    void process(FleetStep& step, const ReplyTo& to, const GetJobState& request)
+    {
+        const WorkJob* job = table().job(request.key);
+        answer(step, to, { job ? ControlStatus::Ok : ControlStatus::UnknownJob, job ? job->state : WorkState::Queued, 0, {} });
+    }
+
+    void process(FleetStep& step, const ReplyTo& to, const CancelJob& request)
+    {
+        const WorkJob* job = table().job(request.key);
+        if (job && isEnded(job->state))
+            answer(step, to, {});
+        else
+            propose(step, CancelWork { request.key }, to);
+    }
+
+    void process(FleetStep& step, const ReplyTo& to, const CountPendingJobs& request)
+    {
+        answer(step, to, { ControlStatus::Ok, {}, table().pendingCount(request.queue), {} });
+    }
+
+    void process(FleetStep& step, const ReplyTo& to, const PutConfig& request)
+    {
+        if (request.config.version <= table().config().version)
+            answer(step, to, {});
+        else
+            propose(step, SetFleetConfig { request.config }, to);
+    }
+
+    void process(FleetStep& step, const ReplyTo& to, const GetConfig&)
+    {
+        const FleetConfig& config = table().config();
+        answer(step, to, { config.version ? ControlStatus::Ok : ControlStatus::Unavailable, {}, config.version, config.text });
+    }
+
+    void process(FleetStep& step, const ReplyTo& to, const ReportWorker& request)
+    {
+        const WorkerNumber number = table().findWorker(request.info.id);
+        const FleetWorker* record = number.isValid() ? table().worker(number) : nullptr;
+        if (record && record->info == request.info) {
+            m_desk.workerReported(number, step.now);
+            answer(step, to, {});
+            return;
+        }
+        propose(step, SetFleetWorker { request.info }, to);
+    }
+
+    /// The message may be late and from an earlier life, so the worker only gets nothing new; what
+    /// ran there counts as running until its lease is over or its next life reports.
+    void process(FleetStep& step, const ReplyTo& to, const WorkerGone& request)
+    {
+        const FleetWorker* record = table().worker(table().findWorker(request.id));
+        if (!record || record->info.isLeaving) {
+            answer(step, to, {});
+            return;
+        }
+        WorkerInfo info = record->info;
+        info.isLeaving = true;
+        propose(step, SetFleetWorker { std::move(info) }, to);
+    }
+
+    bool propose(FleetStep& step, WorkCommand command, std::optional<ReplyTo> reply, std::vector<RunPlacement> placements = {})
+    {
+        const auto index = m_replica.propose(step.now, std::move(command));
+        if (index)
+            m_pending[*index] = { m_replica.term(), std::move(reply), std::move(placements) };
+        else if (reply)
+            answer(step, *reply, { ControlStatus::Unavailable, {}, 0, {} });
+        return index.has_value();
+    }
+
+    // Every step.
+
+    void tick(FleetStep& step)
+    {
+        formIfComplete(step);
+        if (step.now >= m_replica.nextDeadline())
+            m_replica.tick(step.now);
+        flush(step);
+        if (m_isLeading)
+            lead(step);
+        m_forwarder.setTarget(step, forwardTarget());
+        m_forwarder.tick(step);
+        tickStatus(step);
+        dial(step);
+    }
+
+    HostId forwardTarget() const
+    {
+        const HostId leader = m_replica.leader().host;
+        return leader != m_settings.self && m_connected.count(leader) ? leader : HostId {};
+    }
+
+    /// Hands the replica's work to the shell and lets what follows from it happen.
+    void flush(FleetStep& step)
+    {
+        Replica<WorkTable>::Output output = m_replica.takeOutput(step.now);
+        if (output.write)
+            step.emit(WriteWorkLog { m_replica.self().incarnation, std::move(*output.write) });
+        for (auto& outgoing : output.messages) {
+            const HostId to = outgoing.message.to.host;
+            if (m_connected.count(to))
+                step.send(to, std::move(outgoing.message), outgoing.afterWrite);
+        }
+        updateLeadership(step);
+        for (const auto& applied : output.applied)
+            noteApplied(step, applied);
+    }
+
+    void updateLeadership(FleetStep& step)
+    {
+        const bool isLeading = m_replica.hasLease(step.now);
+        const uint64_t term = m_replica.term();
+        const bool isLeader = m_replica.role() == ReplicaRole::Leader;
+        if (!isLeader && m_deskTerm)
+            loseLead(step);
+        if (isLeading && m_deskTerm != term) {
+            if (m_deskTerm)
+                loseLead(step);
+            m_deskTerm = term;
+            m_desk.start(table(), step.now, term);
+            m_advice.clear();
+            m_inFlight.clear();
+            m_nextPlan = step.now;
+        }
+        if (isLeading != m_isLeading) {
+            m_isLeading = isLeading;
+            m_nextStatus = step.now;
+            step.log(LogEventKind::LeaderChanged, { { "log", "fleet" }, { "leading", isLeading ? "yes" : "no" }, { "term", std::to_string(term) }, { "index", std::to_string(m_replica.commitIndex()) } });
+            if (isLeading) {
+                for (ControlCalled& call : m_forwarder.takeAll())
+                    process(step, { m_settings.self, m_settings.self, call.call.value }, call.request);
+            }
+        }
+    }
+
+    void loseLead(FleetStep& step)
+    {
+        m_deskTerm = 0;
+        m_desk.stop();
+        m_inFlight.clear();
+        for (auto& [index, pending] : std::exchange(m_pending, {})) {
+            if (pending.reply)
+                answer(step, *pending.reply, { ControlStatus::Unavailable, {}, 0, {} });
+        }
+    }
+
+    void noteApplied(FleetStep& step, const Replica<WorkTable>::Applied& applied)
+    {
+        const auto* entry = m_replica.entryAt(applied.index);
+        if (entry && m_deskTerm) {
+            if (const auto* command = std::get_if<WorkCommand>(&entry->payload))
+                std::visit([&](const auto& body) { follow(step, body); }, *command);
+        }
+        const auto found = m_pending.find(applied.index);
+        if (found == m_pending.end())
+            return;
+        const Pending pending = std::move(found->second);
+        m_pending.erase(found);
+        if (pending.term != applied.term)
+            return;
+        for (const RunPlacement& placement : pending.placements) {
+            m_inFlight.erase(placement.run.task);
+            m_desk.placed(table(), step.now, placement);
+        }
+        if (pending.reply)
+            answer(step, *pending.reply, replyTo(applied.result));
+    }
+
+    static ControlReply replyTo(const WorkResult& result)
+    {
+        switch (result.status) {
+        case WorkStatus::UnknownQueue:
+            return { ControlStatus::UnknownQueue, {}, 0, {} };
+        case WorkStatus::UnknownJob:
+            return { ControlStatus::UnknownJob, {}, 0, {} };
+        default:
+            return {};
+        }
+    }
+
+    // What the leader does when a command has been applied.
+
+    void follow(FleetStep& step, const SubmitWork&) { m_nextPlan = step.now; }
+    void follow(FleetStep& step, const PlaceRuns&) { m_nextPlan = std::min(m_nextPlan, step.now); }
+    void follow(FleetStep& step, const LoseRuns&) { m_nextPlan = step.now; }
+    void follow(FleetStep& step, const CancelWork& command) { jobEnded(step, command.key); }
+    void follow(FleetStep& step, const SetFleetWorker&) { workersChanged(step); }
+    void follow(FleetStep& step, const RemoveFleetWorker&) { workersChanged(step); }
+
+    void follow(FleetStep& step, const RecordEnds& command)
+    {
+        m_nextPlan = step.now;
+        for (const ListedEnd& end : command.ends) {
+            const WorkJob* job = table().job(end.run.task.job);
+            if (job && isEnded(job->state))
+                jobEnded(step, job->key);
+        }
+    }
+
+    void follow(FleetStep& step, const SetFleetConfig&)
+    {
+        m_nextPlan = step.now;
+        const uint64_t version = table().config().version;
+        step.log(LogEventKind::RevisionInForce, { { "version", std::to_string(version) } });
+        for (const HostId entry : m_entries)
+            step.send(entry, ConfigUpdate { table().config() });
+    }
+
+    void jobEnded(FleetStep& step, JobKey key)
+    {
+        m_advice.forget(key);
+        const WorkJob* job = table().job(key);
+        if (job && job->state != WorkState::Done)
+            m_desk.jobEnded(step.now, key);
+        m_nextPlan = step.now;
+    }
+
+    void workersChanged(FleetStep& step)
+    {
+        m_desk.workersChanged(table(), step.now);
+        m_nextPlan = step.now;
+    }
+
+    // Leading.
+
+    void lead(FleetStep& step)
+    {
+        m_advice.tick(step.now);
+        m_desk.tick(step, table());
+        proposeDeskCommands(step);
+        if (step.now >= m_nextPlan)
+            plan(step);
+        flush(step);
+    }
+
+    void proposeDeskCommands(FleetStep& step)
+    {
+        for (WorkCommand& command : m_desk.takeCommands()) {
+            if (propose(step, std::move(command), std::nullopt))
+                continue;
+            // What the workers said would be lost: ask them all again.
+            m_desk.start(table(), step.now, m_replica.term());
+            return;
+        }
+    }
+
+    void plan(FleetStep& step)
+    {
+        m_nextPlan = step.now + config::planPeriod / 5;
+        WorkPlan plan = m_planner.plan(table(), m_desk.links(), m_advice, m_inFlight, step.now);
+        m_nextPlan = std::min(m_nextPlan, plan.nextDue);
+        PlaceRuns command;
+        for (const PlannedRun& run : plan.runs)
+            command.placements.push_back(run.placement);
+        if (!command.placements.empty() && propose(step, command, std::nullopt, command.placements)) {
+            for (PlannedRun& run : plan.runs) {
+                m_inFlight.insert(run.placement.run.task);
+                m_desk.reserve(run.placement, *table().stepOf(run.placement.run.task), std::move(run.ticket));
+            }
+        }
+        for (const AdviceBook::Question& question : plan.questions) {
+            if (m_advice.mayAsk(question.terms, question.workers.size()))
+                m_advice.ask(step, table(), m_settings.self, question);
+        }
+    }
+
+    void tickStatus(FleetStep& step)
+    {
+        if (step.now < m_nextStatus)
+            return;
+        m_nextStatus = step.now + config::fleetStatusPeriod;
+        for (const HostId host : m_connected)
+            step.send(host, status());
+    }
+
+    FleetSettings m_settings;
+    CallForwarder m_forwarder;
+    Replica<WorkTable> m_replica;
+    FleetDesk m_desk;
+    AdviceBook m_advice;
+    WorkPlanner<Order> m_planner;
+    std::set<HostId> m_connected;
+    std::set<HostId> m_entries;
+    std::set<HostId> m_dialed;
+    bool m_isForming = false;
+    std::map<HostId, uint64_t> m_heardEmpty;
+    std::map<uint64_t, Pending> m_pending;
+    std::set<TaskRef> m_inFlight; ///< Placements that were proposed and are not decided.
+    Time m_lastStep {};
+    Time m_nextStatus {};
+    Time m_nextPlan = never;
+    uint64_t m_deskTerm = 0; ///< Term under which the desk works; 0 while this host does not lead.
+    bool m_isLeading = false; ///< With a lease.
+    bool m_isStopping = false;
+};
+
+extern template class ControlNode<>;
+
+} // namespace eelgrassloft
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -11,7 +11,7 @@
 
 /// Restores one log. An error means that the folder must not be used.
 template <typename M>
-std::optional<Error> restoreLog(const std::string& folder, LogKind kind, LogWriter<M>& writer, std::optional<RestoredLog<M>>& restored)
+std::optional<Error> restoreLog(const std::string& folder, LogKind kind, LogWriter<M, NodeWriteSink>& writer, std::optional<RestoredLog<M>>& restored)
 {
     auto file = std::make_unique<FileLog<M>>(std::filesystem::path(folder) / std::string(name(kind)));
     restored = file->restore();
@@ -32,8 +32,8 @@
     , m_drained(m_context.get_executor(), smallMailbox)
     , m_peers(m_context, m_settings.node, m_mailbox, m_log)
     , m_upstreams(m_context, m_mailbox)
-    , m_cellWriter(m_context, m_storageThread, LogKind::Cell, m_mailbox, m_failures)
-    , m_dataCentreWriter(m_context, m_storageThread, LogKind::DataCentre, m_mailbox, m_failures)
+    , m_cellWriter(m_context, m_storageThread, NodeWriteSink { LogKind::Cell, m_mailbox, m_failures })
+    , m_dataCentreWriter(m_context, m_storageThread, NodeWriteSink { LogKind::DataCentre, m_mailbox, m_failures })
     , m_http(m_context, m_settings.node, m_mailbox, m_log)
     , m_signals(m_context, SIGTERM, SIGINT)
 {
--- /dev/null
+++ b/src/daemon/fleet_process.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "io/fleet_settings_json.h"
+#include "io/fleet_task.h"
+#include "io/read_file.h"
+
+#include <csignal>
+
+namespace eelgrassloft::io {
+
+/// What every process of a fleet consists of: the task that owns its core, the links to the other
+/// hosts, and the watchers of signals and settings. The core and the calls to the outside vary.
+template <FleetNode Node, OutsideCalls Outside>
+class FleetProcess {
+public:
+    FleetProcess(asio::io_context& context, FleetProcessSettings settings, std::string settingsPath, EventLog& log, FleetMailbox& mailbox, Outside& outside)
+        : m_context(context)
+        , m_settings(std::move(settings))
+        , m_settingsPath(std::move(settingsPath))
+        , m_log(log)
+        , m_mailbox(mailbox)
+        , m_outside(outside)
+        , m_links(context, m_settings.node.self, m_settings.linkPort, mailbox, log)
+        , m_signals(context, SIGTERM, SIGINT, SIGHUP)
+    {
+    }
+
+    /// Starts everything but the listeners. `onStop` is called once when the process is to stop.
+    template <typename OnStop>
+    std::optional<Error> start(Node node, FleetClock clock, FleetLogWriter* writer, OnStop onStop)
+    {
+        if (auto error = m_links.start())
+            return error;
+        using Task = FleetTask<Node, Outside>;
+        m_task = std::make_unique<Task>(std::move(node), clock, typename Task::Parts { m_mailbox, m_links, m_outside, writer, m_log });
+        asio::co_spawn(m_context, m_task->run(), [this](std::exception_ptr failure) { taskEnded(failure); });
+        asio::co_spawn(m_context, watchSignals(onStop), asio::detached);
+        asio::co_spawn(m_context, watchSettings(), asio::detached);
+        return std::nullopt;
+    }
+
+    const FleetProcessSettings& settings() const { return m_settings; }
+    int exitCode() const { return m_exitCode; }
+
+    void stop(int exitCode)
+    {
+        m_exitCode = exitCode;
+        m_context.stop();
+    }
+
+private:
+    static constexpr Duration settingsPeriod = std::chrono::seconds(1); // between looks at the settings file
+
+    /// A promise of the core that does not hold ends the process, so that nothing worse happens.
+    void taskEnded(const std::exception_ptr& failure)
+    {
+        if (!failure)
+            return;
+        try {
+            std::rethrow_exception(failure);
+        } catch (const std::exception& error) {
+            m_log.writeError("invariant-violated", { ErrorKind::Busy, error.what(), "report the log of this host" });
+        }
+        stop(1);
+    }
+
+    template <typename OnStop>
+    awaitable<void> watchSignals(OnStop onStop)
+    {
+        bool isStopping = false;
+        while (true) {
+            error_code error;
+            const int signal = co_await m_signals.async_wait(asio::redirect_error(use_awaitable, error));
+            if (error)
+                co_return;
+            if (signal == SIGHUP) {
+                reload();
+            } else if (!std::exchange(isStopping, true)) {
+                m_log.write("stopping", { { "signal", std::to_string(signal) } });
+                m_mailbox.tryPush(FleetEvent(FleetStopRequested {}));
+                onStop();
+            }
+        }
+    }
+
+    /// The settings may also change without a signal.
+    awaitable<void> watchSettings()
+    {
+        asio::steady_timer timer(m_context);
+        while (true) {
+            timer.expires_after(settingsPeriod);
+            error_code error;
+            co_await timer.async_wait(asio::redirect_error(use_awaitable, error));
+            if (error)
+                co_return;
+            reload();
+        }
+    }
+
+    /// Takes up seeds that changed; other settings hold until the next start.
+    void reload()
+    {
+        const auto text = readFile(m_settingsPath);
+        if (!text || *text == m_settingsText)
+            return;
+        m_settingsText = *text;
+        FleetSettingsReader reader;
+        const auto settings = reader.read(*text);
+        if (!settings) {
+            m_log.writeError("settings-unreadable", reader.lastError());
+            return;
+        }
+        if (settings->node.seeds == m_settings.node.seeds)
+            return;
+        m_settings.node.seeds = settings->node.seeds;
+        m_log.write("seeds-changed", { { "count", std::to_string(settings->node.seeds.size()) } });
+        m_mailbox.tryPush(FleetEvent(SeedsChanged { settings->node.seeds }));
+    }
+
+    asio::io_context& m_context;
+    FleetProcessSettings m_settings;
+    std::string m_settingsPath;
+    std::string m_settingsText;
+    EventLog& m_log;
+    FleetMailbox& m_mailbox;
+    Outside& m_outside;
+    FleetLinks m_links;
+    asio::signal_set m_signals;
+    std::unique_ptr<FleetTask<Node, Outside>> m_task;
+    int m_exitCode = 0;
+};
+
+} // namespace eelgrassloft::io
--- /dev/null
+++ b/src/entry_node.cpp
@@ -0,0 +1,120 @@
+#include "entry_node.h"
+
+#include <algorithm>
+
+namespace eelgrassloft {
+
+std::vector<FleetEffect> EntryNode::step(Time now, const FleetEvent& event)
+{
+    FleetStep step;
+    step.now = now;
+    std::visit([&](const auto& body) { handle(step, body); }, event);
+    chooseTarget(step);
+    m_forwarder.tick(step);
+    if (now >= m_nextStatus)
+        sendStatus(step);
+    dial(step);
+    return std::move(step.effects);
+}
+
+void EntryNode::handle(FleetStep& step, const FleetLinkUp& event)
+{
+    m_connected.insert(event.host);
+    step.send(event.host, EntryStatusReport { m_config.version, m_isStopping });
+}
+
+void EntryNode::handle(FleetStep&, const FleetLinkDown& event)
+{
+    m_connected.erase(event.host);
+    std::erase_if(m_adviceCalls, [&](const auto& call) { return call.second.first == event.host; });
+}
+
+void EntryNode::handle(FleetStep& step, const FleetReceived& event)
+{
+    std::visit([&](const auto& body) { receive(step, event.host, body); }, event.message);
+}
+
+void EntryNode::handle(FleetStep& step, const FleetStopRequested&)
+{
+    m_isStopping = true;
+    sendStatus(step);
+}
+
+void EntryNode::handle(FleetStep&, const SeedsChanged& event)
+{
+    m_settings.seeds = event.seeds;
+    m_dialed.clear();
+}
+
+void EntryNode::receive(FleetStep& step, HostId from, const ControlStatusReport& report)
+{
+    if (report.term < m_leaderTerm)
+        return;
+    if (report.isLeading) {
+        m_leaderTerm = report.term;
+        m_leader = from;
+        m_leaderHeardAt = step.now;
+        m_controlHosts = report.hosts;
+        return;
+    }
+    if (report.term > m_leaderTerm && report.leader.isValid()) {
+        m_leaderTerm = report.term;
+        m_leader = report.leader;
+    }
+}
+
+void EntryNode::receive(FleetStep& step, HostId, const ConfigUpdate& update)
+{
+    if (update.config.version <= m_config.version)
+        return;
+    m_config = update.config;
+    step.log(LogEventKind::RevisionInForce, { { "version", std::to_string(m_config.version) } });
+}
+
+void EntryNode::receive(FleetStep& step, HostId, const ForwardedCallReply& reply) { m_forwarder.receive(step, reply); }
+
+void EntryNode::receive(FleetStep& step, HostId from, const AdviceRequest& request)
+{
+    const CallId call { m_nextCall++ };
+    m_adviceCalls[call] = { from, request.number };
+    step.emit(CallAdvice { call, request });
+}
+
+void EntryNode::handle(FleetStep& step, const AdviceAnswered& event)
+{
+    const auto found = m_adviceCalls.find(event.call);
+    if (found == m_adviceCalls.end())
+        return;
+    AdviceReply reply = event.reply;
+    reply.number = found->second.second;
+    step.send(found->second.first, std::move(reply));
+    m_adviceCalls.erase(found);
+}
+
+/// The leader where it can be reached, otherwise any control host, which passes calls on.
+void EntryNode::chooseTarget(FleetStep& step)
+{
+    if (m_connected.count(m_leader))
+        m_forwarder.setTarget(step, m_leader);
+    else
+        m_forwarder.setTarget(step, m_connected.empty() ? HostId {} : *m_connected.begin());
+}
+
+void EntryNode::dial(FleetStep& step)
+{
+    std::set<HostId> hosts(m_settings.seeds.begin(), m_settings.seeds.end());
+    hosts.insert(m_controlHosts.begin(), m_controlHosts.end());
+    if (hosts == m_dialed)
+        return;
+    m_dialed = hosts;
+    step.emit(DialHosts { { hosts.begin(), hosts.end() } });
+}
+
+void EntryNode::sendStatus(FleetStep& step)
+{
+    m_nextStatus = step.now + config::fleetStatusPeriod;
+    for (const HostId host : m_connected)
+        step.send(host, EntryStatusReport { m_config.version, m_isStopping });
+}
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/entry_node.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "call_forwarder.h"
+
+namespace eelgrassloft {
+
+/// Core of an entry host without a log: it passes calls on to the control host that leads, keeps
+/// the configuration in force and calls the advice service on the leader's behalf.
+class EntryNode {
+public:
+    explicit EntryNode(FleetSettings settings)
+        : m_settings(std::move(settings))
+        , m_forwarder(m_settings.self)
+    {
+    }
+
+    std::vector<FleetEffect> step(Time now, const FleetEvent& event);
+    Time nextDeadline() const { return std::min(m_forwarder.nextDeadline(), m_nextStatus); }
+
+    /// The configuration in force; its version is 0 before the first.
+    const FleetConfig& config() const { return m_config; }
+    /// Whether the leader was heard of lately, so that the configuration is surely in force.
+    bool isInTouch(Time now) const { return now < m_leaderHeardAt + config::leaderContactLimit; }
+    bool isReady(Time now) const { return !m_isStopping && m_config.version && isInTouch(now); }
+
+private:
+    void handle(FleetStep&, const FleetTick&) { }
+    void handle(FleetStep&, const WorkLogWritten&) { }
+    void handle(FleetStep&, const WorkerAnswered&) { }
+    void handle(FleetStep& step, const FleetLinkUp& event);
+    void handle(FleetStep& step, const FleetLinkDown& event);
+    void handle(FleetStep& step, const FleetReceived& event);
+    void handle(FleetStep& step, const ControlCalled& event) { m_forwarder.add(step, event); }
+    void handle(FleetStep& step, const AdviceAnswered& event);
+    void handle(FleetStep& step, const FleetStopRequested& event);
+    void handle(FleetStep& step, const SeedsChanged& event);
+
+    template <typename Message>
+    void receive(FleetStep&, HostId, const Message&) { } // Others are for control hosts.
+    void receive(FleetStep& step, HostId from, const ControlStatusReport& report);
+    void receive(FleetStep& step, HostId from, const ConfigUpdate& update);
+    void receive(FleetStep& step, HostId from, const ForwardedCallReply& reply);
+    void receive(FleetStep& step, HostId from, const AdviceRequest& request);
+
+    void dial(FleetStep& step);
+    void chooseTarget(FleetStep& step);
+    void sendStatus(FleetStep& step);
+
+    FleetSettings m_settings;
+    CallForwarder m_forwarder;
+    FleetConfig m_config;
+    std::set<HostId> m_connected;
+    std::set<HostId> m_dialed;
+    std::vector<HostId> m_controlHosts; ///< As the latest leader listed them.
+    HostId m_leader;
+    uint64_t m_leaderTerm = 0;
+    Time m_leaderHeardAt = Time::min();
+    Time m_nextStatus {};
+    bool m_isStopping = false;
+    std::map<CallId, std::pair<HostId, uint64_t>> m_adviceCalls; ///< Who asked, and under which number.
+    uint64_t m_nextCall = 1;
+};
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/fleet_desk.cpp
@@ -0,0 +1,477 @@
+#include "fleet_desk.h"
+
+#include <algorithm>
+
+namespace eelgrassloft {
+
+WorkerLink* FleetDesk::link(WorkerNumber number)
+{
+    const auto found = m_links.find(number);
+    return found == m_links.end() ? nullptr : &found->second;
+}
+
+void FleetDesk::start(const WorkTable& table, Time now, uint64_t fence)
+{
+    stop();
+    m_fence = fence;
+    for (const auto& [number, record] : table.workers())
+        addLink(table, record, number, now, false);
+}
+
+void FleetDesk::stop()
+{
+    m_links.clear();
+    m_calls.clear();
+    m_schedule.clear();
+    m_commands.clear();
+}
+
+void FleetDesk::addLink(const WorkTable& table, const FleetWorker& record, WorkerNumber number, Time now, bool isFresh)
+{
+    WorkerLink& link = m_links[number];
+    link.number = number;
+    link.info = record.info;
+    link.lastReport = now;
+    if (!isFresh)
+        link.lease.assumeGiven(now, m_settings.maxLease);
+    // Runs that an earlier leader placed are there, have ended, or can't start any more once the
+    // worker has answered under the new fence.
+    for (const TaskRun& run : record.runs) {
+        RunView view;
+        if (const StepSpec* step = table.stepOf(run.task)) {
+            view.size = step->size;
+            view.isFiller = step->isFiller;
+            view.isGang = step->isGang;
+        }
+        view.phase = RunPhase::Running;
+        view.confirmedAt = view.progressAt = view.placedAt = now - config::lookGap;
+        view.isStopWanted = !table.isWanted(run);
+        link.addRun(run, std::move(view));
+    }
+    schedule(now, number);
+}
+
+void FleetDesk::workersChanged(const WorkTable& table, Time now)
+{
+    std::erase_if(m_links, [&](const auto& entry) { return !table.worker(entry.first); });
+    for (const auto& [number, record] : table.workers()) {
+        if (WorkerLink* known = link(number))
+            known->info = record.info;
+        else
+            addLink(table, record, number, now, true);
+    }
+}
+
+void FleetDesk::workerReported(WorkerNumber number, Time now)
+{
+    if (WorkerLink* known = link(number))
+        known->lastReport = now;
+}
+
+void FleetDesk::jobEnded(Time now, JobKey job)
+{
+    for (auto& [number, link] : m_links) {
+        auto run = link.runs.lower_bound(TaskRun { { job, 0, 0, 0 }, 0 });
+        for (; run != link.runs.end() && run->first.task.job == job; ++run) {
+            run->second.isStopWanted = true;
+            schedule(now, number);
+        }
+    }
+}
+
+void FleetDesk::stopGang(const WorkTable&, Time now, const TaskRun& member)
+{
+    TaskRun first = member;
+    first.task.index = 0;
+    first.attempt = 0;
+    for (auto& [number, link] : m_links) {
+        auto run = link.runs.lower_bound(first);
+        for (; run != link.runs.end(); ++run) {
+            const TaskRef& task = run->first.task;
+            if (task.job != member.task.job || task.occurrence != member.task.occurrence || task.step != member.task.step)
+                break;
+            if (run->first.attempt != member.attempt)
+                continue;
+            run->second.isStopWanted = true;
+            schedule(now, number);
+        }
+    }
+}
+
+// Placements.
+
+void FleetDesk::reserve(const RunPlacement& placement, const StepSpec& step, std::string ticket)
+{
+    WorkerLink* target = link(placement.worker);
+    if (!target)
+        return;
+    RunView view;
+    view.size = step.size;
+    view.isFiller = step.isFiller;
+    view.isGang = step.isGang;
+    view.ticket = std::move(ticket);
+    target->addRun(placement.run, std::move(view));
+}
+
+void FleetDesk::placed(const WorkTable& table, Time now, const RunPlacement& placement)
+{
+    WorkerLink* target = link(placement.worker);
+    if (!target)
+        return;
+    const auto found = target->runs.find(placement.run);
+    if (found == target->runs.end() || found->second.phase != RunPhase::Reserved)
+        return;
+    if (!table.isWanted(placement.run)) {
+        target->removeRun(placement.run);
+        return;
+    }
+    found->second.phase = RunPhase::Starting;
+    found->second.placedAt = now;
+    schedule(now, placement.worker);
+}
+
+void FleetDesk::stopRun(Time now, WorkerNumber worker, const TaskRun& run)
+{
+    WorkerLink* target = link(worker);
+    const auto found = target ? target->runs.find(run) : std::map<TaskRun, RunView>::iterator {};
+    if (!target || found == target->runs.end())
+        return;
+    found->second.isStopWanted = true;
+    schedule(now, worker);
+}
+
+// Answers.
+
+void FleetDesk::answered(FleetStep& step, const WorkTable& table, CallId id, const WorkerAnswer& answer)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    const Call call = found->second;
+    m_calls.erase(found);
+    WorkerLink* target = link(call.worker);
+    if (!target)
+        return;
+    const bool isOtherLife = answer.outcome == OrderOutcome::OtherLife || (answer.born && *answer.born != target->info.born);
+    if (isOtherLife) {
+        lifeOver(table, *target, step.now);
+        return;
+    }
+    if (answer.clockMs)
+        target->lease.sawClock(step.now, *answer.clockMs);
+    switch (call.kind) {
+    case OrderKind::Start:
+        startAnswered(step, table, *target, call, answer);
+        break;
+    case OrderKind::Stop:
+        stopAnswered(step, *target, call, answer);
+        break;
+    default:
+        lookAnswered(step, table, *target, call, answer);
+        break;
+    }
+    schedule(step.now, call.worker);
+}
+
+void FleetDesk::startAnswered(FleetStep& step, const WorkTable& table, WorkerLink& link, const Call& call, const WorkerAnswer& answer)
+{
+    const auto found = link.runs.find(call.run);
+    if (found == link.runs.end())
+        return;
+    RunView& run = found->second;
+    run.hasOrder = false;
+    switch (answer.outcome) {
+    case OrderOutcome::Accepted:
+    case OrderOutcome::Outdated: // It has ended here: the next look tells how.
+        if (run.phase == RunPhase::Starting) {
+            run.phase = RunPhase::Running;
+            run.confirmedAt = run.progressAt = step.now;
+        }
+        break;
+    case OrderOutcome::LeaseOver:
+        run.nextOrder = step.now + config::orderRetry / 4;
+        break;
+    case OrderOutcome::Fenced:
+        run.nextOrder = step.now + config::orderRetry;
+        break;
+    case OrderOutcome::Silent:
+        run.wasSilent = true;
+        run.nextOrder = step.now + config::orderRetry;
+        break;
+    default:
+        if (run.phase == RunPhase::Starting)
+            notStarted(table, link, step.now, call.run);
+        break;
+    }
+}
+
+/// The worker refused a start. An earlier order for the run that was not answered may still be
+/// carried out, so the run must be stopped before it counts as not started.
+void FleetDesk::notStarted(const WorkTable& table, WorkerLink& link, Time now, const TaskRun& run)
+{
+    RunView& view = link.runs.at(run);
+    if (view.wasSilent) {
+        view.isStopWanted = true;
+        view.nextOrder = now;
+        return;
+    }
+    lose(table, link, now, { run });
+}
+
+void FleetDesk::stopAnswered(FleetStep& step, WorkerLink& link, const Call& call, const WorkerAnswer& answer)
+{
+    const auto found = link.runs.find(call.run);
+    if (found == link.runs.end())
+        return;
+    RunView& run = found->second;
+    run.hasOrder = false;
+    if (answer.outcome == OrderOutcome::Accepted || answer.outcome == OrderOutcome::Outdated) {
+        run.phase = RunPhase::Stopping;
+        run.confirmedAt = step.now;
+    } else {
+        run.nextOrder = step.now + config::orderRetry;
+    }
+}
+
+void FleetDesk::lookAnswered(FleetStep& step, const WorkTable& table, WorkerLink& link, const Call& call, const WorkerAnswer& answer)
+{
+    link.hasLook = false;
+    if (answer.outcome != OrderOutcome::Accepted) {
+        link.isSilent = true;
+        link.nextLook = step.now + config::orderRetry;
+        return;
+    }
+    link.isSilent = false;
+    link.endsForgotten = std::max(link.endsForgotten, call.endsRecorded);
+    link.nextLook = std::max(step.now, call.sentAt + config::lookGap);
+    takeEnds(step, table, link, answer.ends);
+    takeRunning(table, link, step.now, answer.running);
+    loseUnlisted(table, link, step.now, call.sentAt, answer);
+    link.isSynced = true;
+}
+
+void FleetDesk::takeEnds(FleetStep& step, const WorkTable& table, WorkerLink& link, const std::vector<ListedEnd>& ends)
+{
+    RecordEnds command { link.number, {} };
+    for (const ListedEnd& end : ends) {
+        if (end.number <= link.endsProposed)
+            continue;
+        link.endsProposed = end.number;
+        noteEnd(step, link, end);
+        link.removeRun(end.run);
+        command.ends.push_back(end);
+    }
+    const FleetWorker* record = table.worker(link.number);
+    if (!command.ends.empty() && record)
+        m_commands.push_back(std::move(command));
+}
+
+/// Follows the failures of a worker: one that fails what distinct jobs start on it is set aside.
+void FleetDesk::noteEnd(FleetStep& step, WorkerLink& link, const ListedEnd& end)
+{
+    if (end.how == RunEnd::Done) {
+        link.failedJobs.clear();
+        link.isOnProbation = false;
+        return;
+    }
+    if (end.how != RunEnd::Failed)
+        return;
+    const JobKey job = end.run.task.job;
+    if (std::find(link.failedJobs.begin(), link.failedJobs.end(), job) == link.failedJobs.end())
+        link.failedJobs.push_back(job);
+    if (link.failedJobs.size() < config::failuresToSetAside && !link.isOnProbation)
+        return;
+    link.setAsideUntil = step.now + config::setAsidePause;
+    link.isOnProbation = true;
+    step.log(LogEventKind::WorkerSetAside, { { "worker", link.info.id }, { "jobs", std::to_string(link.failedJobs.size()) } });
+}
+
+void FleetDesk::takeRunning(const WorkTable& table, WorkerLink& link, Time now, const std::vector<ListedRun>& running)
+{
+    for (const ListedRun& listed : running) {
+        auto found = link.runs.find(listed.run);
+        if (found == link.runs.end()) {
+            RunView view;
+            const StepSpec* step = table.stepOf(listed.run.task);
+            view.size = step ? step->size : link.info.capacity; // Nothing fits beside a run of unknown size.
+            view.isFiller = step && step->isFiller;
+            view.isGang = step && step->isGang;
+            view.isStopWanted = true;
+            view.progressAt = view.placedAt = now;
+            link.addRun(listed.run, std::move(view));
+            found = link.runs.find(listed.run);
+        }
+        RunView& run = found->second;
+        if (run.phase == RunPhase::Starting || run.phase == RunPhase::Reserved) {
+            run.phase = RunPhase::Running;
+            run.confirmedAt = now;
+        }
+        if (listed.percent != run.percent || !run.isListed)
+            run.progressAt = now;
+        run.isListed = true;
+        run.percent = listed.percent;
+        if (!listed.checkpoint.empty())
+            run.checkpoint = listed.checkpoint;
+        run.isStopWanted = run.isStopWanted || !table.isWanted(listed.run);
+    }
+}
+
+/// A run that was confirmed before the look was sent, and is neither listed as running nor as
+/// ended, is not there and cannot start any more.
+void FleetDesk::loseUnlisted(const WorkTable& table, WorkerLink& link, Time now, Time lookSentAt, const WorkerAnswer& answer)
+{
+    std::set<TaskRun> listed;
+    for (const ListedRun& run : answer.running)
+        listed.insert(run.run);
+    std::vector<TaskRun> gone;
+    for (const auto& [run, view] : link.runs) {
+        const bool isConfirmed = view.phase == RunPhase::Running || view.phase == RunPhase::Stopping;
+        if (isConfirmed && view.confirmedAt < lookSentAt && !listed.count(run))
+            gone.push_back(run);
+    }
+    if (!gone.empty())
+        lose(table, link, now, gone);
+}
+
+void FleetDesk::lose(const WorkTable& table, WorkerLink& link, Time now, const std::vector<TaskRun>& runs)
+{
+    LoseRuns command { link.number, {} };
+    for (const TaskRun& run : runs) {
+        const auto found = link.runs.find(run);
+        if (found == link.runs.end())
+            continue;
+        command.runs.push_back({ run, found->second.checkpoint });
+        const bool isGang = found->second.isGang;
+        link.removeRun(run);
+        if (isGang)
+            stopGang(table, now, run);
+    }
+    if (!command.runs.empty())
+        m_commands.push_back(std::move(command));
+}
+
+void FleetDesk::loseAll(const WorkTable& table, WorkerLink& link, Time now)
+{
+    std::vector<TaskRun> runs;
+    for (const auto& [run, view] : link.runs) {
+        if (view.phase != RunPhase::Reserved)
+            runs.push_back(run);
+    }
+    lose(table, link, now, runs);
+}
+
+void FleetDesk::lifeOver(const WorkTable& table, WorkerLink& link, Time now)
+{
+    loseAll(table, link, now);
+    m_commands.push_back(RemoveFleetWorker { link.number });
+    link.isSynced = false;
+    link.isSilent = true;
+    link.hasLook = true; // Until the log has removed it, nothing more is sent there.
+}
+
+// Orders.
+
+void FleetDesk::tick(FleetStep& step, const WorkTable& table)
+{
+    std::set<WorkerNumber> due;
+    while (!m_schedule.empty() && m_schedule.begin()->first <= step.now) {
+        due.insert(m_schedule.begin()->second);
+        m_schedule.erase(m_schedule.begin());
+    }
+    for (const WorkerNumber number : due) {
+        if (WorkerLink* target = link(number))
+            serve(step, table, *target);
+    }
+}
+
+void FleetDesk::serve(FleetStep& step, const WorkTable& table, WorkerLink& link)
+{
+    if (link.isSilent && !link.runs.empty() && link.lease.isSurelyOver(step.now)) {
+        loseAll(table, link, step.now);
+        link.isSynced = false;
+        step.log(LogEventKind::WorkerLost, { { "worker", link.info.id } });
+    }
+    if (link.isSilent && link.runs.empty() && step.now > link.lastReport + config::fleetLinkSilence * 5) {
+        m_commands.push_back(RemoveFleetWorker { link.number });
+        return;
+    }
+    sendOrders(step, table, link);
+    if (!link.hasLook && wantsLook(table, link)) {
+        if (step.now >= link.nextLook)
+            sendLook(step, table, link);
+        else
+            schedule(link.nextLook, link.number);
+    }
+}
+
+bool FleetDesk::wantsLook(const WorkTable& table, const WorkerLink& link) const
+{
+    if (!link.isSynced || link.isSilent || !link.runs.empty())
+        return true;
+    const FleetWorker* record = table.worker(link.number);
+    return record && record->lastEnd > link.endsForgotten;
+}
+
+void FleetDesk::sendOrders(FleetStep& step, const WorkTable& table, WorkerLink& link)
+{
+    std::vector<TaskRun> unwanted;
+    const Duration gangPatience = m_settings.gangTimeout - config::orderTimeout;
+    for (auto& [run, view] : link.runs) {
+        const bool isLateMember = view.isGang && view.phase == RunPhase::Starting && !view.isStopWanted && step.now >= view.placedAt + gangPatience;
+        if (isLateMember)
+            unwanted.push_back(run);
+        if (view.phase == RunPhase::Reserved || view.phase == RunPhase::Stopping || view.hasOrder)
+            continue;
+        if (!view.isStopWanted && view.phase == RunPhase::Running)
+            continue;
+        if (step.now < view.nextOrder) {
+            schedule(view.nextOrder, link.number);
+            continue;
+        }
+        WorkerOrder order;
+        order.run = run;
+        if (view.isStopWanted || !table.isWanted(run)) {
+            view.isStopWanted = true;
+            order.kind = OrderKind::Stop;
+        } else {
+            const WorkJob& job = *table.job(run.task.job);
+            order.kind = OrderKind::Start;
+            order.text = job.work.text;
+            order.checkpoint = job.task(run.task)->checkpoint;
+            order.ticket = view.ticket;
+            order.leaseEndMs = link.lease.extend(step.now, m_settings.maxLease);
+        }
+        view.hasOrder = true;
+        send(step, link, { link.number, order.kind, run, step.now, 0 }, std::move(order));
+    }
+    for (const TaskRun& run : unwanted)
+        stopGang(table, step.now, run);
+}
+
+void FleetDesk::sendLook(FleetStep& step, const WorkTable& table, WorkerLink& link)
+{
+    const FleetWorker* record = table.worker(link.number);
+    if (!record)
+        return;
+    WorkerOrder order;
+    order.kind = OrderKind::Look;
+    order.endsRecorded = record->lastEnd;
+    // The first look only reads the clock; a lease is given on the answer's clock.
+    if (link.lease.isClockKnown() && !link.runs.empty())
+        order.leaseEndMs = link.lease.extend(step.now, m_settings.maxLease);
+    const bool mayWait = link.isSynced && !link.isSilent && !link.runs.empty();
+    order.hold = mayWait ? config::lookHold : Duration {};
+    link.hasLook = true;
+    const uint64_t endsRecorded = order.endsRecorded;
+    send(step, link, { link.number, OrderKind::Look, {}, step.now, endsRecorded }, std::move(order));
+}
+
+void FleetDesk::send(FleetStep& step, const WorkerLink& link, Call call, WorkerOrder order)
+{
+    order.fence = m_fence;
+    const CallId id { m_nextCall++ };
+    m_calls[id] = call;
+    step.emit(CallWorker { id, link.info.id, link.info.address, std::move(order) });
+}
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/fleet_messages.h
@@ -0,0 +1,185 @@
+#pragma once
+
+#include "eelgrassloft/effects.h"
+#include "replica_messages.h"
+#include "work_table.h"
+
+namespace eelgrassloft {
+
+// Calls of callers, operators and workers, wherever they arrive.
+
+struct SubmitJob {
+    SubmitWork work;
+
+    static constexpr auto members() { return std::make_tuple(&SubmitJob::work); }
+};
+
+struct GetJobState {
+    JobKey key;
+
+    static constexpr auto members() { return std::make_tuple(&GetJobState::key); }
+};
+
+struct CancelJob {
+    JobKey key;
+
+    static constexpr auto members() { return std::make_tuple(&CancelJob::key); }
+};
+
+struct CountPendingJobs {
+    std::string queue;
+
+    static constexpr auto members() { return std::make_tuple(&CountPendingJobs::queue); }
+};
+
+struct PutConfig {
+    FleetConfig config;
+
+    static constexpr auto members() { return std::make_tuple(&PutConfig::config); }
+};
+
+struct GetConfig {
+    static constexpr auto members() { return std::make_tuple(); }
+};
+
+struct ReportWorker {
+    WorkerInfo info;
+
+    static constexpr auto members() { return std::make_tuple(&ReportWorker::info); }
+};
+
+/// A worker says that this life of it ends now.
+struct WorkerGone {
+    std::string id;
+
+    static constexpr auto members() { return std::make_tuple(&WorkerGone::id); }
+};
+
+using ControlRequest = std::variant<SubmitJob, GetJobState, CancelJob, CountPendingJobs, PutConfig, GetConfig, ReportWorker, WorkerGone>;
+
+enum class ControlStatus : uint8_t {
+    Ok,
+    UnknownQueue, ///< No such queue in the configuration in force.
+    UnknownJob,
+    Unavailable, ///< Nobody could answer for sure; nothing is known of the call's effect.
+    NotAccepted, ///< The call had and will have no effect.
+    Count
+};
+
+constexpr NameTable<ControlStatus> nameTable(ControlStatus)
+{
+    constexpr NameTable<ControlStatus> table { "ok", "unknown-queue", "unknown-job", "unavailable", "not-accepted" };
+    static_assert(detail::isComplete<ControlStatus>(table));
+    return table;
+}
+
+struct ControlReply {
+    ControlStatus status = ControlStatus::Ok;
+    WorkState state = WorkState::Queued; ///< Of the job asked for.
+    uint64_t count = 0; ///< Of pending jobs.
+    std::string text; ///< The configuration.
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&ControlReply::status, &ControlReply::state, &ControlReply::count, &ControlReply::text);
+    }
+};
+
+// Messages between the hosts of a fleet.
+
+/// First message of a control host on each link: its identity in the log.
+struct LogHello {
+    uint64_t incarnation = 0;
+    bool isEmpty = true;
+
+    static constexpr auto members() { return std::make_tuple(&LogHello::incarnation, &LogHello::isEmpty); }
+};
+
+/// What a control host says of itself, periodically and after changes.
+struct ControlStatusReport {
+    uint64_t term = 0;
+    HostId leader; ///< Invalid where none is known.
+    bool isLeading = false; ///< The sender leads and holds a lease.
+    std::vector<HostId> hosts; ///< Hosts that hold the log.
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&ControlStatusReport::term, &ControlStatusReport::leader, &ControlStatusReport::isLeading, &ControlStatusReport::hosts);
+    }
+};
+
+/// What an entry host says of itself.
+struct EntryStatusReport {
+    uint64_t configVersion = 0; ///< In force on it.
+    bool isStopping = false;
+
+    static constexpr auto members() { return std::make_tuple(&EntryStatusReport::configVersion, &EntryStatusReport::isStopping); }
+};
+
+/// The configuration in force, for entry hosts.
+struct ConfigUpdate {
+    FleetConfig config;
+
+    static constexpr auto members() { return std::make_tuple(&ConfigUpdate::config); }
+};
+
+/// A call on its way to the leader.
+struct ForwardedCall {
+    uint64_t number = 0; ///< Chosen by the sender.
+    uint8_t hops = 0;
+    HostId origin;
+    ControlRequest request;
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&ForwardedCall::number, &ForwardedCall::hops, &ForwardedCall::origin, &ForwardedCall::request);
+    }
+};
+
+struct ForwardedCallReply {
+    uint64_t number = 0;
+    HostId origin;
+    ControlReply reply;
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&ForwardedCallReply::number, &ForwardedCallReply::origin, &ForwardedCallReply::reply);
+    }
+};
+
+/// The leader asks a host to call the advice service, which serves one call of each host at a time.
+struct AdviceRequest {
+    uint64_t number = 0;
+    TaskRef step; ///< The index does not count.
+    std::vector<std::string> workers;
+    Duration timeout {};
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&AdviceRequest::number, &AdviceRequest::step, &AdviceRequest::workers, &AdviceRequest::timeout);
+    }
+};
+
+struct AdviceTicket {
+    std::string worker;
+    std::string ticket;
+
+    static constexpr auto members() { return std::make_tuple(&AdviceTicket::worker, &AdviceTicket::ticket); }
+};
+
+struct AdviceReply {
+    uint64_t number = 0;
+    bool isAnswered = false; ///< False: the service refused or was silent.
+    std::vector<AdviceTicket> allowed;
+    Duration validity {};
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&AdviceReply::number, &AdviceReply::isAnswered, &AdviceReply::allowed, &AdviceReply::validity);
+    }
+};
+
+using FleetMessage = std::variant<LogHello, ControlStatusReport, EntryStatusReport, ConfigUpdate, ForwardedCall,
+    ForwardedCallReply, AdviceRequest, AdviceReply, ReplicaMessage<WorkTable>>;
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/io/fleet_links.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "io/event_log.h"
+#include "io/fleet_mailbox.h"
+
+#include <map>
+#include <set>
+
+namespace eelgrassloft::io {
+
+/// Address of a host whose id is its IPv4 number.
+inline asio::ip::address_v4 addressOf(HostId host) { return asio::ip::address_v4(host.value); }
+inline HostId hostIdOf(const asio::ip::address_v4& address) { return HostId { static_cast<uint32_t>(address.to_uint()) }; }
+
+/// Links between the hosts of a fleet, which are not known beforehand: a host's id is its IPv4
+/// number, and all use one port. Either end may dial; of two links between the same hosts the one
+/// that the lower id dialed stays.
+class FleetLinks {
+public:
+    FleetLinks(asio::io_context& context, HostId self, uint16_t port, FleetMailbox& node, EventLog& log);
+
+    /// Listens. Gives the reason where the port cannot be opened.
+    std::optional<Error> start();
+    /// Hosts to keep links to; links that other hosts dialed stay too.
+    void setTargets(const std::vector<HostId>& hosts);
+    /// Queues a message; a host without a link or one that does not keep up loses it.
+    void send(HostId to, const FleetMessage& message);
+
+private:
+    struct Link;
+
+    awaitable<void> acceptLoop();
+    awaitable<void> serveAccepted(tcp::socket socket);
+    awaitable<void> dialLoop(HostId host);
+    awaitable<void> runLink(tcp::socket socket, HostId expected);
+    awaitable<HostId> greet(std::shared_ptr<Link> link, HostId expected);
+    awaitable<void> readLoop(std::shared_ptr<Link> link);
+    awaitable<void> writeLoop(std::shared_ptr<Link> link);
+    awaitable<void> watchSilence(std::shared_ptr<Link> link);
+    bool adopt(const std::shared_ptr<Link>& link);
+    void closeLink(std::shared_ptr<Link> link);
+
+    asio::io_context& m_context;
+    HostId m_self;
+    uint16_t m_port;
+    FleetMailbox& m_node;
+    EventLog& m_log;
+    tcp::acceptor m_acceptor;
+    std::set<HostId> m_targets;
+    std::set<HostId> m_dialing;
+    std::map<HostId, std::shared_ptr<Link>> m_links;
+};
+
+} // namespace eelgrassloft::io
--- /dev/null
+++ b/src/io/fleet_mailbox.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "fleet_events.h"
+#include "io/mailbox.h"
+
+#include <memory>
+
+namespace eelgrassloft::io {
+
+template <typename T>
+using FleetReplyBox = std::shared_ptr<Mailbox<T>>;
+
+/// A call from a connection; the task gives it its number and its deadline.
+struct SubmitControl {
+    ControlRequest request;
+    Duration timeout {};
+    FleetReplyBox<ControlReply> reply;
+};
+
+/// What an entry host knows of the queue at a place.
+struct QueueLookup {
+    bool isReady = false; ///< The host takes new connections.
+    bool isSure = false; ///< The configuration that was looked at is surely in force.
+    std::optional<QueueSpec> queue;
+};
+
+struct FindQueue {
+    std::string host;
+    std::string path;
+    FleetReplyBox<QueueLookup> reply;
+};
+
+struct AskMetrics {
+    FleetReplyBox<std::string> reply;
+};
+
+/// A message to the task that owns the core of a fleet's host.
+using FleetTaskMessage = std::variant<FleetEvent, SubmitControl, FindQueue, AskMetrics>;
+using FleetMailbox = Mailbox<FleetTaskMessage>;
+
+/// Tells the core of the writes of the fleet's log.
+struct FleetWriteSink {
+    FleetMailbox& node;
+    Mailbox<Error>& failures;
+
+    void written(uint64_t sequence) { node.tryPush(FleetEvent(WorkLogWritten { sequence })); }
+    void failed(const Error& error) { failures.tryPush(error); }
+};
+
+} // namespace eelgrassloft::io
--- /dev/null
+++ b/src/io/fleet_settings_json.cpp
@@ -0,0 +1,85 @@
+#include "io/fleet_settings_json.h"
+
+#include "io/fleet_links.h"
+#include "io/http_caller.h"
+
+namespace eelgrassloft::io {
+
+namespace {
+
+/// A member without a value counts as missing.
+Json withoutNulls(Json object)
+{
+    for (auto member = object.begin(); object.is_object() && member != object.end();)
+        member = member->is_null() ? object.erase(member) : std::next(member);
+    return object;
+}
+
+HostId readHost(const std::string& text, const std::string& path)
+{
+    error_code error;
+    const auto address = asio::ip::make_address_v4(text, error);
+    if (error)
+        throw JsonFault { ErrorKind::WrongType, path, "\"" + text + "\" is no IPv4 address", "write four numbers with dots" };
+    return hostIdOf(address);
+}
+
+std::vector<HostId> readSeeds(JsonFields& fields)
+{
+    std::vector<HostId> seeds;
+    const Json* list = fields.find("seeds");
+    if (!list || !list->is_array())
+        throw JsonFault { ErrorKind::MissingField, "seeds", "\"seeds\" is no list", "list `IP:PORT` of some control hosts" };
+    for (const Json& entry : *list) {
+        const auto endpoint = entry.is_string() ? parseEndpoint(entry.get<std::string>()) : std::nullopt;
+        if (!endpoint)
+            throw JsonFault { ErrorKind::WrongType, "seeds", "a seed is not `IP:PORT`", "list `IP:PORT` of some control hosts" };
+        seeds.push_back(hostIdOf(endpoint->address().to_v4()));
+    }
+    return seeds;
+}
+
+Duration readMilliseconds(JsonFields& fields, const std::string& name, Duration fallback)
+{
+    return std::chrono::milliseconds(fields.optional<uint32_t>(name, static_cast<uint32_t>(fallback / std::chrono::milliseconds(1))));
+}
+
+FleetProcessSettings readFields(JsonFields& fields)
+{
+    FleetProcessSettings settings;
+    settings.node.self = readHost(fields.required<std::string>("address"), "address");
+    settings.node.dataCentre = fields.required<std::string>("dataCentre");
+    settings.node.seeds = readSeeds(fields);
+    settings.node.mayForm = fields.optional<bool>("mayForm", false);
+    settings.node.voters = fields.optional<uint32_t>("toleratedLosses", 1) * 2 + 1;
+    settings.node.maxLease = readMilliseconds(fields, "maxLeaseMs", settings.node.maxLease);
+    settings.node.gangTimeout = readMilliseconds(fields, "gangTimeoutMs", settings.node.gangTimeout);
+    settings.node.stopTime = readMilliseconds(fields, "stopTimeMs", settings.node.stopTime);
+    settings.node.remoteFactor = fields.optional<double>("remoteFactor", settings.node.remoteFactor);
+    settings.linkPort = fields.required<uint16_t>("linkPort");
+    settings.dataFolder = fields.optional<std::string>("dataFolder", {});
+    settings.callersListen = fields.optional<std::string>("callersListen", {});
+    settings.readyListen = fields.optional<std::string>("readyListen", {});
+    settings.controlListen = fields.optional<std::string>("controlListen", {});
+    settings.adviceAddress = fields.optional<std::string>("adviceAddress", {});
+    settings.stopGrace = std::chrono::milliseconds(static_cast<int64_t>(fields.optional<double>("stopGraceS", 6) * 1000));
+    settings.logLevel = fields.optional<std::string>("logLevel", settings.logLevel);
+    return settings;
+}
+
+} // namespace
+
+std::optional<FleetProcessSettings> FleetSettingsReader::read(std::string_view text)
+{
+    try {
+        const Json json = withoutNulls(parseJson(text));
+        JsonFields fields(json, {});
+        FleetProcessSettings settings = readFields(fields);
+        fields.finish();
+        return settings;
+    } catch (const JsonFault& fault) {
+        return fail(describeFault(text, fault));
+    }
+}
+
+} // namespace eelgrassloft::io
--- /dev/null
+++ b/src/io/fleet_task.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include "io/boot_clock.h"
+#include "io/event_log.h"
+#include "io/fleet_links.h"
+#include "io/log_writer.h"
+#include "io/write_gate.h"
+
+#include <map>
+
+namespace eelgrassloft::io {
+
+/// Core of a host of a fleet.
+template <typename T>
+concept FleetNode = requires(T node, const T constNode, Time now, const FleetEvent& event)
+{
+    {
+        node.step(now, event)
+        } -> std::same_as<std::vector<FleetEffect>>;
+    {
+        constNode.nextDeadline()
+        } -> std::same_as<Time>;
+};
+
+/// Calls the services that are not hosts of the fleet. The results come back as events.
+template <typename T>
+concept OutsideCalls = requires(T calls, CallWorker worker, CallAdvice advice)
+{
+    calls.callWorker(std::move(worker));
+    calls.callAdvice(std::move(advice));
+};
+
+using FleetLogWriter = LogWriter<WorkTable, FleetWriteSink>;
+
+/// The task that owns the core of a host. It takes messages one by one, steps the core, and hands
+/// the effects to the tasks that own sockets and files.
+template <FleetNode Node, OutsideCalls Outside>
+class FleetTask {
+public:
+    struct Parts {
+        FleetMailbox& mailbox;
+        FleetLinks& links;
+        Outside& outside;
+        FleetLogWriter* logWriter; ///< Null on hosts without a log.
+        EventLog& log;
+    };
+
+    FleetTask(Node node, FleetClock clock, Parts parts)
+        : m_node(std::move(node))
+        , m_clock(clock)
+        , m_parts(parts)
+    {
+    }
+
+    /// Runs until the mailbox is closed.
+    awaitable<void> run()
+    {
+        step(FleetTick {});
+        while (!m_parts.mailbox.isClosed()) {
+            const Time next = m_node.nextDeadline();
+            const Time now = m_clock.now();
+            auto deadline = std::chrono::steady_clock::time_point::max();
+            if (next != never) // The timer stands still with the machine; the core's time does not.
+                deadline = std::chrono::steady_clock::now() + std::max(next - now, Duration::zero());
+            auto message = co_await m_parts.mailbox.pop(deadline);
+            if (message)
+                std::visit([&](auto& body) { handle(std::move(body)); }, *message);
+            else
+                step(FleetTick {});
+        }
+    }
+
+    const Node& node() const { return m_node; }
+
+private:
+    void handle(FleetEvent event) { step(event); }
+
+    void handle(SubmitControl submit)
+    {
+        const CallId call { m_nextCall++ };
+        m_calls[call] = std::move(submit.reply);
+        step(ControlCalled { call, std::move(submit.request), m_clock.now() + submit.timeout });
+    }
+
+    void handle(FindQueue query)
+    {
+        QueueLookup lookup;
+        if constexpr (requires { m_node.config(); }) {
+            lookup.isReady = m_node.isReady(m_clock.now());
+            lookup.isSure = m_node.config().version && m_node.isInTouch(m_clock.now());
+            if (const QueueSpec* queue = m_node.config().queueAt(query.host, query.path))
+                lookup.queue = *queue;
+        }
+        query.reply->tryPush(std::move(lookup));
+    }
+
+    void handle(AskMetrics query) { query.reply->tryPush({}); }
+
+    void step(const FleetEvent& event)
+    {
+        if (const auto* written = std::get_if<WorkLogWritten>(&event)) {
+            for (const SendFleet& message : m_gate.written(written->sequence))
+                m_parts.links.send(message.to, message.message);
+        }
+        for (FleetEffect& effect : m_node.step(m_clock.now(), event))
+            std::visit([&](auto& body) { perform(std::move(body)); }, effect);
+    }
+
+    void perform(SendFleet effect)
+    {
+        if (const auto message = m_gate.pass(std::move(effect)))
+            m_parts.links.send(message->to, message->message);
+    }
+
+    void perform(WriteWorkLog effect)
+    {
+        if (m_parts.logWriter)
+            m_parts.logWriter->write(effect.incarnation, std::move(effect.write));
+    }
+
+    void perform(AnswerControl effect)
+    {
+        const auto found = m_calls.find(effect.call);
+        if (found == m_calls.end())
+            return;
+        found->second->tryPush(std::move(effect.reply));
+        m_calls.erase(found);
+    }
+
+    void perform(CallWorker effect) { m_parts.outside.callWorker(std::move(effect)); }
+    void perform(CallAdvice effect) { m_parts.outside.callAdvice(std::move(effect)); }
+    void perform(DialHosts effect) { m_parts.links.setTargets(effect.hosts); }
+    void perform(LogEvent effect) { m_parts.log.write(effect); }
+
+    Node m_node;
+    FleetClock m_clock;
+    Parts m_parts;
+    uint64_t m_nextCall = 1;
+    std::map<CallId, FleetReplyBox<ControlReply>> m_calls;
+    WriteGate<SendFleet> m_gate;
+};
+
+/// Hands a call to the core and waits for its reply; `Unavailable` where the core has no room.
+inline awaitable<ControlReply> callCore(FleetMailbox& mailbox, ControlRequest request, Duration timeout)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    const auto reply = std::make_shared<Mailbox<ControlReply>>(executor, 1);
+    if (!mailbox.tryPush(SubmitControl { std::move(request), timeout, reply }))
+        co_return ControlReply { ControlStatus::NotAccepted, {}, 0, {} };
+    auto result = co_await reply->pop();
+    if (!result)
+        co_return ControlReply { ControlStatus::Unavailable, {}, 0, {} };
+    co_return std::move(*result);
+}
+
+} // namespace eelgrassloft::io
--- /dev/null
+++ b/src/io/http_caller.cpp
@@ -0,0 +1,80 @@
+#include "io/http_caller.h"
+
+#include "eelgrassloft/config.h"
+
+#include <charconv>
+#include <sys/socket.h>
+
+namespace eelgrassloft::io {
+
+awaitable<std::optional<HttpResponse>> HttpCaller::call(tcp::endpoint endpoint, HttpRequest request, Duration timeout)
+{
+    request.set(http::field::host, endpoint.address().to_string() + ":" + std::to_string(endpoint.port()));
+    request.prepare_payload();
+    std::unique_ptr<Stream> stream = takeIdle(endpoint);
+    error_code error;
+    if (!stream) {
+        stream = std::make_unique<Stream>(m_context);
+        stream->expires_after(timeout);
+        co_await stream->async_connect(endpoint, asio::redirect_error(use_awaitable, error));
+        if (error)
+            co_return std::nullopt;
+        stream->socket().set_option(tcp::no_delay(true), error);
+    }
+    stream->expires_after(timeout);
+    co_await http::async_write(*stream, request, asio::redirect_error(use_awaitable, error));
+    if (error)
+        co_return std::nullopt;
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(config::maxFrameBytes);
+    co_await http::async_read(*stream, buffer, parser, asio::redirect_error(use_awaitable, error));
+    if (error) {
+        if (error == beast::error::timeout)
+            m_idle.erase(endpoint); // What lies between may have lost track of the others too.
+        co_return std::nullopt;
+    }
+    HttpResponse response = parser.release();
+    if (response.keep_alive()) {
+        stream->expires_never();
+        m_idle[endpoint].push_back({ std::move(stream), std::chrono::steady_clock::now() });
+    }
+    co_return response;
+}
+
+std::unique_ptr<beast::tcp_stream> HttpCaller::takeIdle(const tcp::endpoint& endpoint)
+{
+    const auto found = m_idle.find(endpoint);
+    if (found == m_idle.end())
+        return nullptr;
+    std::list<Idle>& idle = found->second;
+    const auto now = std::chrono::steady_clock::now();
+    while (!idle.empty()) {
+        // The last one kept is the freshest.
+        std::unique_ptr<Stream> stream = std::move(idle.back().stream);
+        const bool isOld = now - idle.back().since >= config::callerConnectionLifetime;
+        idle.pop_back();
+        // A server that closed the connection meanwhile has left an end of stream to read.
+        char byte = 0;
+        const ssize_t peeked = ::recv(stream->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (!isOld && peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+            return stream;
+    }
+    return nullptr;
+}
+
+std::optional<tcp::endpoint> parseEndpoint(const std::string& text)
+{
+    const size_t colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    error_code error;
+    const auto address = asio::ip::make_address(text.substr(0, colon), error);
+    uint16_t port = 0;
+    const auto [end, failure] = std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+    if (error || failure != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return tcp::endpoint(address, port);
+}
+
+} // namespace eelgrassloft::io
--- /dev/null
+++ b/src/io/http_listener.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "io/http_types.h"
+#include "io/listen.h"
+
+#include "eelgrassloft/config.h"
+
+#include <concepts>
+
+namespace eelgrassloft::io {
+
+/// Answers one request of a connection.
+template <typename T>
+concept HttpHandler = requires(T handler, HttpRequest request)
+{
+    {
+        handler.respond(std::move(request))
+        } -> std::same_as<awaitable<HttpResponse>>;
+    {
+        handler.refuse(error_code {})
+        } -> std::same_as<HttpResponse>;
+};
+
+struct HttpLimits {
+    size_t headerBytes = config::maxHeaderBytes;
+    size_t bodyBytes = config::maxBodyBytes;
+};
+
+/// Serves HTTP on one address, with one task for each connection. The handler varies.
+template <HttpHandler Handler>
+class HttpListener {
+public:
+    HttpListener(asio::io_context& context, Handler& handler, HttpLimits limits)
+        : m_context(context)
+        , m_handler(handler)
+        , m_limits(limits)
+        , m_acceptor(context)
+    {
+    }
+
+    std::optional<Error> start(const std::string& address, uint16_t port, const std::string& setting)
+    {
+        if (auto error = listenOn(m_acceptor, address, port, setting))
+            return error;
+        asio::co_spawn(m_context, acceptLoop(), asio::detached);
+        return std::nullopt;
+    }
+
+    /// Connections end with their next response.
+    void closeConnections() { m_isClosing = true; }
+
+    void stopAccepting()
+    {
+        m_isClosing = true;
+        m_isAccepting = false;
+        error_code ignored;
+        m_acceptor.close(ignored);
+    }
+
+    /// Requests that were read and not answered in full.
+    size_t inFlight() const { return m_inFlight; }
+
+private:
+    awaitable<void> acceptLoop()
+    {
+        while (m_isAccepting) {
+            error_code error;
+            tcp::socket socket = co_await m_acceptor.async_accept(asio::redirect_error(use_awaitable, error));
+            if (!error)
+                asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    awaitable<void> serve(tcp::socket socket)
+    {
+        beast::tcp_stream stream(std::move(socket));
+        error_code error;
+        stream.socket().set_option(tcp::no_delay(true), error);
+        beast::flat_buffer buffer;
+        while (co_await serveOne(stream, buffer)) { }
+        stream.socket().shutdown(tcp::socket::shutdown_send, error);
+    }
+
+    /// Serves one request of a connection. False where the connection should end.
+    awaitable<bool> serveOne(beast::tcp_stream& stream, beast::flat_buffer& buffer)
+    {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<uint32_t>(m_limits.headerBytes));
+        parser.body_limit(m_limits.bodyBytes);
+        error_code error;
+        stream.expires_after(config::callerIdleTimeout);
+        co_await http::async_read(stream, buffer, parser, asio::redirect_error(use_awaitable, error));
+        const bool isUnreadable = error == http::error::header_limit || error == http::error::body_limit
+            || (error.category() == http::make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream && error != http::error::partial_message);
+        if (error && !isUnreadable)
+            co_return false;
+        ++m_inFlight;
+        bool isKept = false;
+        HttpResponse response;
+        if (error) {
+            response = m_handler.refuse(error);
+        } else {
+            HttpRequest request = parser.release();
+            isKept = request.keep_alive();
+            stream.expires_never();
+            response = co_await m_handler.respond(std::move(request));
+        }
+        isKept = isKept && !m_isClosing;
+        response.keep_alive(isKept);
+        response.prepare_payload();
+        stream.expires_after(config::callerReadTimeout);
+        co_await http::async_write(stream, response, asio::redirect_error(use_awaitable, error));
+        --m_inFlight;
+        co_return isKept && !error;
+    }
+
+    asio::io_context& m_context;
+    Handler& m_handler;
+    HttpLimits m_limits;
+    tcp::acceptor m_acceptor;
+    size_t m_inFlight = 0;
+    bool m_isClosing = false;
+    bool m_isAccepting = true;
+};
+
+} // namespace eelgrassloft::io
--- a/src/io/log_writer.h
+++ b/src/io/log_writer.h
@@ -1,23 +1,29 @@
 #pragma once
 
+#include "io/asio.h"
 #include "io/log_file.h"
-#include "io/node_messages.h"
 
-#include <variant>
+#include <memory>
 
 namespace eelgrassloft::io {
 
-/// Writes a log on the storage thread and tells the node what is synced. Writes that wait
+/// Hears what became of the writes of a log, on the thread of the sockets.
+template <typename T>
+concept WriteSink = requires(T sink, uint64_t sequence, const Error& error)
+{
+    sink.written(sequence);
+    sink.failed(error);
+};
+
+/// Writes a log on the storage thread and tells the sink what is synced. Writes that wait
 /// together are synced together. Without a folder everything counts as written at once.
-template <typename M>
+template <typename M, WriteSink Sink>
 class LogWriter {
 public:
-    LogWriter(asio::io_context& context, asio::thread_pool& storageThread, LogKind kind, NodeMailbox& node, Mailbox<Error>& failures)
+    LogWriter(asio::io_context& context, asio::thread_pool& storageThread, Sink sink)
         : m_context(context)
         , m_storageThread(storageThread)
-        , m_kind(kind)
-        , m_node(node)
-        , m_failures(failures)
+        , m_sink(std::move(sink))
     {
     }
 
@@ -27,7 +33,7 @@
     void write(uint64_t incarnation, LogWrite<M> write)
     {
         if (!m_file) {
-            m_node.tryPush(Event(LogWritten { m_kind, write.sequence }));
+            m_sink.written(write.sequence);
             return;
         }
         m_incarnation = incarnation;
@@ -52,19 +58,17 @@
     {
         m_isWriting = false;
         if (!isWritten) {
-            m_failures.tryPush(error);
+            m_sink.failed(error);
             return;
         }
-        m_node.tryPush(Event(LogWritten { m_kind, sequence }));
+        m_sink.written(sequence);
         if (!m_waiting.empty())
             startBatch();
     }
 
     asio::io_context& m_context;
     asio::thread_pool& m_storageThread;
-    LogKind m_kind;
-    NodeMailbox& m_node;
-    Mailbox<Error>& m_failures;
+    Sink m_sink;
     std::unique_ptr<FileLog<M>> m_file;
     uint64_t m_incarnation = 0;
     std::vector<LogWrite<M>> m_waiting;
--- a/src/io/node_messages.h
+++ b/src/io/node_messages.h
@@ -76,4 +76,14 @@
 using NodeMessage = std::variant<Event, SubmitRequest, SubmitReport, SubmitSheet, SubmitCancel, SubmitQuery>;
 using NodeMailbox = Mailbox<NodeMessage>;
 
+/// Tells the node of the writes of one of its logs.
+struct NodeWriteSink {
+    LogKind log = LogKind::Cell;
+    NodeMailbox& node;
+    Mailbox<Error>& failures;
+
+    void written(uint64_t sequence) { node.tryPush(Event(LogWritten { log, sequence })); }
+    void failed(const Error& error) { failures.tryPush(error); }
+};
+
 } // namespace eelgrassloft::io
--- a/src/io/node_task.h
+++ b/src/io/node_task.h
@@ -27,8 +27,8 @@
         NodeMailbox& mailbox;
         PeerNetwork& peers;
         UpstreamClient& upstreams;
-        LogWriter<CellMachine>& cellWriter;
-        LogWriter<DataCentreMachine>& dataCentreWriter;
+        LogWriter<CellMachine, NodeWriteSink>& cellWriter;
+        LogWriter<DataCentreMachine, NodeWriteSink>& dataCentreWriter;
         EventLog& log;
         Mailbox<DrainFinished>& drained;
     };
--- a/src/io/peer_network.cpp
+++ b/src/io/peer_network.cpp
@@ -1,11 +1,9 @@
 #include "io/peer_network.h"
 
+#include "io/frames.h"
 #include "io/listen.h"
 #include "io/record_codec.h"
 
-#include <boost/endian/conversion.hpp>
-
-#include <cstring>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -15,7 +13,6 @@
 
 constexpr uint32_t greetingMagic = 0x45474c46;
 constexpr size_t maxGreetingBytes = 1024;
-constexpr size_t frameHeadBytes = 4;
 
 /// First frame of a connection, in both directions.
 struct Greeting {
@@ -30,29 +27,6 @@
     }
 };
 
-std::string frameOf(const std::string& payload)
-{
-    const uint32_t length = boost::endian::native_to_big(static_cast<uint32_t>(payload.size()));
-    std::string frame(reinterpret_cast<const char*>(&length), sizeof(length));
-    return frame += payload;
-}
-
-/// Reads one frame; nothing where the connection ended or the frame is too large.
-awaitable<std::optional<std::string>> readFrame(tcp::socket& socket, size_t maxBytes)
-{
-    uint32_t length = 0;
-    error_code error;
-    co_await asio::async_read(socket, asio::buffer(&length, sizeof(length)), asio::redirect_error(use_awaitable, error));
-    length = boost::endian::big_to_native(length);
-    if (error || length > maxBytes)
-        co_return std::nullopt;
-    std::string payload(length, '\0');
-    co_await asio::async_read(socket, asio::buffer(payload), asio::redirect_error(use_awaitable, error));
-    if (error)
-        co_return std::nullopt;
-    co_return payload;
-}
-
 } // namespace
 
 struct PeerNetwork::Link {
--- a/src/replica.h
+++ b/src/replica.h
@@ -34,6 +34,7 @@
     size_t snapshotThreshold = config::snapshotThresholdEntries;
     bool isStored = true; ///< Without storage no snapshots are copied for it; followers still get them.
     std::vector<HostId> voterHosts; ///< Hosts that become voters once they hold everything committed.
+    uint32_t targetVoters = 0; ///< Where hosts are not known before: any host may vote, up to this number.
     uint64_t seed = 0;
 };
 
@@ -639,7 +640,7 @@
         if (!hasCommittedInTerm() || m_log.membershipIndex() > m_commitIndex)
             return;
         Membership next = membership();
-        if (admitSeen(next) || promoteLearner(next))
+        if (admitSeen(next) || promoteLearner(now, next) || removeSilentVoter(now, next))
             append(now, std::move(next));
     }
 
@@ -668,11 +669,12 @@
 
     /// A learner that holds everything committed takes the vote of its host's former identity,
     /// which never votes again, or a new vote where the settings want one.
-    bool promoteLearner(Membership& next) const
+    bool promoteLearner(Time now, Membership& next) const
     {
         for (auto learner = next.learners.begin(); learner != next.learners.end(); ++learner) {
             const Member member = *learner;
-            if (progressOf(member).match < m_commitIndex || !wantsVote(member.host))
+            const bool hasVote = std::any_of(next.voters.begin(), next.voters.end(), [&](const Member& voter) { return voter.host == member.host; });
+            if (progressOf(member).match < m_commitIndex || !(hasVote || wantsVote(now, member.host)))
                 continue;
             next.learners.erase(learner);
             for (Member& voter : next.voters) {
@@ -687,9 +689,33 @@
         return false;
     }
 
-    bool wantsVote(HostId host) const
+    bool wantsVote(Time now, HostId host) const
     {
-        return std::find(m_options.voterHosts.begin(), m_options.voterHosts.end(), host) != m_options.voterHosts.end();
+        if (!m_options.targetVoters)
+            return std::find(m_options.voterHosts.begin(), m_options.voterHosts.end(), host) != m_options.voterHosts.end();
+        const size_t voters = membership().voters.size();
+        return voters < m_options.targetVoters || (voters == m_options.targetVoters && silentVoter(now));
+    }
+
+    /// A voter that has not been heard of for some time, if there is one.
+    const Member* silentVoter(Time now) const
+    {
+        if (now < m_becameLeaderAt + config::voterSilence)
+            return nullptr;
+        for (const Member& voter : membership().voters) {
+            if (voter != m_self && progressOf(voter).lastAck + config::voterSilence < now)
+                return &voter;
+        }
+        return nullptr;
+    }
+
+    /// A voter that is not heard of goes once another host has taken a vote in its place.
+    bool removeSilentVoter(Time now, Membership& next) const
+    {
+        if (!m_options.targetVoters || next.voters.size() <= m_options.targetVoters)
+            return false;
+        const Member* silent = silentVoter(now);
+        return silent && std::erase(next.voters, *silent);
     }
 
     static constexpr uint64_t noIndex = UINT64_MAX;
--- /dev/null
+++ b/src/work_order.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "work_table.h"
+
+#include <concepts>
+
+namespace eelgrassloft {
+
+/// A step of which tasks wait and may start.
+struct ReadyStep {
+    const WorkJob* job = nullptr;
+    TaskRef step; ///< Its index is 0.
+    std::vector<uint32_t> waiting; ///< Indices of its tasks that wait.
+    Time objective {}; ///< By when the job should be done.
+    Time lateLimit {}; ///< After this the job is worth nothing to its caller.
+    Duration chainLeft {}; ///< Longest chain of work from this step on.
+    double workLeft = 0; ///< Processor-seconds of the job from this step on.
+
+    const StepSpec& spec() const { return job->work.steps[step.step]; }
+};
+
+/// Order in which steps that wait get room; the lower key goes first.
+template <typename T>
+concept QueueOrder = requires(const T order, const ReadyStep& step, Time now)
+{
+    {
+        order.key(step, now)
+        } -> std::totally_ordered;
+};
+
+/// Baseline: first come, first served within a priority.
+struct ArrivalOrder {
+    using Key = std::pair<uint32_t, Time>;
+    Key key(const ReadyStep& step, Time) const { return { step.job->queue.priority, step.job->submittedAt }; }
+};
+
+/// Answers bursts above the fleet's room: what can still meet its objective goes before what is
+/// late, and that before what is past its limit. Among those in time the least slack goes first;
+/// among the late the least work, so that many are finished before their limit.
+struct DeadlineOrder {
+    struct Key {
+        uint32_t priority = 0;
+        uint32_t standing = 0; ///< 0: in time, 1: late, 2: past the limit.
+        double rank = 0;
+
+        friend auto operator<=>(const Key&, const Key&) = default;
+    };
+
+    Key key(const ReadyStep& step, Time now) const
+    {
+        const Time earliest = now + step.chainLeft;
+        const uint32_t priority = step.job->queue.priority;
+        if (earliest <= step.objective)
+            return { priority == 0 ? 0U : 1U, 0, static_cast<double>((step.objective - earliest).count()) };
+        return { priority == 0 ? 0U : 1U, earliest <= step.lateLimit ? 1U : 2U, step.workLeft };
+    }
+};
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/work_planner.cpp
@@ -0,0 +1,122 @@
+#include "work_planner.h"
+
+namespace eelgrassloft {
+
+namespace {
+
+/// Work of a job that is this many times as late as its objective is worth nothing.
+constexpr int lateFactor = 3;
+
+Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
+} // namespace
+
+Duration longestChain(const WorkSpec& work, uint32_t from)
+{
+    // Steps depend on earlier ones only, so one pass forward finds the chains that begin at `from`.
+    std::vector<Duration> chain(work.steps.size(), Duration::zero());
+    Duration longest = work.steps[from].estimate;
+    chain[from] = longest;
+    for (size_t i = from + 1; i < work.steps.size(); ++i) {
+        Duration before = Duration::zero();
+        for (const uint32_t dep : work.steps[i].deps)
+            before = std::max(before, chain[dep]);
+        if (before == Duration::zero())
+            continue;
+        chain[i] = before + work.steps[i].estimate;
+        longest = std::max(longest, chain[i]);
+    }
+    return longest;
+}
+
+ReadySteps::ReadySteps(const WorkTable& table, const std::set<TaskRef>& inFlight, Time now)
+{
+    for (const JobKey key : table.openJobs())
+        addJob(*table.job(key), inFlight, now);
+}
+
+bool ReadySteps::depsDone(const OccurrenceRecord& occurrence, const StepSpec& step)
+{
+    return std::all_of(step.deps.begin(), step.deps.end(), [&](uint32_t dep) { return occurrence.steps[dep].isDone(); });
+}
+
+void ReadySteps::addJob(const WorkJob& job, const std::set<TaskRef>& inFlight, Time now)
+{
+    for (uint32_t i = 0; i < job.occurrences.size(); ++i) {
+        const OccurrenceRecord& occurrence = job.occurrences[i];
+        const Time due = job.work.dueTime(i);
+        if (due > now) {
+            m_nextDue = std::min(m_nextDue, due);
+            continue;
+        }
+        const Time begin = std::max(due, job.submittedAt);
+        for (uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+            const StepSpec& spec = job.work.steps[s];
+            if (occurrence.steps[s].isDone() || !depsDone(occurrence, spec))
+                continue;
+            ReadyStep step;
+            step.job = &job;
+            step.step = { job.key, i, s, 0 };
+            for (uint32_t t = 0; t < occurrence.steps[s].tasks.size(); ++t) {
+                const bool isWaiting = occurrence.steps[s].tasks[t].phase == TaskPhase::Waiting;
+                if (isWaiting && !inFlight.count({ job.key, i, s, t }))
+                    step.waiting.push_back(t);
+            }
+            if (step.waiting.empty())
+                continue;
+            Duration chain = Duration::zero();
+            for (uint32_t first = 0; first < job.work.steps.size(); ++first) {
+                if (job.work.steps[first].deps.empty())
+                    chain = std::max(chain, longestChain(job.work, first));
+            }
+            const Duration allowed = scaled(chain, job.queue.stretch) + job.queue.target;
+            step.objective = begin + allowed;
+            step.lateLimit = begin + allowed * lateFactor;
+            step.chainLeft = longestChain(job.work, s);
+            step.workLeft = 0;
+            for (uint32_t later = s; later < job.work.steps.size(); ++later) {
+                const StepSpec& other = job.work.steps[later];
+                step.workLeft += static_cast<double>(other.count) * other.size.processorMillis * static_cast<double>(other.estimate.count());
+            }
+            m_steps.push_back(std::move(step));
+        }
+    }
+}
+
+RoomView::RoomView(const std::map<WorkerNumber, WorkerLink>& links, Time now)
+{
+    for (const auto& [number, link] : links) {
+        if (link.mayPlace(now))
+            m_workers.push_back({ &link, link.room(), link.isOnProbation });
+    }
+}
+
+bool RoomView::fits(const Worker& worker, const StepSpec& step)
+{
+    Resources size = step.size;
+    if (step.isFiller)
+        size.processorMillis = 0;
+    return size.fitsIn(worker.room);
+}
+
+void RoomView::take(Worker& worker, const StepSpec& step)
+{
+    if (worker.isOnProbation) {
+        worker.room = {};
+        return;
+    }
+    Resources size = step.size;
+    if (step.isFiller)
+        size.processorMillis = 0;
+    worker.room -= size;
+}
+
+bool RoomView::hasRoomFor(const StepSpec& step) const
+{
+    return std::any_of(m_workers.begin(), m_workers.end(), [&](const Worker& worker) { return fits(worker, step); });
+}
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/work_planner.h
@@ -0,0 +1,282 @@
+#pragma once
+
+#include "advice_book.h"
+#include "fleet_desk.h"
+#include "work_order.h"
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace eelgrassloft {
+
+/// A placement that the planner proposes, with the ticket that its start needs.
+struct PlannedRun {
+    RunPlacement placement;
+    std::string ticket;
+};
+
+struct WorkPlan {
+    std::vector<PlannedRun> runs;
+    std::vector<AdviceBook::Question> questions;
+    Time nextDue = never; ///< When the next occurrence of a job is due.
+};
+
+/// Collects the steps that may start now.
+class ReadySteps {
+public:
+    /// `inFlight` holds tasks whose placement was proposed and is not yet decided.
+    ReadySteps(const WorkTable& table, const std::set<TaskRef>& inFlight, Time now);
+
+    std::vector<ReadyStep>& steps() { return m_steps; }
+    Time nextDue() const { return m_nextDue; }
+
+private:
+    void addJob(const WorkJob& job, const std::set<TaskRef>& inFlight, Time now);
+    static bool depsDone(const OccurrenceRecord& occurrence, const StepSpec& step);
+
+    std::vector<ReadyStep> m_steps;
+    Time m_nextDue = never;
+};
+
+/// Longest chain of estimated work through all steps from `from` on.
+Duration longestChain(const WorkSpec& work, uint32_t from);
+
+/// Places the tasks of one plan. It works on a copy of the workers' free room, so that what one
+/// step takes is not given to the next.
+class RoomView {
+public:
+    RoomView(const std::map<WorkerNumber, WorkerLink>& links, Time now);
+
+    struct Worker {
+        const WorkerLink* link = nullptr;
+        Resources room;
+        bool isOnProbation = false;
+    };
+
+    std::vector<Worker>& workers() { return m_workers; }
+    void take(Worker& worker, const StepSpec& step);
+    static bool fits(const Worker& worker, const StepSpec& step);
+    bool hasRoomFor(const StepSpec& step) const;
+
+private:
+    std::vector<Worker> m_workers;
+};
+
+/// Decides which waiting tasks start where, and which questions go to the advice service.
+template <QueueOrder Order>
+class WorkPlanner {
+public:
+    explicit WorkPlanner(double remoteFactor)
+        : m_remoteFactor(remoteFactor)
+    {
+    }
+
+    WorkPlan plan(const WorkTable& table, const std::map<WorkerNumber, WorkerLink>& links, const AdviceBook& advice,
+        const std::set<TaskRef>& inFlight, Time now)
+    {
+        WorkPlan plan;
+        ReadySteps ready(table, inFlight, now);
+        plan.nextDue = ready.nextDue();
+        sort(ready.steps(), now);
+        RoomView room(links, now);
+        for (const ReadyStep& step : ready.steps()) {
+            if (plan.runs.size() >= config::maxPlacementsPerStep)
+                break;
+            place(plan, table, room, advice, step, now);
+        }
+        return plan;
+    }
+
+private:
+    using Worker = RoomView::Worker;
+
+    void sort(std::vector<ReadyStep>& steps, Time now) const
+    {
+        using Key = decltype(m_order.key(steps.front(), now));
+        std::vector<std::pair<Key, size_t>> keys;
+        keys.reserve(steps.size());
+        for (size_t i = 0; i < steps.size(); ++i)
+            keys.push_back({ m_order.key(steps[i], now), i });
+        std::sort(keys.begin(), keys.end());
+        std::vector<ReadyStep> sorted;
+        sorted.reserve(steps.size());
+        for (const auto& [key, i] : keys)
+            sorted.push_back(std::move(steps[i]));
+        steps = std::move(sorted);
+    }
+
+    /// The queue's pool and terms as they are now, or as they were when the queue still existed.
+    static const QueueSpec& queueOf(const WorkTable& table, const ReadyStep& step)
+    {
+        const QueueSpec* current = table.config().queue(step.job->queue.name);
+        return current ? *current : step.job->queue;
+    }
+
+    static bool isEligible(const Worker& worker, const QueueSpec& queue, const StepSpec& step)
+    {
+        const WorkerInfo& info = worker.link->info;
+        return info.pool == queue.service && (step.label.empty() || info.hasLabel(step.label));
+    }
+
+    void place(WorkPlan& plan, const WorkTable& table, RoomView& room, const AdviceBook& advice, const ReadyStep& step, Time now)
+    {
+        const StepSpec& spec = step.spec();
+        const QueueSpec& queue = queueOf(table, step);
+        if (!room.hasRoomFor(spec))
+            return;
+        const StepAdvice* known = queue.advice ? advice.find(step.step) : nullptr;
+        std::vector<Worker*> candidates;
+        for (Worker& worker : room.workers()) {
+            const bool isAllowed = !queue.advice || (known && known->mayRun(worker.link->number, now));
+            if (isAllowed && isEligible(worker, queue, spec) && RoomView::fits(worker, spec))
+                candidates.push_back(&worker);
+        }
+        const size_t placedCount = spec.isGang ? placeGang(plan, room, candidates, step, known) : placeEach(plan, room, candidates, step, known);
+        if (queue.advice && placedCount < step.waiting.size() && !(known && known->isAsking))
+            question(plan, room, advice, queue, step, known, step.waiting.size() - placedCount, now);
+    }
+
+    /// Best fit: the worker on which the least is left in the dimension that is then scarcest.
+    Worker* bestWorker(std::vector<Worker*>& candidates, const ReadyStep& step, std::unordered_map<uint32_t, uint32_t>& perWorker) const
+    {
+        const StepSpec& spec = step.spec();
+        Worker* best = nullptr;
+        double bestScore = 0;
+        for (Worker* worker : candidates) {
+            if (!RoomView::fits(*worker, spec))
+                continue;
+            if (spec.maxPerWorker && perWorker[worker->link->number.value] >= spec.maxPerWorker)
+                continue;
+            const Resources left = worker->room - spec.size;
+            const Resources& capacity = worker->link->info.capacity;
+            double score = leftShare(left.processorMillis, capacity.processorMillis) + leftShare(left.memoryMiB, capacity.memoryMiB);
+            if (!spec.dataRack.empty() && !worker->link->info.hasLabel(spec.dataRack))
+                score += m_remoteFactor;
+            if (!best || score < bestScore) {
+                best = worker;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+    static double leftShare(uint32_t left, uint32_t capacity) { return capacity ? static_cast<double>(left) / capacity : 0; }
+
+    /// Runs of the step that hold room on each worker, where their number is limited. Placements
+    /// that are not yet durable and runs that are being stopped count too.
+    static std::unordered_map<uint32_t, uint32_t> countPerWorker(const std::vector<Worker*>& candidates, const ReadyStep& step)
+    {
+        std::unordered_map<uint32_t, uint32_t> perWorker;
+        if (!step.spec().maxPerWorker)
+            return perWorker;
+        for (const Worker* worker : candidates) {
+            const auto& runs = worker->link->runs;
+            for (auto run = runs.lower_bound({ step.step, 0 }); run != runs.end() && isSameStep(run->first.task, step.step); ++run)
+                ++perWorker[worker->link->number.value];
+        }
+        return perWorker;
+    }
+
+    static bool isSameStep(const TaskRef& a, const TaskRef& b) { return a.job == b.job && a.occurrence == b.occurrence && a.step == b.step; }
+
+    size_t placeEach(WorkPlan& plan, RoomView& room, std::vector<Worker*>& candidates, const ReadyStep& step, const StepAdvice* known)
+    {
+        auto perWorker = countPerWorker(candidates, step);
+        size_t count = 0;
+        for (const uint32_t index : step.waiting) {
+            Worker* worker = bestWorker(candidates, step, perWorker);
+            if (!worker)
+                break;
+            ++perWorker[worker->link->number.value];
+            add(plan, room, *worker, step, index, attemptOf(step, index) + 1, known);
+            ++count;
+        }
+        return count;
+    }
+
+    size_t placeGang(WorkPlan& plan, RoomView& room, std::vector<Worker*>& candidates, const ReadyStep& step, const StepAdvice* known)
+    {
+        if (step.waiting.size() != step.spec().count)
+            return step.waiting.size(); // Members of an earlier attempt are still to end.
+        auto perWorker = countPerWorker(candidates, step);
+        std::vector<std::pair<Worker*, Resources>> before;
+        std::vector<Worker*> chosen;
+        for (size_t i = 0; i < step.waiting.size(); ++i) {
+            Worker* worker = bestWorker(candidates, step, perWorker);
+            if (!worker)
+                break;
+            before.push_back({ worker, worker->room });
+            room.take(*worker, step.spec());
+            ++perWorker[worker->link->number.value];
+            chosen.push_back(worker);
+        }
+        for (auto undo = before.rbegin(); undo != before.rend(); ++undo)
+            undo->first->room = undo->second;
+        if (chosen.size() < step.waiting.size())
+            return 0;
+        uint32_t attempt = 0;
+        for (const uint32_t index : step.waiting)
+            attempt = std::max(attempt, attemptOf(step, index) + 1);
+        for (size_t i = 0; i < chosen.size(); ++i)
+            add(plan, room, *chosen[i], step, step.waiting[i], attempt, known);
+        return chosen.size();
+    }
+
+    static uint32_t attemptOf(const ReadyStep& step, uint32_t index)
+    {
+        return step.job->occurrences[step.step.occurrence].steps[step.step.step].tasks[index].attempt;
+    }
+
+    static void add(WorkPlan& plan, RoomView& room, Worker& worker, const ReadyStep& step, uint32_t index, uint32_t attempt, const StepAdvice* known)
+    {
+        room.take(worker, step.spec());
+        TaskRef task = step.step;
+        task.index = index;
+        PlannedRun run { { { task, attempt }, worker.link->number }, {} };
+        if (known)
+            run.ticket = known->allowed.at(worker.link->number).text;
+        plan.runs.push_back(std::move(run));
+    }
+
+    /// Names workers with the most room until those that are likely to be allowed hold the step.
+    void question(WorkPlan& plan, RoomView& room, const AdviceBook& advice, const QueueSpec& queue, const ReadyStep& step,
+        const StepAdvice* known, size_t missing, Time now) const
+    {
+        std::vector<const Worker*> candidates;
+        for (const Worker& worker : room.workers()) {
+            const WorkerNumber number = worker.link->number;
+            const bool isAnswered = known && (known->denied.count(number) || known->mayRun(number, now));
+            if (!isAnswered && isEligible(worker, queue, step.spec()) && RoomView::fits(worker, step.spec()))
+                candidates.push_back(&worker);
+        }
+        std::sort(candidates.begin(), candidates.end(), [](const Worker* a, const Worker* b) {
+            return a->room.processorMillis > b->room.processorMillis;
+        });
+        AdviceBook::Question question { step.step, {}, *queue.advice, queue.priority };
+        double expected = 0;
+        for (const Worker* worker : candidates) {
+            const bool isAllowed = known && known->allowed.count(worker->link->number);
+            expected += static_cast<double>(holdCount(*worker, step.spec())) * (isAllowed ? 1 : advice.allowedShare(*queue.advice));
+            question.workers.push_back(worker->link->number);
+            if (question.workers.size() >= config::maxAdviceWorkers || expected >= static_cast<double>(missing) * askMargin)
+                break;
+        }
+        if (!question.workers.empty())
+            plan.questions.push_back(std::move(question));
+    }
+
+    /// Tasks of the step that fit on the worker beside each other.
+    static uint32_t holdCount(const Worker& worker, const StepSpec& step)
+    {
+        uint32_t count = worker.room.processorMillis / std::max<uint32_t>(1, step.size.processorMillis);
+        count = std::min(count, worker.room.memoryMiB / std::max<uint32_t>(1, step.size.memoryMiB));
+        return step.maxPerWorker ? std::min(count, step.maxPerWorker) : count;
+    }
+
+    static constexpr double askMargin = 1.5; // more room is asked for than the step needs
+
+    double m_remoteFactor;
+    Order m_order;
+};
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/work_table.cpp
@@ -0,0 +1,302 @@
+#include "work_table.h"
+
+#include "eelgrassloft/config.h"
+
+#include <algorithm>
+
+namespace eelgrassloft {
+
+WorkTable::Result WorkTable::apply(Time at, const Command& command)
+{
+    return std::visit([&](const auto& body) { return handle(at, body); }, command);
+}
+
+void WorkTable::rebuild()
+{
+    m_open.clear();
+    m_workerById.clear();
+    m_ended.clear();
+    for (const auto& [key, job] : m_jobs) {
+        if (isEnded(job.state))
+            m_ended.insert({ job.endedAt, key });
+        else
+            m_open.insert(key);
+    }
+    for (const auto& [number, worker] : m_workers)
+        m_workerById[worker.info.id] = number;
+}
+
+const WorkJob* WorkTable::job(JobKey key) const
+{
+    const auto found = m_jobs.find(key);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+const FleetWorker* WorkTable::worker(WorkerNumber number) const
+{
+    const auto found = m_workers.find(number);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+const StepSpec* WorkTable::stepOf(const TaskRef& task) const
+{
+    const WorkJob* found = job(task.job);
+    return found && task.step < found->work.steps.size() ? &found->work.steps[task.step] : nullptr;
+}
+
+bool WorkTable::isWanted(const TaskRun& run) const
+{
+    const WorkJob* found = job(run.task.job);
+    if (!found || isEnded(found->state))
+        return false;
+    const WorkTask* task = found->task(run.task);
+    return task && task->phase == TaskPhase::Placed && task->attempt == run.attempt;
+}
+
+WorkerNumber WorkTable::findWorker(const std::string& id) const
+{
+    const auto found = m_workerById.find(id);
+    return found == m_workerById.end() ? WorkerNumber {} : found->second;
+}
+
+uint64_t WorkTable::pendingCount(const std::string& queue) const
+{
+    return static_cast<uint64_t>(std::count_if(m_open.begin(), m_open.end(), [&](JobKey key) {
+        const WorkJob& record = m_jobs.at(key);
+        return record.state == WorkState::Queued && record.queue.name == queue;
+    }));
+}
+
+// Jobs.
+
+WorkTable::Result WorkTable::handle(Time at, const SubmitWork& command)
+{
+    if (m_jobs.count(command.key))
+        return { WorkStatus::Known };
+    const QueueSpec* queue = m_config.queue(command.queue);
+    if (!queue)
+        return { WorkStatus::UnknownQueue };
+    forgetOldJobs(at);
+    WorkJob& job = m_jobs[command.key];
+    job.key = command.key;
+    job.queue = *queue;
+    job.work = command.work;
+    job.submittedAt = at;
+    OccurrenceRecord occurrence;
+    for (const StepSpec& step : command.work.steps)
+        occurrence.steps.push_back({ std::vector<WorkTask>(step.count), 0 });
+    job.occurrences.assign(command.work.occurrenceCount(), occurrence);
+    m_open.insert(command.key);
+    return {};
+}
+
+WorkTable::Result WorkTable::handle(Time at, const CancelWork& command)
+{
+    const auto found = m_jobs.find(command.key);
+    if (found == m_jobs.end())
+        return { WorkStatus::UnknownJob };
+    if (isEnded(found->second.state))
+        return { WorkStatus::Known };
+    endJob(at, found->second, WorkState::Cancelled);
+    return {};
+}
+
+void WorkTable::endJob(Time at, WorkJob& job, WorkState state)
+{
+    job.state = state;
+    job.endedAt = at;
+    m_open.erase(job.key);
+    m_ended.insert({ at, job.key });
+}
+
+void WorkTable::forgetOldJobs(Time at)
+{
+    while (!m_ended.empty() && m_ended.begin()->first + config::endedJobLifetime < at) {
+        m_jobs.erase(m_ended.begin()->second);
+        m_ended.erase(m_ended.begin());
+    }
+}
+
+// Configuration.
+
+WorkTable::Result WorkTable::handle(Time, const SetFleetConfig& command)
+{
+    if (command.config.version <= m_config.version)
+        return { WorkStatus::Known };
+    m_config = command.config;
+    return {};
+}
+
+// Workers.
+
+WorkTable::Result WorkTable::handle(Time, const SetFleetWorker& command)
+{
+    const WorkerInfo& info = command.info;
+    std::vector<WorkerNumber> former;
+    for (auto& [number, record] : m_workers) {
+        const bool isSame = record.info.id == info.id || record.info.address == info.address
+            || (!info.machine.empty() && record.info.machine == info.machine);
+        if (!isSame)
+            continue;
+        if (record.info.born > info.born)
+            return { WorkStatus::Known }; // From a life that is over.
+        if (record.info.born == info.born && record.info.id == info.id) {
+            record.info = info;
+            return {};
+        }
+        former.push_back(number);
+    }
+    for (const WorkerNumber number : former)
+        removeWorker(number);
+    const WorkerNumber number { m_nextWorker++ };
+    m_workers[number].info = info;
+    m_workerById[info.id] = number;
+    return {};
+}
+
+WorkTable::Result WorkTable::handle(Time, const RemoveFleetWorker& command)
+{
+    if (!m_workers.count(command.worker))
+        return { WorkStatus::Known };
+    removeWorker(command.worker);
+    return {};
+}
+
+void WorkTable::removeWorker(WorkerNumber number)
+{
+    FleetWorker& record = m_workers.at(number);
+    for (const TaskRun& run : std::vector<TaskRun>(record.runs))
+        requeue({ run, {} }, number);
+    const auto byId = m_workerById.find(record.info.id);
+    if (byId != m_workerById.end() && byId->second == number)
+        m_workerById.erase(byId);
+    m_workers.erase(number);
+}
+
+// Runs.
+
+WorkTable::Result WorkTable::handle(Time, const PlaceRuns& command)
+{
+    for (const RunPlacement& placement : command.placements) {
+        const auto found = m_jobs.find(placement.run.task.job);
+        const auto worker = m_workers.find(placement.worker);
+        if (found == m_jobs.end() || worker == m_workers.end() || isEnded(found->second.state))
+            continue;
+        WorkTask* task = found->second.task(placement.run.task);
+        if (!task || task->phase != TaskPhase::Waiting || placement.run.attempt <= task->attempt)
+            continue;
+        task->phase = TaskPhase::Placed;
+        task->attempt = placement.run.attempt;
+        task->worker = placement.worker;
+        worker->second.runs.push_back(placement.run);
+        found->second.state = WorkState::Running;
+    }
+    return {};
+}
+
+WorkTable::Result WorkTable::handle(Time at, const RecordEnds& command)
+{
+    const auto worker = m_workers.find(command.worker);
+    if (worker == m_workers.end())
+        return { WorkStatus::Known };
+    for (const ListedEnd& end : command.ends) {
+        if (end.number <= worker->second.lastEnd)
+            continue;
+        worker->second.lastEnd = end.number;
+        recordEnd(at, command.worker, end);
+        std::erase(worker->second.runs, end.run);
+    }
+    return {};
+}
+
+void WorkTable::recordEnd(Time at, WorkerNumber worker, const ListedEnd& end)
+{
+    const auto found = m_jobs.find(end.run.task.job);
+    if (found == m_jobs.end() || isEnded(found->second.state))
+        return;
+    WorkJob& job = found->second;
+    WorkTask* task = job.task(end.run.task);
+    const bool isLatest = task && task->phase == TaskPhase::Placed && task->attempt == end.run.attempt && task->worker == worker;
+    if (!isLatest)
+        return;
+    const StepSpec& step = job.work.steps[end.run.task.step];
+    if (end.how == RunEnd::Done && !step.isLongRunning) {
+        taskDone(at, job, end.run.task);
+        return;
+    }
+    task->phase = TaskPhase::Waiting;
+    keepCheckpoint(job, end.run.task, end.checkpoint);
+    if (end.how == RunEnd::Failed && !step.isLongRunning && countFailure(job, end.run))
+        endJob(at, job, WorkState::Failed);
+}
+
+/// The members of a gang go on from the same checkpoint.
+void WorkTable::keepCheckpoint(WorkJob& job, const TaskRef& ref, const std::string& checkpoint)
+{
+    if (checkpoint.empty())
+        return;
+    if (!job.work.steps[ref.step].isGang) {
+        job.task(ref)->checkpoint = checkpoint;
+        return;
+    }
+    for (WorkTask& task : job.occurrences[ref.occurrence].steps[ref.step].tasks)
+        task.checkpoint = checkpoint;
+}
+
+/// Whether the task, or its gang, has failed as often as its queue allows.
+bool WorkTable::countFailure(WorkJob& job, const TaskRun& run)
+{
+    if (!job.work.steps[run.task.step].isGang)
+        return ++job.task(run.task)->failures >= job.queue.maxAttempts;
+    StepRecord& step = job.occurrences[run.task.occurrence].steps[run.task.step];
+    if (step.lastFailedAttempt == run.attempt)
+        return false;
+    step.lastFailedAttempt = run.attempt;
+    return ++step.gangFailures >= job.queue.maxAttempts;
+}
+
+void WorkTable::taskDone(Time at, WorkJob& job, const TaskRef& ref)
+{
+    OccurrenceRecord& occurrence = job.occurrences[ref.occurrence];
+    StepRecord& step = occurrence.steps[ref.step];
+    const bool isGang = job.work.steps[ref.step].isGang; // One end stands for all members.
+    for (uint32_t i = 0; i < step.tasks.size(); ++i) {
+        WorkTask& task = step.tasks[i];
+        if ((!isGang && i != ref.index) || task.phase == TaskPhase::Done)
+            continue;
+        task.phase = TaskPhase::Done;
+        task.checkpoint.clear();
+        ++step.doneCount;
+    }
+    if (!step.isDone())
+        return;
+    if (++occurrence.doneSteps < occurrence.steps.size())
+        return;
+    if (++job.doneOccurrences == job.occurrences.size())
+        endJob(at, job, WorkState::Done);
+}
+
+WorkTable::Result WorkTable::handle(Time, const LoseRuns& command)
+{
+    for (const LostRun& lost : command.runs)
+        requeue(lost, command.worker);
+    return {};
+}
+
+void WorkTable::requeue(const LostRun& lost, WorkerNumber worker)
+{
+    const TaskRun& run = lost.run;
+    const auto record = m_workers.find(worker);
+    if (record != m_workers.end())
+        std::erase(record->second.runs, run);
+    const auto found = m_jobs.find(run.task.job);
+    if (found == m_jobs.end())
+        return;
+    WorkTask* task = found->second.task(run.task);
+    if (task && task->phase == TaskPhase::Placed && task->attempt == run.attempt && task->worker == worker) {
+        task->phase = TaskPhase::Waiting;
+        keepCheckpoint(found->second, run.task, lost.checkpoint);
+    }
+}
+
+} // namespace eelgrassloft
--- /dev/null
+++ b/src/worker_link.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "worker_orders.h"
+
+#include "eelgrassloft/config.h"
+
+#include <map>
+
+namespace eelgrassloft {
+
+enum class RunPhase : uint8_t {
+    Reserved, ///< Room is taken; the placement is not yet durable.
+    Starting, ///< The order was sent and not answered.
+    Running, ///< The worker has confirmed the start, or lists the run.
+    Stopping,
+    Count
+};
+
+constexpr NameTable<RunPhase> nameTable(RunPhase)
+{
+    constexpr NameTable<RunPhase> table { "reserved", "starting", "running", "stopping" };
+    return table;
+}
+
+/// What the leader believes of one run on a worker.
+struct RunView {
+    Resources size;
+    bool isFiller = false;
+    RunPhase phase = RunPhase::Reserved;
+    Time confirmedAt {}; ///< When the worker answered the last order, or first listed the run.
+    bool isListed = false;
+    uint32_t percent = 0;
+    Time progressAt {}; ///< When `percent` last rose.
+    std::string checkpoint;
+    std::string ticket;
+    bool isStopWanted = false;
+    bool hasOrder = false; ///< An order for it is under way.
+    bool wasSilent = false; ///< An order was not answered and may still be carried out.
+    bool isGang = false;
+    Time nextOrder {};
+    Time placedAt {};
+};
+
+/// Lease of a worker in terms of two clocks. The worker's steady clock may be slow and is known
+/// only from its answers, so its present reading is a lower bound.
+class WorkerLease {
+public:
+    void sawClock(Time now, int64_t clockMs)
+    {
+        if (m_isKnown && clockMs < lowerBound(now))
+            return;
+        m_isKnown = true;
+        m_clockMs = clockMs;
+        m_seenAt = now;
+    }
+
+    bool isClockKnown() const { return m_isKnown; }
+
+    /// The worker's clock shows at least this much.
+    int64_t lowerBound(Time now) const
+    {
+        return m_clockMs + (now - m_seenAt) / std::chrono::milliseconds(1) * config::slowClockPercent / 100;
+    }
+
+    /// Reading at which a lease that is given now ends.
+    int64_t extend(Time now, Duration length)
+    {
+        m_endMs = std::max(m_endMs, lowerBound(now) + length / std::chrono::milliseconds(1));
+        return m_endMs;
+    }
+
+    /// A lease that another leader gave no later than at `givenUntil` has this length at most.
+    void assumeGiven(Time givenUntil, Duration length) { m_unknownEnd = givenUntil + length * 100 / config::slowClockPercent + config::clockBound; }
+
+    bool isSurelyOver(Time now) const { return now >= surelyOverAt(); }
+
+    Time surelyOverAt() const
+    {
+        if (!m_isKnown)
+            return m_unknownEnd;
+        const auto left = std::chrono::milliseconds(m_endMs - m_clockMs) * 100 / config::slowClockPercent;
+        return std::max(m_unknownEnd, m_seenAt + left + config::clockBound);
+    }
+
+private:
+    bool m_isKnown = false;
+    int64_t m_clockMs = 0;
+    Time m_seenAt {};
+    int64_t m_endMs = 0;
+    Time m_unknownEnd {};
+};
+
+/// The leader's view of one life of a worker.
+struct WorkerLink {
+    WorkerNumber number;
+    WorkerInfo info;
+    std::map<TaskRun, RunView> runs;
+    Resources used; ///< By everything that runs, may start or is being stopped.
+    WorkerLease lease;
+    bool isSynced = false; ///< Has answered a look under the present fence.
+    bool isSilent = false; ///< The last look was not answered.
+    bool hasLook = false; ///< A look is under way.
+    Time nextLook {};
+    uint64_t endsProposed = 0; ///< Ends up to this number are in the log or on their way there.
+    uint64_t endsForgotten = 0; ///< The worker was told that it may forget ends up to this number.
+    Time lastReport {};
+    std::vector<JobKey> failedJobs; ///< Distinct jobs that failed here in a row.
+    Time setAsideUntil {};
+    bool isOnProbation = false; ///< Set aside before; gets one task at a time until one succeeds.
+
+    bool mayPlace(Time now) const
+    {
+        if (!isSynced || isSilent || info.isLeaving || now < setAsideUntil)
+            return false;
+        return !isOnProbation || runs.empty();
+    }
+
+    Resources room() const { return used.fitsIn(info.capacity) ? info.capacity - used : Resources {}; }
+
+    void addRun(const TaskRun& run, RunView view)
+    {
+        used += countedSize(view);
+        runs[run] = std::move(view);
+    }
+
+    void removeRun(const TaskRun& run)
+    {
+        const auto found = runs.find(run);
+        if (found == runs.end())
+            return;
+        used -= countedSize(found->second);
+        runs.erase(found);
+    }
+
+    /// Fillers take no processors of their own.
+    static Resources countedSize(const RunView& view)
+    {
+        Resources size = view.size;
+        if (view.isFiller)
+            size.processorMillis = 0;
+        return size;
+    }
+};
+
+} // namespace eelgrassloft
