Replica checks members under constant load; a full segment is synced before the next

Change: checks have a time of their own; the old segment and a cut tail are synced; links tell lives of a host apart, so a new life replaces a dead link at once. Tests: aReturningHostIsAdmittedWhileEntriesNeverStop and aLossOfPowerAfterASnapshotLeavesNoGap fail without the two changes.

--- a/src/io/fleet_links.cpp
+++ b/src/io/fleet_links.cpp
@@ -21,10 +21,11 @@
     uint32_t magic = greetingMagic;
     uint32_t version = config::peerProtocolVersion;
     HostId host;
+    uint64_t process = 0; ///< Differs between the lives of a host.
 
     static constexpr auto members()
     {
-        return std::make_tuple(&FleetGreeting::magic, &FleetGreeting::version, &FleetGreeting::host);
+        return std::make_tuple(&FleetGreeting::magic, &FleetGreeting::version, &FleetGreeting::host, &FleetGreeting::process);
     }
 };
 
@@ -44,6 +45,7 @@
     tcp::socket socket;
     HostId host; ///< Known after the greeting.
     HostId dialer;
+    uint64_t process = 0; ///< Life of the other host.
     Mailbox<std::string> outgoing;
     asio::steady_timer silence;
     std::chrono::steady_clock::time_point lastHeard = std::chrono::steady_clock::now();
@@ -57,6 +59,7 @@
     , m_node(node)
     , m_log(log)
     , m_acceptor(context)
+    , m_process(static_cast<uint64_t>(std::chrono::system_clock::now().time_since_epoch().count()))
 {
 }
 
@@ -127,6 +130,7 @@
 {
     FleetGreeting own;
     own.host = m_self;
+    own.process = m_process;
     const std::string frame = frameOf(encode(own));
     error_code error;
     co_await asio::async_write(link->socket, asio::buffer(frame), asio::redirect_error(use_awaitable, error));
@@ -143,16 +147,17 @@
         m_log.write("link-rejected", { { "reason", greeting ? "wrong host or version" : "no greeting" } });
         co_return HostId {};
     }
+    link->process = greeting->process;
     co_return greeting->host;
 }
 
-/// Of two links between the same hosts the one that the lower id dialed stays, and of two that the
-/// same host dialed the newer.
+/// A link to a new life of a host replaces all others. Of two links between the same lives the one
+/// that the lower id dialed stays, and of two that the same host dialed the newer.
 bool FleetLinks::adopt(const std::shared_ptr<Link>& link)
 {
     const auto former = m_links.find(link->host);
     if (former != m_links.end()) {
-        const bool isPreferred = link->dialer == former->second->dialer || link->dialer < former->second->dialer;
+        const bool isPreferred = link->process != former->second->process || link->dialer <= former->second->dialer;
         if (!isPreferred)
             return false;
         closeLink(former->second);
--- a/src/io/fleet_links.h
+++ b/src/io/fleet_links.h
@@ -46,6 +46,7 @@
     FleetMailbox& m_node;
     EventLog& m_log;
     tcp::acceptor m_acceptor;
+    uint64_t m_process; ///< Tells this life of the host from its others.
     std::set<HostId> m_targets;
     std::set<HostId> m_dialing;
     std::map<HostId, std::shared_ptr<Link>> m_links;
--- a/src/io/log_file.h
+++ b/src/io/log_file.h
@@ -66,8 +66,19 @@
     bool write(uint64_t, const std::vector<LogWrite<M>>&) { return true; }
 };
 
+/// An open file that is appended to and made durable.
+template <typename T>
+concept AppendFile = std::movable<T> && requires(T file, const T constFile, const std::filesystem::path& path, const std::string& bytes)
+{
+    file.open(path, true);
+    file.append(bytes);
+    file.sync();
+    constFile.isOpen();
+    constFile.lastError();
+};
+
 /// Keeps a log in a folder: a snapshot and numbered segments of records after it.
-template <typename M>
+template <typename M, AppendFile File = SyncedFile>
 class FileLog : public LastError {
 public:
     explicit FileLog(std::filesystem::path folder)
@@ -172,7 +183,11 @@
         if (m_reader.goodBytes() != std::filesystem::file_size(path)) {
             if (!isLast)
                 return corrupt(path, "its last record is not whole, and later segments exist");
-            std::filesystem::resize_file(path, m_reader.goodBytes()); // Never synced: nothing was promised.
+            // Never synced, so nothing was promised; but it must not come back beside later segments.
+            std::filesystem::resize_file(path, m_reader.goodBytes());
+            File file;
+            if (!file.open(path, false) || !file.sync())
+                return corrupt(path, file.lastError().message);
         }
         m_segments.push_back({ number, 0 });
         for (const std::string& bytes : *records) {
@@ -244,7 +259,7 @@
     bool writeSnapshot(const Snapshot<M>& snapshot)
     {
         const std::filesystem::path temporary = m_folder / "snapshot.new";
-        SyncedFile file;
+        File file;
         if (!file.open(temporary, true) || !file.append(frameRecord(encode(snapshot))) || !file.sync()) {
             fail(file.lastError());
             return false;
@@ -262,6 +277,11 @@
     bool startSegment(uint64_t coveredIndex)
     {
         const uint64_t number = m_segments.empty() ? 1 : m_segments.back().number + 1;
+        // Earlier writes of the same batch may stand in the segment that ends here.
+        if (m_segment.isOpen() && !m_segment.sync()) {
+            fail(m_segment.lastError());
+            return false;
+        }
         if (!m_segment.open(segmentPath(number), true)) {
             fail(m_segment.lastError());
             return false;
@@ -284,7 +304,7 @@
     std::filesystem::path m_folder;
     RecordFile m_reader;
     RecordDecoder m_decoder;
-    SyncedFile m_segment;
+    File m_segment;
     std::vector<Segment> m_segments;
     uint64_t m_incarnation = 0;
     HardState m_state;
--- a/src/replica.h
+++ b/src/replica.h
@@ -34,8 +34,8 @@
     size_t snapshotThreshold = config::snapshotThresholdEntries;
     bool isStored = true; ///< Without storage no snapshots are copied for it; followers still get them.
     std::vector<HostId> voterHosts; ///< Hosts that become voters once they hold everything committed.
-    uint32_t targetVoters = 0; ///< Where hosts are not known before: any host may vote, up to this number.
     uint64_t seed = 0;
+    uint32_t targetVoters = 0; ///< Where hosts are not known before: any host may vote, up to this number.
 };
 
 /// One member of a replicated log (Raft: Ongaro and Ousterhout, USENIX ATC 2014; pre-vote,
@@ -166,7 +166,7 @@
         return std::exchange(m_output, {});
     }
 
-    Time nextDeadline() const { return m_role == ReplicaRole::Leader ? m_nextHeartbeat : m_electionDeadline; }
+    Time nextDeadline() const { return m_role == ReplicaRole::Leader ? std::min(m_nextHeartbeat, m_nextCheck) : m_electionDeadline; }
 
     /// Whether no other member can have become leader, by this leader's clock.
     bool hasLease(Time now) const
@@ -383,6 +383,7 @@
         m_votes.clear();
         m_progress.clear();
         m_becameLeaderAt = now;
+        m_nextCheck = now;
         m_termStartIndex = append(now, TermStart {});
         if (m_log.membershipIndex() == 0) // A new log: members that have not formed it learn the voters here.
             append(now, Membership(membership()));
@@ -508,6 +509,7 @@
             becomeFollower(now, m_state.term);
             return;
         }
+        m_nextCheck = now + m_options.heartbeat; // Entries put heartbeats off, but no checks.
         changeMembership(now);
         if (now >= m_nextHeartbeat)
             sendEntriesToAll(now);
@@ -746,6 +748,7 @@
     Time m_lastContact;
     Time m_electionDeadline {};
     Time m_nextHeartbeat {};
+    Time m_nextCheck {}; ///< Of the quorum and the membership, by a leader.
     Time m_becameLeaderAt {};
     uint64_t m_termStartIndex = 0;
     bool m_hasUnsentEntries = false;
--- a/tests/log_file_test.cpp
+++ b/tests/log_file_test.cpp
@@ -54,6 +54,42 @@
 
 using Indexes = std::vector<uint64_t>;
 
+/// A file whose bytes last only once they are synced, as on a machine that may lose power.
+class LossyFile : public SyncedFile {
+public:
+    std::optional<size_t> open(const fs::path& file, bool isNew)
+    {
+        m_file = file;
+        const auto opened = SyncedFile::open(file, isNew);
+        durableSizes()[file] = isNew ? 0 : fs::file_size(file);
+        return opened;
+    }
+
+    std::optional<size_t> sync()
+    {
+        durableSizes()[m_file] = fs::file_size(m_file);
+        return SyncedFile::sync();
+    }
+
+    /// Cuts every file to what was synced of it.
+    static void losePower()
+    {
+        for (const auto& [file, size] : std::exchange(durableSizes(), {})) {
+            if (fs::exists(file))
+                fs::resize_file(file, size);
+        }
+    }
+
+private:
+    static std::map<fs::path, uintmax_t>& durableSizes()
+    {
+        static std::map<fs::path, uintmax_t> sizes;
+        return sizes;
+    }
+
+    fs::path m_file;
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(LogFileTests, Folder)
@@ -117,6 +153,24 @@
     BOOST_TEST((indexesOf(*restored) == Indexes { 3, 4, 5 }));
 }
 
+/// A batch may hold entries, a snapshot that does not cover them, and more entries.
+BOOST_AUTO_TEST_CASE(aLossOfPowerAfterASnapshotLeavesNoGap)
+{
+    {
+        FileLog<ListMachine, LossyFile> log(path);
+        log.restore();
+        LogWrite<ListMachine> snapshot;
+        snapshot.sequence = 2;
+        snapshot.snapshot = Snapshot<ListMachine> { 2, 1, Time {}, {}, { { 10, 20 } } };
+        BOOST_REQUIRE(log.write(42, { writeOf(1, { 1, 2, 3, 4 }), snapshot, writeOf(3, { 5 }) }));
+    }
+    LossyFile::losePower();
+    FileLog<ListMachine> again(path);
+    const auto restored = again.restore();
+    BOOST_REQUIRE_MESSAGE(restored.has_value(), again.lastError().text());
+    BOOST_TEST((indexesOf(*restored) == Indexes { 3, 4, 5 }));
+}
+
 BOOST_AUTO_TEST_CASE(aTornTailIsCut)
 {
     {
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -109,6 +109,20 @@
     BOOST_TEST(cluster.replica(other).machine().ids.size() == 20U);
 }
 
+/// Entries put heartbeats off; the checks of the quorum and of newcomers must not wait for those.
+BOOST_AUTO_TEST_CASE(aReturningHostIsAdmittedWhileEntriesNeverStop)
+{
+    ReplicaCluster cluster(threeHosts());
+    cluster.run(3s);
+    const uint32_t leader = requireLeader(cluster);
+    const uint32_t lost = (leader + 1) % 3;
+    cluster.apply({ FaultKind::Crash, lost, 0, 0 });
+    proposeMany(cluster, 1, 600);
+    BOOST_REQUIRE(cluster.isUp(lost));
+    BOOST_TEST((cluster.replica(lost).role() == ReplicaRole::Follower));
+    BOOST_TEST(cluster.replica(lost).machine().ids.size() > 500U);
+}
+
 BOOST_AUTO_TEST_CASE(aSecondLossRightAfterARepairLosesNothing)
 {
     ReplicaCluster cluster(threeHosts());
