A silent worker's lease ends: its runs are given up and run elsewhere

Ruled out: a lost command, a leak of placements in flight, advice that denies all workers (a dump of the stuck job showed its worker silent, leaving, and its runs confirmed). Change: no longer lease for a silent worker; recorded ends are acknowledged at once. Tests: tests/fleet_desk_test.cpp (theRunsOfASilentWorkerAreGivenUpAfterItsLease and anEndIsAcknowledgedOnceItIsRecorded failed first).

--- a/src/control_node.h
+++ b/src/control_node.h
@@ -458,6 +458,7 @@
 
     void follow(FleetStep& step, const RecordEnds& command)
     {
+        m_desk.endsRecorded(command.worker, step.now);
         m_nextPlan = step.now;
         for (const ListedEnd& end : command.ends) {
             const WorkJob* job = table().job(end.run.task.job);
--- a/src/fleet_desk.cpp
+++ b/src/fleet_desk.cpp
@@ -439,7 +439,7 @@
             order.text = job.work.text;
             order.checkpoint = job.task(run.task)->checkpoint;
             order.ticket = view.ticket;
-            order.leaseEndMs = link.lease.extend(step.now, m_settings.maxLease);
+            order.leaseEndMs = leaseFor(link, step.now);
         }
         view.hasOrder = true;
         send(step, link, { link.number, order.kind, run, step.now, 0 }, std::move(order));
@@ -448,6 +448,12 @@
         stopGang(table, step.now, run);
 }
 
+/// A silent worker gets no longer lease: its runs could never be given up.
+int64_t FleetDesk::leaseFor(WorkerLink& link, Time now) const
+{
+    return link.isSilent ? link.lease.endMs() : link.lease.extend(now, m_settings.maxLease);
+}
+
 void FleetDesk::sendLook(FleetStep& step, const WorkTable& table, WorkerLink& link)
 {
     const FleetWorker* record = table.worker(link.number);
@@ -458,7 +464,7 @@
     order.endsRecorded = record->lastEnd;
     // The first look only reads the clock; a lease is given on the answer's clock.
     if (link.lease.isClockKnown() && !link.runs.empty())
-        order.leaseEndMs = link.lease.extend(step.now, m_settings.maxLease);
+        order.leaseEndMs = leaseFor(link, step.now);
     const bool mayWait = link.isSynced && !link.isSilent && !link.runs.empty();
     order.hold = mayWait ? config::lookHold : Duration {};
     link.hasLook = true;
--- a/src/fleet_desk.h
+++ b/src/fleet_desk.h
@@ -29,6 +29,9 @@
     /// A worker reported itself; it need not have changed.
     void workerReported(WorkerNumber number, Time now);
 
+    /// Ends of a worker are durable, so it may be told to forget them.
+    void endsRecorded(WorkerNumber number, Time now) { schedule(now, number); }
+
     // Placements.
 
     void reserve(const RunPlacement& placement, const StepSpec& step, std::string ticket);
@@ -79,6 +82,7 @@
     void sendOrders(FleetStep& step, const WorkTable& table, WorkerLink& link);
     void sendLook(FleetStep& step, const WorkTable& table, WorkerLink& link);
     void send(FleetStep& step, const WorkerLink& link, Call call, WorkerOrder order);
+    int64_t leaseFor(WorkerLink& link, Time now) const;
     bool wantsLook(const WorkTable& table, const WorkerLink& link) const;
 
     FleetSettings m_settings;
--- a/src/worker_link.h
+++ b/src/worker_link.h
@@ -69,6 +69,8 @@
         return m_endMs;
     }
 
+    int64_t endMs() const { return m_endMs; }
+
     /// A lease that another leader gave no later than at `givenUntil` has this length at most.
     void assumeGiven(Time givenUntil, Duration length) { m_unknownEnd = givenUntil + length * 100 / config::slowClockPercent + config::clockBound; }
 
