Gangs wait on held workers; a batch of the log is one write

Change: GangHold keeps workers for up to three gangs of each priority, prefers those that have tickets and were held before, promises room that is still to come only once, and stops checkpointed runs of later queues once the tickets are there. Gangs ask for 30 workers. Priorities go strictly first; only what is past its limit goes behind all. Plans are 5 ms apart. FileLog writes a batch at once and syncs at a start what it read.

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -123,6 +123,13 @@
 inline constexpr uint32_t failuresToSetAside = 2; // distinct jobs failed in a row on a worker
 inline constexpr Duration setAsidePause = 5s;
 
+inline constexpr Duration planGap = 5ms; // between two plans
+
+// Gangs that wait for room.
+inline constexpr size_t maxHeldGangs = 3; // for which workers are kept free at a time
+inline constexpr size_t gangAdviceWorkers = 30; // named in one question for a gang
+inline constexpr uint32_t nearlyDonePercent = 80; // a run beyond this is not stopped for another
+
 // Fleet.
 inline constexpr Duration fleetStatusPeriod = 400ms;
 inline constexpr Duration fleetLinkSilence = 2s;
--- a/include/eelgrassloft/effects.h
+++ b/include/eelgrassloft/effects.h
@@ -42,6 +42,7 @@
     Draining,
     LogFormed,
     IncarnationChanged,
+    JobEnded,
     Count
 };
 
@@ -50,7 +51,7 @@
     constexpr NameTable<LogEventKind> table { "leader-changed", "revision-in-force", "change-accepted",
         "change-refused", "upstream-announced", "upstream-leaving", "upstream-set-aside", "worker-joined",
         "worker-lost", "worker-set-aside", "task-ended", "request-refused", "request-unknown", "time-leap", "draining",
-        "log-formed", "incarnation-changed" };
+        "log-formed", "incarnation-changed", "job-ended" };
     static_assert(detail::isComplete<LogEventKind>(table));
     return table;
 }
--- a/include/eelgrassloft/resources.h
+++ b/include/eelgrassloft/resources.h
@@ -71,4 +71,11 @@
     friend constexpr bool operator==(const Resources&, const Resources&) = default;
 };
 
+/// The smaller amount of each dimension.
+constexpr Resources smaller(const Resources& a, const Resources& b)
+{
+    return { a.processorMillis < b.processorMillis ? a.processorMillis : b.processorMillis,
+        a.memoryMiB < b.memoryMiB ? a.memoryMiB : b.memoryMiB, a.accelerators < b.accelerators ? a.accelerators : b.accelerators };
+}
+
 } // namespace eelgrassloft
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -2,6 +2,7 @@
 
 #include "call_forwarder.h"
 #include "fleet_desk.h"
+#include "hash.h"
 #include "replica.h"
 #include "work_planner.h"
 
@@ -198,7 +199,7 @@
     void receive(FleetStep& step, HostId, const AdviceReply& reply)
     {
         m_advice.answered(step.now, table(), reply);
-        m_nextPlan = step.now;
+        requestPlan();
     }
 
     void handle(FleetStep& step, const AdviceAnswered& event) { receive(step, m_settings.self, event.reply); }
@@ -208,7 +209,7 @@
     void handle(FleetStep& step, const WorkerAnswered& event)
     {
         m_desk.answered(step, table(), event.call, event.answer);
-        m_nextPlan = std::min(m_nextPlan, step.now);
+        requestPlan();
     }
 
     // Calls.
@@ -389,7 +390,7 @@
             m_desk.start(table(), step.now, term);
             m_advice.clear();
             m_inFlight.clear();
-            m_nextPlan = step.now;
+            requestPlan();
         }
         if (isLeading != m_isLeading) {
             m_isLeading = isLeading;
@@ -449,9 +450,9 @@
 
     // What the leader does when a command has been applied.
 
-    void follow(FleetStep& step, const SubmitWork&) { m_nextPlan = step.now; }
-    void follow(FleetStep& step, const PlaceRuns&) { m_nextPlan = std::min(m_nextPlan, step.now); }
-    void follow(FleetStep& step, const LoseRuns&) { m_nextPlan = step.now; }
+    void follow(FleetStep&, const SubmitWork&) { requestPlan(); }
+    void follow(FleetStep&, const PlaceRuns&) { requestPlan(); }
+    void follow(FleetStep&, const LoseRuns&) { requestPlan(); }
     void follow(FleetStep& step, const CancelWork& command) { jobEnded(step, command.key); }
     void follow(FleetStep& step, const SetFleetWorker&) { workersChanged(step); }
     void follow(FleetStep& step, const RemoveFleetWorker&) { workersChanged(step); }
@@ -459,17 +460,18 @@
     void follow(FleetStep& step, const RecordEnds& command)
     {
         m_desk.endsRecorded(command.worker, step.now);
-        m_nextPlan = step.now;
+        requestPlan();
+        std::set<JobKey> ended;
         for (const ListedEnd& end : command.ends) {
             const WorkJob* job = table().job(end.run.task.job);
-            if (job && isEnded(job->state))
+            if (job && isEnded(job->state) && job->endedBy == end.run && ended.insert(job->key).second)
                 jobEnded(step, job->key);
         }
     }
 
     void follow(FleetStep& step, const SetFleetConfig&)
     {
-        m_nextPlan = step.now;
+        requestPlan();
         const uint64_t version = table().config().version;
         step.log(LogEventKind::RevisionInForce, { { "version", std::to_string(version) } });
         for (const HostId entry : m_entries)
@@ -480,15 +482,41 @@
     {
         m_advice.forget(key);
         const WorkJob* job = table().job(key);
-        if (job && job->state != WorkState::Done)
+        if (!job)
+            return;
+        if (job->state != WorkState::Done)
             m_desk.jobEnded(step.now, key);
-        m_nextPlan = step.now;
+        step.log(LogEventKind::JobEnded, endFields(*job));
+        requestPlan();
+    }
+
+    /// What an operator asks first of a job: how it ended, how long it waited, and how often its
+    /// tasks were started and failed.
+    static std::vector<LogField> endFields(const WorkJob& job)
+    {
+        uint32_t attempts = 0;
+        uint32_t failures = 0;
+        for (const OccurrenceRecord& occurrence : job.occurrences) {
+            for (const StepRecord& record : occurrence.steps) {
+                failures += record.gangFailures;
+                for (const WorkTask& task : record.tasks) {
+                    attempts = std::max(attempts, task.attempt);
+                    failures += task.failures;
+                }
+            }
+        }
+        const auto milliseconds = [](Duration duration) { return std::to_string(duration / std::chrono::milliseconds(1)); };
+        const bool wasStarted = job.startedAt != Time {};
+        return { { "job", hexText(job.key.value) }, { "queue", job.queue.name }, { "state", std::string(name(job.state)) },
+            { "waitedMs", wasStarted ? milliseconds(job.startedAt - job.submittedAt) : "never-started" },
+            { "tookMs", milliseconds(job.endedAt - job.submittedAt) }, { "objectiveMs", milliseconds(objectiveOf(job)) },
+            { "attempts", std::to_string(attempts) }, { "failures", std::to_string(failures) } };
     }
 
     void workersChanged(FleetStep& step)
     {
         m_desk.workersChanged(table(), step.now);
-        m_nextPlan = step.now;
+        requestPlan();
     }
 
     // Leading.
@@ -516,6 +544,7 @@
 
     void plan(FleetStep& step)
     {
+        m_lastPlan = step.now;
         m_nextPlan = step.now + config::planPeriod / 5;
         WorkPlan plan = m_planner.plan(table(), m_desk.links(), m_advice, m_inFlight, step.now);
         m_nextPlan = std::min(m_nextPlan, plan.nextDue);
@@ -525,15 +554,19 @@
         if (!command.placements.empty() && propose(step, command, std::nullopt, command.placements)) {
             for (PlannedRun& run : plan.runs) {
                 m_inFlight.insert(run.placement.run.task);
-                m_desk.reserve(run.placement, *table().stepOf(run.placement.run.task), std::move(run.ticket));
+                m_desk.reserve(table(), run.placement, std::move(run.ticket));
             }
         }
+        for (const RunPlacement& victim : plan.stops)
+            m_desk.stopRun(step.now, victim.worker, victim.run);
         for (const AdviceBook::Question& question : plan.questions) {
             if (m_advice.mayAsk(question.terms, question.workers.size()))
                 m_advice.ask(step, table(), m_settings.self, question);
         }
     }
 
+    void requestPlan() { m_nextPlan = std::min(m_nextPlan, m_lastPlan + config::planGap); }
+
     void tickStatus(FleetStep& step)
     {
         if (step.now < m_nextStatus)
@@ -559,6 +592,7 @@
     Time m_lastStep {};
     Time m_nextStatus {};
     Time m_nextPlan = never;
+    Time m_lastPlan {};
     uint64_t m_deskTerm = 0; ///< Term under which the desk works; 0 while this host does not lead.
     bool m_isLeading = false; ///< With a lease.
     bool m_isStopping = false;
--- a/src/fleet_desk.cpp
+++ b/src/fleet_desk.cpp
@@ -4,6 +4,26 @@
 
 namespace eelgrassloft {
 
+namespace {
+
+/// View of a run of a task as its job describes it; a run of an unknown job takes `whole`.
+RunView viewOf(const WorkTable& table, const TaskRef& task, const Resources& whole)
+{
+    RunView view;
+    view.size = whole;
+    const StepSpec* step = table.stepOf(task);
+    if (!step)
+        return view;
+    view.size = step->size;
+    view.isFiller = step->isFiller;
+    view.isGang = step->isGang;
+    view.canCheckpoint = step->canCheckpoint;
+    view.priority = table.job(task.job)->queue.priority;
+    return view;
+}
+
+} // namespace
+
 WorkerLink* FleetDesk::link(WorkerNumber number)
 {
     const auto found = m_links.find(number);
@@ -37,12 +57,7 @@
     // Runs that an earlier leader placed are there, have ended, or can't start any more once the
     // worker has answered under the new fence.
     for (const TaskRun& run : record.runs) {
-        RunView view;
-        if (const StepSpec* step = table.stepOf(run.task)) {
-            view.size = step->size;
-            view.isFiller = step->isFiller;
-            view.isGang = step->isGang;
-        }
+        RunView view = viewOf(table, run.task, {});
         view.phase = RunPhase::Running;
         view.confirmedAt = view.progressAt = view.placedAt = now - config::lookGap;
         view.isStopWanted = !table.isWanted(run);
@@ -100,15 +115,12 @@
 
 // Placements.
 
-void FleetDesk::reserve(const RunPlacement& placement, const StepSpec& step, std::string ticket)
+void FleetDesk::reserve(const WorkTable& table, const RunPlacement& placement, std::string ticket)
 {
     WorkerLink* target = link(placement.worker);
     if (!target)
         return;
-    RunView view;
-    view.size = step.size;
-    view.isFiller = step.isFiller;
-    view.isGang = step.isGang;
+    RunView view = viewOf(table, placement.run.task, {});
     view.ticket = std::move(ticket);
     target->addRun(placement.run, std::move(view));
 }
@@ -291,11 +303,7 @@
     for (const ListedRun& listed : running) {
         auto found = link.runs.find(listed.run);
         if (found == link.runs.end()) {
-            RunView view;
-            const StepSpec* step = table.stepOf(listed.run.task);
-            view.size = step ? step->size : link.info.capacity; // Nothing fits beside a run of unknown size.
-            view.isFiller = step && step->isFiller;
-            view.isGang = step && step->isGang;
+            RunView view = viewOf(table, listed.run.task, link.info.capacity);
             view.isStopWanted = true;
             view.progressAt = view.placedAt = now;
             link.addRun(listed.run, std::move(view));
--- a/src/fleet_desk.h
+++ b/src/fleet_desk.h
@@ -34,7 +34,7 @@
 
     // Placements.
 
-    void reserve(const RunPlacement& placement, const StepSpec& step, std::string ticket);
+    void reserve(const WorkTable& table, const RunPlacement& placement, std::string ticket);
     /// The placement is durable, or did not apply; starts the run or gives the room back.
     void placed(const WorkTable& table, Time now, const RunPlacement& placement);
     void stopRun(Time now, WorkerNumber worker, const TaskRun& run);
--- a/src/hash.h
+++ b/src/hash.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace eelgrassloft {
@@ -13,4 +14,14 @@
     return hash;
 }
 
+/// A number as 16 hexadecimal digits.
+inline std::string hexText(uint64_t value)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text(16, '0');
+    for (size_t i = text.size(); i--; value >>= 4)
+        text[i] = digits[value & 15];
+    return text;
+}
+
 } // namespace eelgrassloft
--- a/src/io/log_file.h
+++ b/src/io/log_file.h
@@ -104,13 +104,17 @@
         return log;
     }
 
-    /// Writes and syncs. After a failure the folder must not be used until it is restored again.
+    /// Writes and syncs. What waits for a sync is one write, since of several a later one may last
+    /// where an earlier one is lost. After a failure the folder must not be used until it is
+    /// restored again.
     bool write(uint64_t incarnation, const std::vector<LogWrite<M>>& writes)
     {
         for (const LogWrite<M>& write : writes) {
             if (!append(incarnation, write))
                 return false;
         }
+        if (!flush())
+            return false;
         if (m_segment.sync())
             return true;
         fail(m_segment.lastError());
@@ -183,12 +187,10 @@
         if (m_reader.goodBytes() != std::filesystem::file_size(path)) {
             if (!isLast)
                 return corrupt(path, "its last record is not whole, and later segments exist");
-            // Never synced, so nothing was promised; but it must not come back beside later segments.
-            std::filesystem::resize_file(path, m_reader.goodBytes());
-            File file;
-            if (!file.open(path, false) || !file.sync())
-                return corrupt(path, file.lastError().message);
+            std::filesystem::resize_file(path, m_reader.goodBytes()); // Never synced: nothing was promised.
         }
+        if (isLast && !syncWhole(path))
+            return false;
         m_segments.push_back({ number, 0 });
         for (const std::string& bytes : *records) {
             const auto record = m_decoder.decode<FileRecord>(bytes);
@@ -198,6 +200,16 @@
         return true;
     }
 
+    /// Makes durable what an earlier process may have left unsynced, before a segment follows it.
+    bool syncWhole(const std::filesystem::path& path)
+    {
+        File file;
+        if (file.open(path, false) && file.sync())
+            return true;
+        fail(file.lastError());
+        return false;
+    }
+
     bool restoreRecord(RestoredLog<M>& log, const FileRecord& record)
     {
         if (const auto* begin = std::get_if<Begin>(&record)) {
@@ -243,14 +255,16 @@
             m_segments.back().lastIndex = std::max(m_segments.back().lastIndex, entry.index);
             bytes += frame(entry);
         }
-        return bytes.empty() || appendBytes(bytes);
+        m_unwritten += bytes;
+        return true;
     }
 
     static std::string frame(FileRecord record) { return frameRecord(encode(record)); }
 
-    bool appendBytes(const std::string& bytes)
+    bool flush()
     {
-        if (m_segment.append(bytes))
+        const std::string bytes = std::exchange(m_unwritten, {});
+        if (bytes.empty() || m_segment.append(bytes))
             return true;
         fail(m_segment.lastError());
         return false;
@@ -278,7 +292,7 @@
     {
         const uint64_t number = m_segments.empty() ? 1 : m_segments.back().number + 1;
         // Earlier writes of the same batch may stand in the segment that ends here.
-        if (m_segment.isOpen() && !m_segment.sync()) {
+        if (m_segment.isOpen() && (!flush() || !m_segment.sync())) {
             fail(m_segment.lastError());
             return false;
         }
@@ -287,7 +301,8 @@
             return false;
         }
         m_segments.push_back({ number, 0 });
-        if (!appendBytes(frame(Begin { m_incarnation, m_state })))
+        m_unwritten = frame(Begin { m_incarnation, m_state });
+        if (!flush())
             return false;
         if (!m_segment.sync() || !syncFolder(m_folder)) {
             fail(ErrorKind::FileWriteFailed, "cannot sync " + segmentPath(number).string(), "check the disk of the data folder");
@@ -305,6 +320,7 @@
     RecordFile m_reader;
     RecordDecoder m_decoder;
     File m_segment;
+    std::string m_unwritten; ///< Records for the open segment.
     std::vector<Segment> m_segments;
     uint64_t m_incarnation = 0;
     HardState m_state;
--- /dev/null
+++ b/src/room_view.cpp
@@ -0,0 +1,64 @@
+#include "room_view.h"
+
+#include <algorithm>
+
+namespace eelgrassloft {
+
+namespace {
+
+Resources countedSize(const StepSpec& step)
+{
+    Resources size = step.size;
+    if (step.isFiller)
+        size.processorMillis = 0;
+    return size;
+}
+
+} // namespace
+
+RoomView::RoomView(const std::map<WorkerNumber, WorkerLink>& links, Time now)
+{
+    for (const auto& [number, link] : links) {
+        if (link.mayPlace(now))
+            m_workers.push_back({ &link, link.room(), {}, link.isOnProbation });
+    }
+}
+
+bool RoomView::fits(const Worker& worker, const StepSpec& step)
+{
+    return countedSize(step).fitsIn(worker.room);
+}
+
+void RoomView::take(Worker& worker, const StepSpec& step)
+{
+    if (worker.isOnProbation) {
+        worker.room = {};
+        return;
+    }
+    worker.room -= countedSize(step);
+}
+
+void RoomView::keep(Worker& worker, const StepSpec& step, uint32_t tasks)
+{
+    const Resources size = countedSize(step);
+    const Resources wanted { size.processorMillis * tasks, size.memoryMiB * tasks, size.accelerators * tasks };
+    const Resources taken = smaller(wanted, worker.room);
+    worker.room -= taken;
+    worker.promised += wanted - taken;
+}
+
+void RoomView::markHeld(const HeldWorkers& held)
+{
+    std::set<WorkerNumber> all;
+    for (const auto& [step, workers] : held)
+        all.insert(workers.begin(), workers.end());
+    for (Worker& worker : m_workers)
+        worker.isHeld = all.count(worker.link->number) > 0;
+}
+
+bool RoomView::hasRoomFor(const StepSpec& step) const
+{
+    return std::any_of(m_workers.begin(), m_workers.end(), [&](const Worker& worker) { return fits(worker, step); });
+}
+
+} // namespace eelgrassloft
--- a/src/work_order.h
+++ b/src/work_order.h
@@ -34,13 +34,15 @@
     Key key(const ReadyStep& step, Time) const { return { step.job->queue.priority, step.job->submittedAt }; }
 };
 
-/// Answers bursts above the fleet's room: what can still meet its objective goes before what is
-/// late, and that before what is past its limit. Among those in time the least slack goes first;
-/// among the late the least work, so that many are finished before their limit.
+/// Answers bursts above the fleet's room. Priorities go first; what is past its limit, and so worth
+/// nothing any more, goes behind everything else. Within a priority what can still meet its
+/// objective goes before what is late: by the least slack among those in time, and by the least
+/// work among the late, so that many are finished before their limit.
 struct DeadlineOrder {
     struct Key {
+        bool isPastLimit = false;
         uint32_t priority = 0;
-        uint32_t standing = 0; ///< 0: in time, 1: late, 2: past the limit.
+        bool isLate = false;
         double rank = 0;
 
         friend auto operator<=>(const Key&, const Key&) = default;
@@ -49,10 +51,9 @@
     Key key(const ReadyStep& step, Time now) const
     {
         const Time earliest = now + step.chainLeft;
-        const uint32_t priority = step.job->queue.priority;
-        if (earliest <= step.objective)
-            return { priority == 0 ? 0U : 1U, 0, static_cast<double>((step.objective - earliest).count()) };
-        return { priority == 0 ? 0U : 1U, earliest <= step.lateLimit ? 1U : 2U, step.workLeft };
+        const bool isLate = earliest > step.objective;
+        const double slack = static_cast<double>((step.objective - earliest).count());
+        return { earliest > step.lateLimit, step.job->queue.priority, isLate, isLate ? step.workLeft : slack };
     }
 };
 
--- a/src/work_planner.cpp
+++ b/src/work_planner.cpp
@@ -32,6 +32,16 @@
     return longest;
 }
 
+Duration objectiveOf(const WorkJob& job)
+{
+    Duration chain = Duration::zero();
+    for (uint32_t first = 0; first < job.work.steps.size(); ++first) {
+        if (job.work.steps[first].deps.empty())
+            chain = std::max(chain, longestChain(job.work, first));
+    }
+    return scaled(chain, job.queue.stretch) + job.queue.target;
+}
+
 ReadySteps::ReadySteps(const WorkTable& table, const std::set<TaskRef>& inFlight, Time now)
 {
     for (const JobKey key : table.openJobs())
@@ -67,12 +77,7 @@
             }
             if (step.waiting.empty())
                 continue;
-            Duration chain = Duration::zero();
-            for (uint32_t first = 0; first < job.work.steps.size(); ++first) {
-                if (job.work.steps[first].deps.empty())
-                    chain = std::max(chain, longestChain(job.work, first));
-            }
-            const Duration allowed = scaled(chain, job.queue.stretch) + job.queue.target;
+            const Duration allowed = objectiveOf(job);
             step.objective = begin + allowed;
             step.lateLimit = begin + allowed * lateFactor;
             step.chainLeft = longestChain(job.work, s);
@@ -86,37 +91,4 @@
     }
 }
 
-RoomView::RoomView(const std::map<WorkerNumber, WorkerLink>& links, Time now)
-{
-    for (const auto& [number, link] : links) {
-        if (link.mayPlace(now))
-            m_workers.push_back({ &link, link.room(), link.isOnProbation });
-    }
-}
-
-bool RoomView::fits(const Worker& worker, const StepSpec& step)
-{
-    Resources size = step.size;
-    if (step.isFiller)
-        size.processorMillis = 0;
-    return size.fitsIn(worker.room);
-}
-
-void RoomView::take(Worker& worker, const StepSpec& step)
-{
-    if (worker.isOnProbation) {
-        worker.room = {};
-        return;
-    }
-    Resources size = step.size;
-    if (step.isFiller)
-        size.processorMillis = 0;
-    worker.room -= size;
-}
-
-bool RoomView::hasRoomFor(const StepSpec& step) const
-{
-    return std::any_of(m_workers.begin(), m_workers.end(), [&](const Worker& worker) { return fits(worker, step); });
-}
-
 } // namespace eelgrassloft
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -2,6 +2,7 @@
 
 #include "advice_book.h"
 #include "fleet_desk.h"
+#include "gang_hold.h"
 #include "work_order.h"
 
 #include <algorithm>
@@ -17,6 +18,7 @@
 
 struct WorkPlan {
     std::vector<PlannedRun> runs;
+    std::vector<RunPlacement> stops; ///< Runs that make way for a gang.
     std::vector<AdviceBook::Question> questions;
     Time nextDue = never; ///< When the next occurrence of a job is due.
 };
@@ -41,26 +43,8 @@
 /// Longest chain of estimated work through all steps from `from` on.
 Duration longestChain(const WorkSpec& work, uint32_t from);
 
-/// Places the tasks of one plan. It works on a copy of the workers' free room, so that what one
-/// step takes is not given to the next.
-class RoomView {
-public:
-    RoomView(const std::map<WorkerNumber, WorkerLink>& links, Time now);
-
-    struct Worker {
-        const WorkerLink* link = nullptr;
-        Resources room;
-        bool isOnProbation = false;
-    };
-
-    std::vector<Worker>& workers() { return m_workers; }
-    void take(Worker& worker, const StepSpec& step);
-    static bool fits(const Worker& worker, const StepSpec& step);
-    bool hasRoomFor(const StepSpec& step) const;
-
-private:
-    std::vector<Worker> m_workers;
-};
+/// Time from hand-in within which a job should be done.
+Duration objectiveOf(const WorkJob& job);
 
 /// Decides which waiting tasks start where, and which questions go to the advice service.
 template <QueueOrder Order>
@@ -79,6 +63,9 @@
         plan.nextDue = ready.nextDue();
         sort(ready.steps(), now);
         RoomView room(links, now);
+        room.markHeld(m_held);
+        m_before = std::exchange(m_held, {});
+        m_heldGangs.clear();
         for (const ReadyStep& step : ready.steps()) {
             if (plan.runs.size() >= config::maxPlacementsPerStep)
                 break;
@@ -122,7 +109,7 @@
     {
         const StepSpec& spec = step.spec();
         const QueueSpec& queue = queueOf(table, step);
-        if (!room.hasRoomFor(spec))
+        if (!spec.isGang && !room.hasRoomFor(spec))
             return;
         const StepAdvice* known = queue.advice ? advice.find(step.step) : nullptr;
         std::vector<Worker*> candidates;
@@ -132,6 +119,10 @@
                 candidates.push_back(&worker);
         }
         const size_t placedCount = spec.isGang ? placeGang(plan, room, candidates, step, known) : placeEach(plan, room, candidates, step, known);
+        if (spec.isGang && !placedCount && m_heldGangs[queue.priority] < config::maxHeldGangs) {
+            hold(plan, room, queue, step, known, now);
+            return;
+        }
         if (queue.advice && placedCount < step.waiting.size() && !(known && known->isAsking))
             question(plan, room, advice, queue, step, known, step.waiting.size() - placedCount, now);
     }
@@ -150,6 +141,8 @@
             const Resources left = worker->room - spec.size;
             const Resources& capacity = worker->link->info.capacity;
             double score = leftShare(left.processorMillis, capacity.processorMillis) + leftShare(left.memoryMiB, capacity.memoryMiB);
+            if (worker->isHeld)
+                score += heldPenalty;
             if (!spec.dataRack.empty() && !worker->link->info.hasLabel(spec.dataRack))
                 score += m_remoteFactor;
             if (!best || score < bestScore) {
@@ -273,10 +266,76 @@
         return step.maxPerWorker ? std::min(count, step.maxPerWorker) : count;
     }
 
+    /// A gang that does not fit now: keeps its workers from what comes later in the order, stops
+    /// what may make way once the tickets are there, and asks for those that are missing.
+    void hold(WorkPlan& plan, RoomView& room, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* known, Time now)
+    {
+        std::vector<Worker*> candidates;
+        std::set<WorkerNumber> ready;
+        for (Worker& worker : room.workers()) {
+            const WorkerNumber number = worker.link->number;
+            const bool isAllowed = !queue.advice || (known && known->allowed.count(number));
+            if (!isAllowed || !isEligible(worker, queue, step.spec()))
+                continue;
+            candidates.push_back(&worker);
+            if (!queue.advice || known->mayRun(number, now + config::orderTimeout))
+                ready.insert(number);
+        }
+        const bool mayAsk = queue.advice && !(known && known->isAsking);
+        const GangHold held(candidates, step.spec(), step.job->queue.priority, m_before[step.step], ready);
+        if (!held.isPossibleByStops() && mayAsk && questionByCapacity(plan, room, queue, step, known))
+            return;
+        if (!held.isPossible())
+            return;
+        ++m_heldGangs[queue.priority];
+        AdviceBook::Question question { step.step, {}, queue.advice.value_or(AdviceTerms {}), queue.priority };
+        for (const GangHold::Share& share : held.shares()) {
+            m_held[step.step].insert(share.worker->link->number);
+            if (!ready.count(share.worker->link->number))
+                question.workers.push_back(share.worker->link->number);
+            RoomView::keep(*share.worker, step.spec(), share.tasks);
+        }
+        if (!held.isPossibleByStops())
+            return;
+        if (question.workers.empty())
+            plan.stops.insert(plan.stops.end(), held.victims().begin(), held.victims().end());
+        else if (mayAsk)
+            plan.questions.push_back(std::move(question));
+    }
+
+    /// Asks for workers that could hold tasks of the gang when empty, those with the most room
+    /// first. The more are allowed, the sooner there is room for all members. False where nothing
+    /// is left to ask.
+    bool questionByCapacity(WorkPlan& plan, RoomView& room, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* known) const
+    {
+        std::vector<const Worker*> candidates;
+        for (const Worker& worker : room.workers()) {
+            const bool isKnown = known && (known->denied.count(worker.link->number) || known->allowed.count(worker.link->number));
+            if (!isKnown && isEligible(worker, queue, step.spec()) && GangHold::holdCount(worker.link->info.capacity, step.spec()))
+                candidates.push_back(&worker);
+        }
+        if (candidates.empty())
+            return false;
+        std::sort(candidates.begin(), candidates.end(), [](const Worker* a, const Worker* b) {
+            return a->room.processorMillis > b->room.processorMillis;
+        });
+        AdviceBook::Question question { step.step, {}, *queue.advice, queue.priority };
+        for (const Worker* worker : candidates) {
+            if (question.workers.size() < config::gangAdviceWorkers)
+                question.workers.push_back(worker->link->number);
+        }
+        plan.questions.push_back(std::move(question));
+        return true;
+    }
+
     static constexpr double askMargin = 1.5; // more room is asked for than the step needs
+    static constexpr double heldPenalty = 10; // in shares of a worker that are left
 
     double m_remoteFactor;
     Order m_order;
+    HeldWorkers m_held; ///< By gang, in this plan.
+    HeldWorkers m_before; ///< In the plan before.
+    std::map<uint32_t, size_t> m_heldGangs; ///< Their number by priority.
 };
 
 } // namespace eelgrassloft
--- a/src/work_table.cpp
+++ b/src/work_table.cpp
@@ -175,7 +175,7 @@
 
 // Runs.
 
-WorkTable::Result WorkTable::handle(Time, const PlaceRuns& command)
+WorkTable::Result WorkTable::handle(Time at, const PlaceRuns& command)
 {
     for (const RunPlacement& placement : command.placements) {
         const auto found = m_jobs.find(placement.run.task.job);
@@ -189,6 +189,8 @@
         task->attempt = placement.run.attempt;
         task->worker = placement.worker;
         worker->second.runs.push_back(placement.run);
+        if (found->second.state == WorkState::Queued)
+            found->second.startedAt = at;
         found->second.state = WorkState::Running;
     }
     return {};
@@ -221,13 +223,15 @@
         return;
     const StepSpec& step = job.work.steps[end.run.task.step];
     if (end.how == RunEnd::Done && !step.isLongRunning) {
-        taskDone(at, job, end.run.task);
+        taskDone(at, job, end.run);
         return;
     }
     task->phase = TaskPhase::Waiting;
     keepCheckpoint(job, end.run.task, end.checkpoint);
-    if (end.how == RunEnd::Failed && !step.isLongRunning && countFailure(job, end.run))
-        endJob(at, job, WorkState::Failed);
+    if (end.how != RunEnd::Failed || step.isLongRunning || !countFailure(job, end.run))
+        return;
+    job.endedBy = end.run;
+    endJob(at, job, WorkState::Failed);
 }
 
 /// The members of a gang go on from the same checkpoint.
@@ -255,8 +259,9 @@
     return ++step.gangFailures >= job.queue.maxAttempts;
 }
 
-void WorkTable::taskDone(Time at, WorkJob& job, const TaskRef& ref)
+void WorkTable::taskDone(Time at, WorkJob& job, const TaskRun& run)
 {
+    const TaskRef& ref = run.task;
     OccurrenceRecord& occurrence = job.occurrences[ref.occurrence];
     StepRecord& step = occurrence.steps[ref.step];
     const bool isGang = job.work.steps[ref.step].isGang; // One end stands for all members.
@@ -272,8 +277,10 @@
         return;
     if (++occurrence.doneSteps < occurrence.steps.size())
         return;
-    if (++job.doneOccurrences == job.occurrences.size())
-        endJob(at, job, WorkState::Done);
+    if (++job.doneOccurrences < job.occurrences.size())
+        return;
+    job.endedBy = run;
+    endJob(at, job, WorkState::Done);
 }
 
 WorkTable::Result WorkTable::handle(Time, const LoseRuns& command)
--- a/src/work_table.h
+++ b/src/work_table.h
@@ -60,14 +60,16 @@
     WorkSpec work;
     WorkState state = WorkState::Queued;
     Time submittedAt {};
+    Time startedAt {}; ///< Of the first placement.
     Time endedAt {};
+    TaskRun endedBy; ///< The run whose end was the job's; none where it was cancelled.
     std::vector<OccurrenceRecord> occurrences;
     uint32_t doneOccurrences = 0;
 
     static constexpr auto members()
     {
         return std::make_tuple(&WorkJob::key, &WorkJob::queue, &WorkJob::work, &WorkJob::state, &WorkJob::submittedAt,
-            &WorkJob::endedAt, &WorkJob::occurrences, &WorkJob::doneOccurrences);
+            &WorkJob::startedAt, &WorkJob::endedAt, &WorkJob::endedBy, &WorkJob::occurrences, &WorkJob::doneOccurrences);
     }
 
     /// The task's record; null where the job has no such task.
@@ -239,7 +241,7 @@
     void recordEnd(Time at, WorkerNumber worker, const ListedEnd& end);
     void keepCheckpoint(WorkJob& job, const TaskRef& task, const std::string& checkpoint);
     bool countFailure(WorkJob& job, const TaskRun& run);
-    void taskDone(Time at, WorkJob& job, const TaskRef& task);
+    void taskDone(Time at, WorkJob& job, const TaskRun& run);
     void endJob(Time at, WorkJob& job, WorkState state);
     void requeue(const LostRun& lost, WorkerNumber worker);
     void removeWorker(WorkerNumber number);
--- a/src/worker_link.h
+++ b/src/worker_link.h
@@ -26,6 +26,8 @@
 struct RunView {
     Resources size;
     bool isFiller = false;
+    bool canCheckpoint = false;
+    uint32_t priority = 0; ///< Of its queue.
     RunPhase phase = RunPhase::Reserved;
     Time confirmedAt {}; ///< When the worker answered the last order, or first listed the run.
     bool isListed = false;
--- a/tests/log_file_test.cpp
+++ b/tests/log_file_test.cpp
@@ -54,42 +54,82 @@
 
 using Indexes = std::vector<uint64_t>;
 
-/// A file whose bytes last only once they are synced, as on a machine that may lose power.
+/// What a loss of power leaves of the writes after the last sync.
+enum class PowerLoss {
+    DropsAll,
+    DropsFirst, ///< The first one is lost, and those after it are there.
+};
+
+/// A file whose writes last only once they are synced, as on a machine that may lose power.
 class LossyFile : public SyncedFile {
 public:
     std::optional<size_t> open(const fs::path& file, bool isNew)
     {
         m_file = file;
-        const auto opened = SyncedFile::open(file, isNew);
-        durableSizes()[file] = isNew ? 0 : fs::file_size(file);
-        return opened;
+        if (isNew)
+            unsynced()[file].clear();
+        return SyncedFile::open(file, isNew);
+    }
+
+    std::optional<size_t> append(const std::string& bytes)
+    {
+        unsynced()[m_file].push_back({ fs::file_size(m_file), bytes.size() });
+        return SyncedFile::append(bytes);
     }
 
     std::optional<size_t> sync()
     {
-        durableSizes()[m_file] = fs::file_size(m_file);
+        unsynced()[m_file].clear();
         return SyncedFile::sync();
     }
 
-    /// Cuts every file to what was synced of it.
-    static void losePower()
+    static void losePower(PowerLoss loss)
     {
-        for (const auto& [file, size] : std::exchange(durableSizes(), {})) {
-            if (fs::exists(file))
-                fs::resize_file(file, size);
+        for (const auto& [file, writes] : std::exchange(unsynced(), {})) {
+            if (writes.empty() || !fs::exists(file))
+                continue;
+            if (loss == PowerLoss::DropsAll) {
+                fs::resize_file(file, writes.front().offset);
+                continue;
+            }
+            std::fstream stream(file, std::ios::in | std::ios::out | std::ios::binary);
+            stream.seekp(static_cast<std::streamoff>(writes.front().offset));
+            stream << std::string(writes.front().size, '\0');
         }
     }
 
 private:
-    static std::map<fs::path, uintmax_t>& durableSizes()
+    struct Write {
+        uintmax_t offset = 0;
+        size_t size = 0;
+    };
+
+    static std::map<fs::path, std::vector<Write>>& unsynced()
     {
-        static std::map<fs::path, uintmax_t> sizes;
-        return sizes;
+        static std::map<fs::path, std::vector<Write>> writes;
+        return writes;
     }
 
     fs::path m_file;
 };
 
+/// A file of a process that is killed before it has synced its first batch: only the start of a
+/// log, which syncs the former segment and the head of the new one, was synced.
+class KilledFile : public LossyFile {
+public:
+    std::optional<size_t> sync()
+    {
+        constexpr int syncsOfAStart = 2;
+        return syncCount()++ < syncsOfAStart ? LossyFile::sync() : 0;
+    }
+
+    static int& syncCount()
+    {
+        static int count = 0;
+        return count;
+    }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(LogFileTests, Folder)
@@ -164,13 +204,60 @@
         snapshot.snapshot = Snapshot<ListMachine> { 2, 1, Time {}, {}, { { 10, 20 } } };
         BOOST_REQUIRE(log.write(42, { writeOf(1, { 1, 2, 3, 4 }), snapshot, writeOf(3, { 5 }) }));
     }
-    LossyFile::losePower();
+    LossyFile::losePower(PowerLoss::DropsAll);
     FileLog<ListMachine> again(path);
     const auto restored = again.restore();
     BOOST_REQUIRE_MESSAGE(restored.has_value(), again.lastError().text());
     BOOST_TEST((indexesOf(*restored) == Indexes { 3, 4, 5 }));
 }
 
+/// The writes of a batch reach the disk in any order.
+BOOST_AUTO_TEST_CASE(aLossOfPowerBeforeTheSyncOfABatchLeavesTheLogReadable)
+{
+    {
+        FileLog<ListMachine, LossyFile> log(path);
+        log.restore();
+        BOOST_REQUIRE(log.write(42, { writeOf(1, { 1, 2 }) }));
+    }
+    {
+        KilledFile::syncCount() = 0;
+        FileLog<ListMachine, KilledFile> log(path);
+        log.restore();
+        BOOST_REQUIRE(log.write(42, { writeOf(2, { 3 }), writeOf(3, { 4 }) }));
+    }
+    LossyFile::losePower(PowerLoss::DropsFirst);
+    FileLog<ListMachine> again(path);
+    const auto restored = again.restore();
+    BOOST_REQUIRE_MESSAGE(restored.has_value(), again.lastError().text());
+    BOOST_TEST((indexesOf(*restored) == Indexes { 1, 2 }));
+}
+
+/// A process that was killed between a write and its sync leaves bytes that its next life reads.
+BOOST_AUTO_TEST_CASE(whatWasReadAtAStartLastsOnceASegmentFollowsIt)
+{
+    {
+        FileLog<ListMachine, LossyFile> log(path);
+        log.restore();
+        BOOST_REQUIRE(log.write(42, { writeOf(1, { 1, 2 }) }));
+    }
+    {
+        KilledFile::syncCount() = 0;
+        FileLog<ListMachine, KilledFile> killed(path);
+        killed.restore();
+        BOOST_REQUIRE(killed.write(42, { writeOf(2, { 3 }) }));
+    }
+    {
+        FileLog<ListMachine, LossyFile> log(path);
+        BOOST_REQUIRE((indexesOf(*log.restore()) == Indexes { 1, 2, 3 }));
+        BOOST_REQUIRE(log.write(42, { writeOf(1, { 4 }) }));
+    }
+    LossyFile::losePower(PowerLoss::DropsAll);
+    FileLog<ListMachine> again(path);
+    const auto restored = again.restore();
+    BOOST_REQUIRE_MESSAGE(restored.has_value(), again.lastError().text());
+    BOOST_TEST((indexesOf(*restored) == Indexes { 1, 2, 3, 4 }));
+}
+
 BOOST_AUTO_TEST_CASE(aTornTailIsCut)
 {
     {
--- a/tests/support/desk_bench.h
+++ b/tests/support/desk_bench.h
@@ -49,7 +49,7 @@
     {
         const TaskRef task { JobKey { key }, 0, 0, 0 };
         const RunPlacement placement { { task, job(key).task(task)->attempt + 1 }, m_table.workers().begin()->first };
-        m_desk.reserve(placement, *m_table.stepOf(task), "ticket");
+        m_desk.reserve(m_table, placement, "ticket");
         m_placements.push_back(placement);
         return placement.run;
     }
