--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -131,8 +131,9 @@
 inline constexpr uint32_t nearlyDonePercent = 80; // a run beyond this is not stopped for another
 
 // Fleet.
-inline constexpr Duration fleetStatusPeriod = 400ms;
-inline constexpr Duration fleetLinkSilence = 2s;
+inline constexpr Duration fleetStatusPeriod = 300ms;
+inline constexpr Duration fleetHeartbeat = 60ms; // of the log; elections take five to ten of them
+inline constexpr Duration fleetLinkSilence = 1200ms;
 inline constexpr Duration leaderContactLimit = 2s; // an entry host without it is not ready
 inline constexpr Duration callRetry = 400ms; // of a call that was passed on
 inline constexpr Duration controlCallTimeout = 2500ms;
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -74,6 +74,7 @@
     static ReplicaOptions replicaOptions(const ControlStart& start)
     {
         ReplicaOptions options;
+        options.heartbeat = config::fleetHeartbeat;
         options.targetVoters = start.settings.voters;
         options.seed = start.seed;
         return options;
--- a/src/fleet_desk.cpp
+++ b/src/fleet_desk.cpp
@@ -450,7 +450,8 @@
             order.leaseEndMs = leaseFor(link, step.now);
         }
         view.hasOrder = true;
-        send(step, link, { link.number, order.kind, run, step.now, 0 }, std::move(order));
+        const Call call { link.number, order.kind, run, step.now, 0 };
+        send(step, link, call, std::move(order));
     }
     for (const TaskRun& run : unwanted)
         stopGang(table, step.now, run);
