--- a/src/call_forwarder.h
+++ b/src/call_forwarder.h
@@ -20,7 +20,7 @@
     {
         const uint64_t number = m_nextNumber++;
         Waiting& waiting = m_waiting[number];
-        waiting = { called.call, std::move(called.request), called.deadline, {}, step.now, false };
+        waiting = { called.call, std::move(called.request), called.deadline, {}, step.now, 0 };
         trySend(step, number, waiting);
     }
 
@@ -39,7 +39,11 @@
         const auto found = m_waiting.find(message.number);
         if (found == m_waiting.end())
             return;
-        if (message.reply.status == ControlStatus::Unavailable && found->second.deadline > step.now)
+        Waiting& waiting = found->second;
+        if (message.reply.status == ControlStatus::NotAccepted && waiting.openSends)
+            --waiting.openSends; // That try had and will have no effect.
+        const bool isNoAnswer = message.reply.status == ControlStatus::Unavailable || message.reply.status == ControlStatus::NotAccepted;
+        if (isNoAnswer && waiting.deadline > step.now)
             return; // Tried again at its next time.
         step.emit(AnswerControl { found->second.call, message.reply });
         m_waiting.erase(found);
@@ -49,9 +53,9 @@
     {
         for (auto i = m_waiting.begin(); i != m_waiting.end();) {
             Waiting& waiting = i->second;
-            const Time end = waiting.wasSent ? waiting.deadline : std::min(waiting.deadline, waiting.arrivedAt + config::unsentCallPatience);
+            const Time end = waiting.openSends ? waiting.deadline : std::min(waiting.deadline, waiting.arrivedAt + config::unsentCallPatience);
             if (end <= step.now) {
-                const ControlStatus status = waiting.wasSent ? ControlStatus::Unavailable : ControlStatus::NotAccepted;
+                const ControlStatus status = waiting.openSends ? ControlStatus::Unavailable : ControlStatus::NotAccepted;
                 step.emit(AnswerControl { waiting.call, { status, {}, 0, {} } });
                 i = m_waiting.erase(i);
                 continue;
@@ -76,7 +80,7 @@
     {
         Time next = never;
         for (const auto& [number, waiting] : m_waiting)
-            next = std::min({ next, waiting.deadline, waiting.nextTry, waiting.wasSent ? never : waiting.arrivedAt + config::unsentCallPatience });
+            next = std::min({ next, waiting.deadline, waiting.nextTry, waiting.openSends ? never : waiting.arrivedAt + config::unsentCallPatience });
         return next;
     }
 
@@ -89,7 +93,7 @@
         Time deadline {};
         Time nextTry {};
         Time arrivedAt {};
-        bool wasSent = false; ///< The leader may have carried it out.
+        uint32_t openSends = 0; ///< Tries that may have been carried out.
     };
 
     void trySend(FleetStep& step, uint64_t number, Waiting& waiting)
@@ -97,7 +101,7 @@
         waiting.nextTry = step.now + config::callRetry;
         if (!m_target.isValid())
             return;
-        waiting.wasSent = true;
+        ++waiting.openSends;
         step.send(m_target, ForwardedCall { number, 0, m_self, waiting.request });
     }
 
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -236,7 +236,7 @@
             ++next.hops;
             step.send(leader, std::move(next));
         } else {
-            answer(step, reply, { ControlStatus::Unavailable, {}, 0, {} });
+            answer(step, reply, { ControlStatus::NotAccepted, {}, 0, {} });
         }
     }
 
@@ -335,7 +335,7 @@
         if (index)
             m_pending[*index] = { m_replica.term(), std::move(reply), std::move(placements) };
         else if (reply)
-            answer(step, *reply, { ControlStatus::Unavailable, {}, 0, {} });
+            answer(step, *reply, { ControlStatus::NotAccepted, {}, 0, {} });
         return index.has_value();
     }
 
--- /dev/null
+++ b/tests/fleet_cluster_test.cpp
@@ -0,0 +1,182 @@
+#include "support/fleet_cluster.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrassloft;
+using namespace eelgrassloft::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+FleetConfig configOf(uint64_t version)
+{
+    FleetConfig config;
+    config.version = version;
+    config.text = "version " + std::to_string(version);
+    config.queues.push_back({ "queue", "host", "/jobs/", "pool", 0, 4, 2, 400ms, {} });
+    config.pools.push_back({ "pool" });
+    return config;
+}
+
+SubmitJob jobOf(uint64_t key, uint32_t tasks = 3)
+{
+    StepSpec step;
+    step.count = tasks;
+    step.size = { 3000, 2000, 0 };
+    step.estimate = 300ms;
+    return { { JobKey { key }, "queue", { "text", { step }, 0, {}, {} } } };
+}
+
+/// A fleet with a leader, workers and a configuration.
+struct Fleet : FleetCluster {
+    explicit Fleet(Options options = {})
+        : FleetCluster(options)
+    {
+        BOOST_REQUIRE(runUntil(10s, [&] { return leader().has_value(); }));
+        BOOST_REQUIRE(insist(PutConfig { configOf(1) }));
+        run(1s);
+    }
+
+    ~Fleet()
+    {
+        for (const std::string& violation : violations())
+            BOOST_ERROR(violation);
+    }
+
+    WorkState stateOf(uint64_t key) { return table().job(JobKey { key })->state; }
+
+    bool finishes(uint64_t key, Duration limit)
+    {
+        return runUntil(limit, [&] {
+            return leader() && table().job(JobKey { key }) && isEnded(stateOf(key));
+        });
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FleetClusterTests)
+
+BOOST_AUTO_TEST_CASE(aJobIsHandedInRunAndShownAsDone)
+{
+    Fleet fleet;
+    BOOST_REQUIRE(fleet.insist(jobOf(1)));
+    BOOST_REQUIRE(fleet.finishes(1, 5s));
+    BOOST_TEST((fleet.stateOf(1) == WorkState::Done));
+    BOOST_TEST(fleet.startCount() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(aJobHandedInTwiceRunsOnce)
+{
+    Fleet fleet;
+    BOOST_REQUIRE(fleet.insist(jobOf(1)));
+    BOOST_REQUIRE(fleet.finishes(1, 5s));
+    BOOST_REQUIRE(fleet.insist(jobOf(1)));
+    fleet.run(2s);
+    BOOST_TEST(fleet.startCount() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(anUnknownQueueIsRefused)
+{
+    Fleet fleet;
+    SubmitJob job = jobOf(1);
+    job.work.queue = "other";
+    const CallId call = fleet.call(job);
+    fleet.run(1s);
+    BOOST_REQUIRE(fleet.reply(call).has_value());
+    BOOST_TEST((fleet.reply(call)->status == ControlStatus::UnknownQueue));
+}
+
+BOOST_AUTO_TEST_CASE(whatWasAcceptedSurvivesTheLeader)
+{
+    Fleet fleet;
+    BOOST_REQUIRE(fleet.insist(jobOf(1)));
+    const uint32_t old = *fleet.leader();
+    fleet.kill(old);
+    BOOST_REQUIRE(fleet.runUntil(5s, [&] { return fleet.leader().has_value(); }));
+    BOOST_REQUIRE(fleet.finishes(1, 10s));
+    BOOST_TEST((fleet.stateOf(1) == WorkState::Done));
+}
+
+/// A leader that loses its disk right after an acknowledgement comes back as a new identity; the
+/// next loss of a disk must find everything on the others.
+BOOST_AUTO_TEST_CASE(twoDisksLostOneAfterTheOtherLoseNothing)
+{
+    Fleet fleet;
+    for (uint64_t key = 1; key <= 2; ++key) {
+        BOOST_REQUIRE(fleet.insist(jobOf(key)));
+        const uint32_t lost = *fleet.leader();
+        fleet.kill(lost);
+        fleet.run(1s);
+        fleet.restart(lost, false);
+        fleet.run(4s);
+    }
+    BOOST_REQUIRE(fleet.leader().has_value());
+    BOOST_REQUIRE(fleet.finishes(1, 10s));
+    BOOST_REQUIRE(fleet.finishes(2, 10s));
+}
+
+BOOST_AUTO_TEST_CASE(allControlHostsRestartTogether)
+{
+    Fleet fleet;
+    BOOST_REQUIRE(fleet.insist(PutConfig { configOf(5) }));
+    BOOST_REQUIRE(fleet.insist(jobOf(1)));
+    for (uint32_t id = 1; id <= FleetCluster::controlCount; ++id)
+        fleet.kill(id);
+    fleet.run(500ms);
+    for (uint32_t id = 1; id <= FleetCluster::controlCount; ++id)
+        fleet.restart(id);
+    BOOST_REQUIRE(fleet.runUntil(5s, [&] { return fleet.leader().has_value(); }));
+    BOOST_TEST(fleet.table().config().version == 5U);
+    BOOST_REQUIRE(fleet.finishes(1, 15s));
+}
+
+BOOST_AUTO_TEST_CASE(theTasksOfADarkWorkerRunElsewhereAfterItsLease)
+{
+    Fleet fleet;
+    BOOST_REQUIRE(fleet.insist(jobOf(1, 8)));
+    fleet.goDark(0);
+    BOOST_REQUIRE(fleet.finishes(1, 20s));
+    BOOST_TEST((fleet.stateOf(1) == WorkState::Done));
+}
+
+BOOST_AUTO_TEST_CASE(ordersWithoutAnswersRunNothingTwice)
+{
+    FleetCluster::Options options;
+    options.silentPercent = 10;
+    options.seed = 3;
+    Fleet fleet(options);
+    for (uint64_t key = 1; key <= 20; ++key)
+        BOOST_REQUIRE(fleet.insist(jobOf(key)));
+    for (uint64_t key = 1; key <= 20; ++key)
+        BOOST_REQUIRE(fleet.finishes(key, 30s));
+}
+
+BOOST_AUTO_TEST_CASE(anOlderConfigurationIsAcknowledgedAndChangesNothing)
+{
+    Fleet fleet;
+    BOOST_REQUIRE(fleet.insist(PutConfig { configOf(7) }));
+    BOOST_REQUIRE(fleet.insist(PutConfig { configOf(3) }));
+    const CallId call = fleet.call(GetConfig {});
+    fleet.run(1s);
+    BOOST_REQUIRE(fleet.reply(call).has_value());
+    BOOST_TEST(fleet.reply(call)->text == "version 7");
+}
+
+/// Without a leader nothing was done, and the caller hears so instead of an unknown outcome.
+BOOST_AUTO_TEST_CASE(withoutAMajorityACallIsNotAccepted)
+{
+    Fleet fleet;
+    const uint32_t leader = *fleet.leader();
+    for (uint32_t id = 1; id <= FleetCluster::controlCount; ++id) {
+        if (id != leader % FleetCluster::controlCount + 1)
+            fleet.kill(id);
+    }
+    fleet.run(2s);
+    const CallId call = fleet.call(jobOf(1), 3s);
+    fleet.run(4s);
+    BOOST_REQUIRE(fleet.reply(call).has_value());
+    BOOST_TEST((fleet.reply(call)->status == ControlStatus::NotAccepted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/gang_hold_test.cpp
@@ -0,0 +1,172 @@
+#include "work_planner.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrassloft;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr uint32_t gangPriority = 1;
+constexpr uint32_t laterPriority = 2;
+
+/// Four workers of 16 processors, each filled with checkpointed work of a later queue.
+struct FullFleet {
+    FullFleet()
+    {
+        FleetConfig config;
+        config.version = 1;
+        config.queues.push_back({ "gangs", "host", "/g/", "pool", gangPriority, 3, 2, 1200ms, {} });
+        config.queues.push_back({ "later", "host", "/l/", "pool", laterPriority, 4, 4, 3s, {} });
+        config.queues.push_back({ "urgent", "host", "/u/", "pool", 0, 4, 2, 400ms, {} });
+        config.pools.push_back({ "pool" });
+        table.apply(now, SetFleetConfig { config });
+        for (uint32_t i = 0; i < 4; ++i)
+            addWorker(i);
+    }
+
+    void addWorker(uint32_t index)
+    {
+        WorkerInfo info;
+        info.id = "worker-" + std::to_string(index);
+        info.address = "10.0.0." + std::to_string(index) + ":1";
+        info.pool = "pool";
+        info.capacity = { 16000, 64000, 0 };
+        table.apply(now, SetFleetWorker { info });
+        const WorkerNumber number = table.findWorker(info.id);
+        WorkerLink& link = links[number];
+        link.number = number;
+        link.info = info;
+        link.isSynced = true;
+        for (uint32_t task = 0; task < 8; ++task) {
+            RunView view;
+            view.size = { 2000, 4000, 0 };
+            view.canCheckpoint = true;
+            view.priority = laterPriority;
+            view.phase = RunPhase::Running;
+            link.addRun({ { JobKey { 1000 + index }, 0, 0, task }, 1 }, view);
+        }
+    }
+
+    void submit(uint64_t key, const std::string& queue, uint32_t tasks, uint32_t processors, bool isGang)
+    {
+        StepSpec step;
+        step.count = tasks;
+        step.size = { processors, 4000, 0 };
+        step.estimate = 5s;
+        step.isGang = isGang;
+        table.apply(now, SubmitWork { JobKey { key }, queue, { "text", { step }, 0, {}, {} } });
+    }
+
+    WorkPlan plan() { return planner.plan(table, links, advice, {}, now); }
+
+    /// What the workers list once they have carried out the stops of a plan.
+    void carryOut(const WorkPlan& plan)
+    {
+        for (const RunPlacement& stop : plan.stops)
+            links.at(stop.worker).removeRun(stop.run);
+    }
+
+    Time now { 1h };
+    WorkTable table;
+    std::map<WorkerNumber, WorkerLink> links;
+    AdviceBook advice;
+    WorkPlanner<DeadlineOrder> planner { 1 };
+};
+
+size_t runsOf(const WorkPlan& plan, uint64_t key)
+{
+    return static_cast<size_t>(std::count_if(plan.runs.begin(), plan.runs.end(), [&](const PlannedRun& run) { return run.placement.run.task.job == JobKey { key }; }));
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(GangHoldTests, FullFleet)
+
+BOOST_AUTO_TEST_CASE(checkpointedRunsOfLaterQueuesMakeWay)
+{
+    submit(1, "gangs", 8, 4500, true);
+    const WorkPlan first = plan();
+    BOOST_TEST(first.runs.empty());
+    BOOST_TEST(!first.stops.empty());
+    carryOut(first);
+    BOOST_TEST(runsOf(plan(), 1) == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(noMoreIsStoppedThanTheGangNeeds)
+{
+    submit(1, "gangs", 2, 4500, true);
+    // Two tasks of 4.5 processors need five runs of two processors out of the way on one worker.
+    BOOST_TEST(plan().stops.size() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(whatIsNearlyDoneIsNotStopped)
+{
+    for (auto& [number, link] : links) {
+        for (auto& [run, view] : link.runs)
+            view.percent = 95;
+    }
+    submit(1, "gangs", 8, 4500, true);
+    BOOST_TEST(plan().stops.empty());
+}
+
+BOOST_AUTO_TEST_CASE(whatCannotCheckpointIsNotStopped)
+{
+    for (auto& [number, link] : links) {
+        for (auto& [run, view] : link.runs)
+            view.canCheckpoint = false;
+    }
+    submit(1, "gangs", 8, 4500, true);
+    BOOST_TEST(plan().stops.empty());
+}
+
+/// Replays the load at which a gang never started: room comes free a task at a time, and small
+/// tasks of a later queue wait for it.
+BOOST_AUTO_TEST_CASE(roomThatComesFreeIsKeptForTheGang)
+{
+    for (auto& [number, link] : links) {
+        for (auto& [run, view] : link.runs)
+            view.canCheckpoint = false;
+    }
+    submit(1, "gangs", 12, 4500, true);
+    submit(2, "later", 200, 2000, false);
+    plan();
+    for (int round = 0; round < 8; ++round) {
+        for (auto& [number, link] : links)
+            link.removeRun(TaskRun(link.runs.begin()->first));
+        const WorkPlan next = plan();
+        if (runsOf(next, 1)) {
+            BOOST_TEST(runsOf(next, 1) == 12U);
+            return;
+        }
+        BOOST_TEST(runsOf(next, 2) == 0U); // All four workers are needed for twelve tasks.
+    }
+    BOOST_ERROR("the gang was not placed");
+}
+
+BOOST_AUTO_TEST_CASE(urgentWorkGoesBesideTheHeldWorkers)
+{
+    links.begin()->second.removeRun(TaskRun(links.begin()->second.runs.begin()->first));
+    submit(3, "urgent", 1, 2000, false);
+    submit(1, "gangs", 8, 4500, true);
+    BOOST_TEST(runsOf(plan(), 3) == 1U);
+}
+
+/// The baseline lets an old late batch go before urgent work of the same priority only by arrival.
+BOOST_AUTO_TEST_CASE(whatIsInTimeGoesBeforeWhatIsPastItsLimit)
+{
+    for (auto& [number, link] : links) {
+        while (!link.runs.empty())
+            link.removeRun(TaskRun(link.runs.begin()->first));
+    }
+    submit(1, "later", 64, 2000, false);
+    now += 10min;
+    submit(2, "later", 32, 2000, false);
+    const WorkPlan byDeadline = plan();
+    WorkPlanner<ArrivalOrder> arrival(1);
+    const WorkPlan byArrival = arrival.plan(table, links, advice, {}, now);
+    BOOST_TEST(runsOf(byDeadline, 2) == 32U);
+    BOOST_TEST(runsOf(byArrival, 2) == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/support/fleet_cluster.h
@@ -0,0 +1,441 @@
+#pragma once
+
+#include "control_node.h"
+#include "entry_node.h"
+#include "random.h"
+
+#include <deque>
+
+namespace eelgrassloft::testing {
+
+/// A fleet in virtual time: three control hosts with disks, one entry host, workers and an advice
+/// service, with message delays, crashes and cuts. Checks on every start that no worker is taken
+/// over its capacity, that no task runs twice at a time, and that none starts after it was done
+/// and acknowledged.
+class FleetCluster {
+public:
+    static constexpr uint32_t controlCount = 3;
+    static constexpr uint32_t entryId = 100;
+
+    struct Options {
+        uint32_t workers = 4;
+        uint64_t seed = 1;
+        bool hasAdvice = false;
+        uint32_t silentPercent = 0; ///< Orders that get no answer and are carried out late.
+    };
+
+    explicit FleetCluster(Options options)
+        : m_options(options)
+        , m_random(options.seed)
+        , m_entry(settingsOf(entryId))
+    {
+        for (uint32_t i = 1; i <= controlCount; ++i)
+            startControl(i, true);
+        for (uint32_t i = 0; i < options.workers; ++i) {
+            Worker& worker = m_workers.emplace_back();
+            worker.info.id = "worker-" + std::to_string(i);
+            worker.info.born = 1000 + i;
+            worker.info.address = "10.0.0." + std::to_string(i) + ":1";
+            worker.info.pool = "pool";
+            worker.info.capacity = { 16000, 32000, 0 };
+        }
+        stepEntry(FleetTick {});
+    }
+
+    Time now() const { return m_now; }
+
+    /// Runs for a length of virtual time.
+    void run(Duration duration)
+    {
+        const Time end = m_now + duration;
+        while (m_now < end) {
+            m_now = std::min({ end, m_now + tickLength, nextMessage() });
+            deliver();
+            for (auto& [id, control] : m_controls) {
+                if (control.node && m_now >= control.node->nextDeadline())
+                    stepControl(id, FleetTick {});
+            }
+            if (m_now >= m_entry.nextDeadline())
+                stepEntry(FleetTick {});
+            if (m_now >= m_nextReport)
+                reportWorkers();
+            for (Worker& worker : m_workers)
+                tickWorker(worker);
+        }
+    }
+
+    /// Runs until `done` or the limit; gives whether it came.
+    template <typename Predicate>
+    bool runUntil(Duration limit, Predicate done)
+    {
+        const Time end = m_now + limit;
+        while (m_now < end && !done())
+            run(std::chrono::milliseconds(10));
+        return done();
+    }
+
+    /// Makes a call at the entry host; its reply comes later.
+    CallId call(ControlRequest request, Duration timeout = std::chrono::seconds(2))
+    {
+        const CallId id { m_nextCall++ };
+        stepEntry(ControlCalled { id, std::move(request), m_now + timeout });
+        return id;
+    }
+
+    std::optional<ControlReply> reply(CallId call) const
+    {
+        const auto found = m_replies.find(call);
+        return found == m_replies.end() ? std::nullopt : std::optional(found->second);
+    }
+
+    /// Calls again until the answer is `Ok`, as a caller would.
+    bool insist(const ControlRequest& request, Duration limit = std::chrono::seconds(20))
+    {
+        const Time end = m_now + limit;
+        while (m_now < end) {
+            const CallId id = call(request);
+            runUntil(std::chrono::seconds(3), [&] { return reply(id).has_value(); });
+            if (reply(id) && reply(id)->status == ControlStatus::Ok)
+                return true;
+            run(std::chrono::milliseconds(100));
+        }
+        return false;
+    }
+
+    std::optional<uint32_t> leader() const
+    {
+        for (const auto& [id, control] : m_controls) {
+            if (control.node && control.node->isLeading())
+                return id;
+        }
+        return std::nullopt;
+    }
+
+    const ControlNode<>& control(uint32_t id) const { return *m_controls.at(id).node; }
+    const WorkTable& table() const { return control(*leader()).table(); }
+
+    // Faults.
+
+    void kill(uint32_t id)
+    {
+        m_controls.at(id).node.reset();
+        setLinks(id, false);
+    }
+
+    void restart(uint32_t id, bool keepsDisk = true)
+    {
+        if (!keepsDisk)
+            m_controls.at(id).disk = {};
+        startControl(id, false);
+    }
+
+    void goDark(size_t worker) { m_workers[worker].isDark = true; }
+    void failEverything(size_t worker) { m_workers[worker].failsAll = true; }
+
+    // What happened at the workers.
+
+    size_t startCount() const { return m_starts; }
+    const std::vector<std::string>& violations() const { return m_violations; }
+
+private:
+    static constexpr Duration tickLength = std::chrono::milliseconds(5);
+    static constexpr Duration reportPeriod = std::chrono::milliseconds(500);
+    static constexpr Duration runLength = std::chrono::milliseconds(300);
+    static constexpr Duration delay = std::chrono::milliseconds(2);
+
+    struct Disk {
+        bool isUsed = false;
+        RestoredLog<WorkTable> log;
+    };
+
+    struct Control {
+        std::optional<ControlNode<>> node;
+        Disk disk;
+    };
+
+    struct RunningTask {
+        Resources size;
+        Time endsAt {};
+    };
+
+    struct Worker {
+        WorkerInfo info;
+        uint64_t fence = 0;
+        Time leaseEnd {};
+        std::map<TaskRun, RunningTask> running;
+        std::map<TaskRef, uint32_t> highest; ///< Attempt that was stopped or has ended.
+        std::deque<ListedEnd> ends;
+        uint64_t nextEnd = 1;
+        bool isDark = false;
+        bool failsAll = false;
+    };
+
+    /// An event on its way to a host.
+    struct Delivery {
+        HostId to;
+        uint64_t life = 0; ///< Events for an earlier life of the host are lost.
+        FleetEvent event;
+    };
+
+    FleetSettings settingsOf(uint32_t id) const
+    {
+        FleetSettings settings;
+        settings.self = HostId { id };
+        settings.seeds = { HostId { 1 }, HostId { 2 }, HostId { 3 } };
+        settings.maxLease = std::chrono::seconds(3);
+        return settings;
+    }
+
+    void startControl(uint32_t id, bool mayForm)
+    {
+        Control& control = m_controls[id];
+        ControlStart start;
+        start.settings = settingsOf(id);
+        start.settings.mayForm = mayForm;
+        start.now = m_now;
+        start.incarnation = ++m_nextIncarnation;
+        start.seed = m_random.next();
+        if (control.disk.isUsed)
+            start.log = control.disk.log;
+        control.node.emplace(std::move(start));
+        ++m_life[id];
+        setLinks(id, true);
+        stepControl(id, FleetTick {});
+    }
+
+    /// Connects a host with all others that run, or takes its links down.
+    void setLinks(uint32_t id, bool isUp)
+    {
+        const auto event = [&](uint32_t host) { return isUp ? FleetEvent(FleetLinkUp { HostId { host } }) : FleetEvent(FleetLinkDown { HostId { host } }); };
+        for (const auto& [other, control] : m_controls) {
+            if (other == id || !control.node)
+                continue;
+            post(HostId { other }, event(id));
+            if (isUp)
+                post(HostId { id }, event(other));
+        }
+        post(HostId { entryId }, event(id));
+        if (isUp)
+            post(HostId { id }, event(entryId));
+    }
+
+    void post(HostId to, FleetEvent event, Duration after = delay) { m_events.insert({ m_now + after, { to, m_life[to.value], std::move(event) } }); }
+
+    Time nextMessage() const { return m_events.empty() ? never : std::max(m_now, m_events.begin()->first); }
+
+    void deliver()
+    {
+        while (!m_events.empty() && m_events.begin()->first <= m_now) {
+            Delivery delivery = std::move(m_events.begin()->second);
+            m_events.erase(m_events.begin());
+            if (delivery.life != m_life[delivery.to.value])
+                continue;
+            if (delivery.to.value == entryId)
+                stepEntry(delivery.event);
+            else
+                stepControl(delivery.to.value, delivery.event);
+        }
+    }
+
+    void stepEntry(const FleetEvent& event) { perform(HostId { entryId }, m_entry.step(m_now, event)); }
+
+    void stepControl(uint32_t id, const FleetEvent& event)
+    {
+        if (m_controls.at(id).node)
+            perform(HostId { id }, m_controls.at(id).node->step(m_now, event));
+    }
+
+    void perform(HostId from, std::vector<FleetEffect> effects)
+    {
+        for (FleetEffect& effect : effects)
+            std::visit([&](auto& body) { perform(from, body); }, effect);
+    }
+
+    void perform(HostId from, SendFleet& effect)
+    {
+        const auto control = m_controls.find(effect.to.value);
+        const bool isUp = effect.to.value == entryId || (control != m_controls.end() && control->second.node);
+        // A message that tells of a write leaves after it; all writes here take the same time.
+        if (isUp)
+            post(effect.to, FleetReceived { from, std::move(effect.message) }, effect.afterWrite ? delay * 2 : delay);
+    }
+
+    void perform(HostId from, WriteWorkLog& effect)
+    {
+        Disk& disk = m_controls.at(from.value).disk;
+        disk.isUsed = true;
+        disk.log.incarnation = effect.incarnation;
+        if (effect.write.state)
+            disk.log.state = *effect.write.state;
+        if (effect.write.snapshot) {
+            disk.log.snapshot = effect.write.snapshot;
+            std::erase_if(disk.log.entries, [&](const auto& entry) { return entry.index <= effect.write.snapshot->index; });
+        }
+        if (effect.write.truncateFrom)
+            std::erase_if(disk.log.entries, [&](const auto& entry) { return entry.index >= effect.write.truncateFrom; });
+        for (auto& entry : effect.write.entries) {
+            if (!disk.log.snapshot || entry.index > disk.log.snapshot->index)
+                disk.log.entries.push_back(std::move(entry));
+        }
+        post(from, WorkLogWritten { effect.write.sequence }, delay / 2);
+    }
+
+    void perform(HostId, AnswerControl& effect) { m_replies[effect.call] = effect.reply; }
+    void perform(HostId, DialHosts&) { }
+    void perform(HostId, LogEvent&) { }
+
+    void perform(HostId from, CallAdvice& effect)
+    {
+        AdviceReply reply;
+        reply.number = effect.request.number;
+        reply.isAnswered = true;
+        reply.validity = std::chrono::seconds(2);
+        for (const std::string& worker : effect.request.workers)
+            reply.allowed.push_back({ worker, "ticket" });
+        post(from, AdviceAnswered { effect.call, std::move(reply) }, std::chrono::milliseconds(20));
+    }
+
+    void perform(HostId from, CallWorker& effect)
+    {
+        const auto worker = std::find_if(m_workers.begin(), m_workers.end(), [&](const Worker& candidate) { return candidate.info.id == effect.workerId; });
+        const Duration timeout = config::orderTimeout + effect.order.hold;
+        if (worker == m_workers.end() || worker->isDark) {
+            post(from, WorkerAnswered { effect.call, {} }, timeout);
+            return;
+        }
+        const bool isSilent = m_random.below(100) < m_options.silentPercent;
+        WorkerAnswer answer = carryOut(*worker, effect.order);
+        if (isSilent)
+            post(from, WorkerAnswered { effect.call, {} }, timeout);
+        else
+            post(from, WorkerAnswered { effect.call, std::move(answer) });
+    }
+
+    // Workers.
+
+    int64_t clockOf() const { return m_now.time_since_epoch() / std::chrono::milliseconds(1); }
+
+    WorkerAnswer carryOut(Worker& worker, const WorkerOrder& order)
+    {
+        WorkerAnswer answer;
+        answer.clockMs = clockOf();
+        answer.born = worker.info.born;
+        answer.outcome = OrderOutcome::Accepted;
+        if (order.fence < worker.fence) {
+            answer.outcome = OrderOutcome::Fenced;
+            return answer;
+        }
+        worker.fence = order.fence;
+        const Time leaseEnd = Time(std::chrono::milliseconds(order.leaseEndMs));
+        if (order.leaseEndMs)
+            worker.leaseEnd = std::max(worker.leaseEnd, std::min(leaseEnd, m_now + settingsOf(entryId).maxLease));
+        if (order.kind == OrderKind::Start)
+            answer.outcome = begin(worker, order);
+        else if (order.kind == OrderKind::Stop)
+            stop(worker, order.run);
+        else
+            list(worker, order, answer);
+        return answer;
+    }
+
+    OrderOutcome begin(Worker& worker, const WorkerOrder& order)
+    {
+        if (worker.running.count(order.run))
+            return OrderOutcome::Accepted;
+        const TaskRef& task = order.run.task;
+        if (order.run.attempt <= worker.highest[task])
+            return OrderOutcome::Outdated;
+        if (Time(std::chrono::milliseconds(order.leaseEndMs)) <= m_now)
+            return OrderOutcome::LeaseOver;
+        ++m_starts;
+        const auto holder = leader();
+        const StepSpec* step = holder ? table().stepOf(task) : nullptr;
+        const Resources size = step ? step->size : Resources {};
+        if (m_done.count(task))
+            m_violations.push_back("a task was started after it was done");
+        for (const Worker& other : m_workers) {
+            for (const auto& [run, running] : other.running) {
+                if (run.task == task)
+                    m_violations.push_back("a task runs twice");
+            }
+        }
+        worker.running[order.run] = { size, m_now + runLength };
+        Resources used;
+        for (const auto& [run, running] : worker.running)
+            used += running.size;
+        if (!used.fitsIn(worker.info.capacity))
+            m_violations.push_back("a worker is taken over its capacity");
+        return OrderOutcome::Accepted;
+    }
+
+    void stop(Worker& worker, const TaskRun& run)
+    {
+        if (worker.running.count(run))
+            end(worker, run, RunEnd::Stopped);
+        worker.highest[run.task] = std::max(worker.highest[run.task], run.attempt);
+    }
+
+    void end(Worker& worker, const TaskRun& run, RunEnd how)
+    {
+        worker.running.erase(run);
+        worker.highest[run.task] = std::max(worker.highest[run.task], run.attempt);
+        worker.ends.push_back({ worker.nextEnd++, run, how, {} });
+    }
+
+    void list(Worker& worker, const WorkerOrder& order, WorkerAnswer& answer)
+    {
+        while (!worker.ends.empty() && worker.ends.front().number <= order.endsRecorded) {
+            if (worker.ends.front().how == RunEnd::Done)
+                m_done.insert(worker.ends.front().run.task);
+            worker.ends.pop_front();
+        }
+        for (const auto& [run, running] : worker.running)
+            answer.running.push_back({ run, {}, 0 });
+        answer.ends.assign(worker.ends.begin(), worker.ends.end());
+    }
+
+    void tickWorker(Worker& worker)
+    {
+        const bool hasLapsed = m_now >= worker.leaseEnd;
+        const std::map<TaskRun, RunningTask> running = worker.running;
+        for (const auto& [run, task] : running) {
+            if (hasLapsed)
+                end(worker, run, RunEnd::Lapsed);
+            else if (m_now >= task.endsAt)
+                end(worker, run, worker.failsAll ? RunEnd::Failed : RunEnd::Done);
+        }
+    }
+
+    void reportWorkers()
+    {
+        m_nextReport = m_now + reportPeriod;
+        for (const Worker& worker : m_workers) {
+            if (worker.isDark)
+                continue;
+            for (const auto& [id, control] : m_controls) {
+                if (!control.node)
+                    continue;
+                post(HostId { id }, ControlCalled { CallId { m_nextCall++ }, ReportWorker { worker.info }, m_now + reportPeriod });
+                break;
+            }
+        }
+    }
+
+    Options m_options;
+    Random m_random;
+    Time m_now { std::chrono::hours(1) };
+    std::map<uint32_t, uint64_t> m_life;
+    std::multimap<Time, Delivery> m_events;
+    std::map<uint32_t, Control> m_controls;
+    EntryNode m_entry;
+    std::vector<Worker> m_workers;
+    std::map<CallId, ControlReply> m_replies;
+    std::set<TaskRef> m_done; ///< Tasks whose end was acknowledged.
+    std::vector<std::string> m_violations;
+    Time m_nextReport {};
+    uint64_t m_nextCall = 1;
+    uint64_t m_nextIncarnation = 0;
+    size_t m_starts = 0;
+};
+
+} // namespace eelgrassloft::testing
