Runs that stand still are stopped; an unanswered start stops placing there

Cause: workers that hang kept their tasks, and workers that were cut off got new ones until a look timed out 2.7 s later. Change: a run without progress for 1.2 s is stopped and its worker set aside; an unanswered start makes a worker doubtful until it answers; looks wait 1 s. Tests in fleet_desk_test.cpp.

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -115,13 +115,14 @@
 
 // Workers that are called.
 inline constexpr Duration lookGap = 120ms; // between two looks at one worker
-inline constexpr Duration lookHold = 2s; // longest wait of a worker before it answers a look
+inline constexpr Duration lookHold = 1s; // longest wait of a worker before it answers a look
 inline constexpr Duration orderTimeout = 700ms; // without an answer
 inline constexpr Duration orderRetry = 150ms;
 inline constexpr int slowClockPercent = 98; // a worker's clock may be this slow
 inline constexpr Duration ticketMargin = 150ms; // before its end a ticket is no longer used
 inline constexpr uint32_t failuresToSetAside = 2; // distinct jobs failed in a row on a worker
 inline constexpr Duration setAsidePause = 5s;
+inline constexpr Duration stuckRunLimit = 1200ms; // without progress; a percent of the longest runs takes less
 
 inline constexpr Duration planGap = 5ms; // between two plans
 
--- a/src/fleet_desk.cpp
+++ b/src/fleet_desk.cpp
@@ -192,6 +192,7 @@
         return;
     RunView& run = found->second;
     run.hasOrder = false;
+    link.isDoubtful = answer.outcome == OrderOutcome::Silent;
     switch (answer.outcome) {
     case OrderOutcome::Accepted:
     case OrderOutcome::Outdated: // It has ended here: the next look tells how.
@@ -254,14 +255,42 @@
         return;
     }
     link.isSilent = false;
+    link.isDoubtful = false;
     link.endsForgotten = std::max(link.endsForgotten, call.endsRecorded);
     link.nextLook = std::max(step.now, call.sentAt + config::lookGap);
     takeEnds(step, table, link, answer.ends);
     takeRunning(table, link, step.now, answer.running);
     loseUnlisted(table, link, step.now, call.sentAt, answer);
+    stopStuck(step, table, link);
     link.isSynced = true;
 }
 
+/// Runs that make no progress while they are listed go elsewhere, and their worker is set aside.
+/// The members of a gang stand still together, so theirs need not be the worker to blame.
+void FleetDesk::stopStuck(FleetStep& step, const WorkTable& table, WorkerLink& link)
+{
+    for (auto& [run, view] : link.runs) {
+        const StepSpec* spec = table.stepOf(run.task);
+        const bool isWatched = spec && !spec->isLongRunning && !spec->isFiller && view.isListed && !view.isStopWanted
+            && view.percent < 100 && !(view.isGang && !view.percent);
+        const Duration patience = view.isGang ? config::stuckRunLimit * 2 : config::stuckRunLimit;
+        if (!isWatched || step.now < view.progressAt + patience)
+            continue;
+        view.isStopWanted = true;
+        if (view.isGang)
+            stopGang(table, step.now, run);
+        else
+            setAside(step, link);
+    }
+}
+
+void FleetDesk::setAside(FleetStep& step, WorkerLink& link)
+{
+    link.setAsideUntil = step.now + config::setAsidePause;
+    link.isOnProbation = true;
+    step.log(LogEventKind::WorkerSetAside, { { "worker", link.info.id }, { "jobs", std::to_string(link.failedJobs.size()) } });
+}
+
 void FleetDesk::takeEnds(FleetStep& step, const WorkTable& table, WorkerLink& link, const std::vector<ListedEnd>& ends)
 {
     RecordEnds command { link.number, {} };
@@ -293,9 +322,7 @@
         link.failedJobs.push_back(job);
     if (link.failedJobs.size() < config::failuresToSetAside && !link.isOnProbation)
         return;
-    link.setAsideUntil = step.now + config::setAsidePause;
-    link.isOnProbation = true;
-    step.log(LogEventKind::WorkerSetAside, { { "worker", link.info.id }, { "jobs", std::to_string(link.failedJobs.size()) } });
+    setAside(step, link);
 }
 
 void FleetDesk::takeRunning(const WorkTable& table, WorkerLink& link, Time now, const std::vector<ListedRun>& running)
--- a/src/fleet_desk.h
+++ b/src/fleet_desk.h
@@ -70,6 +70,8 @@
     void takeEnds(FleetStep& step, const WorkTable& table, WorkerLink& link, const std::vector<ListedEnd>& ends);
     void takeRunning(const WorkTable& table, WorkerLink& link, Time now, const std::vector<ListedRun>& running);
     void loseUnlisted(const WorkTable& table, WorkerLink& link, Time now, Time lookSentAt, const WorkerAnswer& answer);
+    void stopStuck(FleetStep& step, const WorkTable& table, WorkerLink& link);
+    void setAside(FleetStep& step, WorkerLink& link);
     void noteEnd(FleetStep& step, WorkerLink& link, const ListedEnd& end);
 
     void notStarted(const WorkTable& table, WorkerLink& link, Time now, const TaskRun& run);
--- a/src/worker_link.h
+++ b/src/worker_link.h
@@ -103,6 +103,7 @@
     WorkerLease lease;
     bool isSynced = false; ///< Has answered a look under the present fence.
     bool isSilent = false; ///< The last look was not answered.
+    bool isDoubtful = false; ///< A start was not answered, and nothing was since.
     bool hasLook = false; ///< A look is under way.
     Time nextLook {};
     uint64_t endsProposed = 0; ///< Ends up to this number are in the log or on their way there.
@@ -114,7 +115,7 @@
 
     bool mayPlace(Time now) const
     {
-        if (!isSynced || isSilent || info.isLeaving || now < setAsideUntil)
+        if (!isSynced || isSilent || isDoubtful || info.isLeaving || now < setAsideUntil)
             return false;
         return !isOnProbation || runs.empty();
     }
--- a/tests/fleet_desk_test.cpp
+++ b/tests/fleet_desk_test.cpp
@@ -131,6 +131,52 @@
     BOOST_TEST(bench.link().mayPlace(bench.now() + config::setAsidePause));
 }
 
+/// Tasks of a worker that stands still would wait for ever; its lease is renewed all the while.
+BOOST_AUTO_TEST_CASE(aRunWithoutProgressIsStoppedAndItsWorkerSetAside)
+{
+    DeskBench bench;
+    const TaskRun run = bench.place(1);
+    bench.commit();
+    bench.answer(OrderKind::Start, OrderOutcome::Accepted);
+    for (int look = 0; look < 4 && bench.ordersOf(OrderKind::Stop).empty(); ++look) {
+        bench.advance(1s);
+        WorkerAnswer answer = bench.accepted();
+        answer.running.push_back({ run, {}, 40 });
+        bench.answer(OrderKind::Look, answer);
+        bench.advance(1ms);
+    }
+    BOOST_REQUIRE(bench.ordersOf(OrderKind::Stop).size() == 1U);
+    BOOST_TEST(!bench.link().mayPlace(bench.now()));
+}
+
+BOOST_AUTO_TEST_CASE(aRunThatGoesOnIsLeftAlone)
+{
+    DeskBench bench;
+    const TaskRun run = bench.place(1);
+    bench.commit();
+    bench.answer(OrderKind::Start, OrderOutcome::Accepted);
+    for (uint32_t percent = 10; percent < 60; percent += 10) {
+        bench.advance(1s);
+        WorkerAnswer answer = bench.accepted();
+        answer.running.push_back({ run, {}, percent });
+        bench.answer(OrderKind::Look, answer);
+    }
+    BOOST_TEST(bench.ordersOf(OrderKind::Stop).empty());
+    BOOST_TEST(bench.link().mayPlace(bench.now()));
+}
+
+BOOST_AUTO_TEST_CASE(aWorkerThatLeavesAStartUnansweredGetsNoMore)
+{
+    DeskBench bench;
+    bench.place(1);
+    bench.commit();
+    bench.answer(OrderKind::Start, OrderOutcome::Silent);
+    BOOST_TEST(!bench.link().mayPlace(bench.now()));
+    bench.advance(config::orderRetry);
+    bench.answer(OrderKind::Start, OrderOutcome::Accepted);
+    BOOST_TEST(bench.link().mayPlace(bench.now()));
+}
+
 /// Another life at the address proves that nothing of the one meant runs any more.
 BOOST_AUTO_TEST_CASE(anotherLifeEndsTheRunsAtOnce)
 {
