--- a/src/control_node.h
+++ b/src/control_node.h
@@ -95,7 +95,7 @@
     void handle(FleetStep& step, const FleetLinkUp& event)
     {
         m_connected.insert(event.host);
-        step.send(event.host, LogHello { m_replica.self().incarnation, m_replica.isEmpty() });
+        step.send(event.host, LogHello { m_replica.self().incarnation, m_replica.isEmpty(), m_settings.region });
         step.send(event.host, status());
         m_advice.setHosts(adviceHosts());
     }
@@ -147,6 +147,8 @@
     void receive(FleetStep& step, HostId from, const LogHello& hello)
     {
         m_replica.memberSeen({ from, hello.incarnation });
+        m_regions[from] = hello.region;
+        chooseHandicap();
         if (!m_isForming)
             return;
         if (!hello.isEmpty)
@@ -155,6 +157,17 @@
         formIfComplete(step);
     }
 
+    /// A leader whose region holds no majority waits for the link between regions at every commit,
+    /// so such a host stands for election later.
+    void chooseHandicap()
+    {
+        size_t near = 1;
+        for (const auto& [host, region] : m_regions)
+            near += region == m_settings.region;
+        const bool isNearMajority = near * 2 > m_regions.size() + 1;
+        m_replica.setElectionHandicap(isNearMajority ? Duration {} : m_replica.electionTimeout() * 2);
+    }
+
     /// The first seeds found the log, once each has said that it holds no state.
     void formIfComplete(FleetStep& step)
     {
@@ -588,6 +601,7 @@
     std::set<HostId> m_dialed;
     bool m_isForming = false;
     std::map<HostId, uint64_t> m_heardEmpty;
+    std::map<HostId, std::string> m_regions; ///< Of the other control hosts that were heard of.
     std::map<uint64_t, Pending> m_pending;
     std::set<TaskRef> m_inFlight; ///< Placements that were proposed and are not decided.
     Time m_lastStep {};
--- a/src/fleet_events.h
+++ b/src/fleet_events.h
@@ -116,6 +116,7 @@
 struct FleetSettings {
     HostId self;
     std::string dataCentre;
+    std::string region;
     std::vector<HostId> seeds;
     bool mayForm = false; ///< The whole fleet starts for the first time.
     uint32_t voters = 3; ///< Members of the log that vote, once there are as many hosts.
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -91,8 +91,9 @@
 struct LogHello {
     uint64_t incarnation = 0;
     bool isEmpty = true;
+    std::string region;
 
-    static constexpr auto members() { return std::make_tuple(&LogHello::incarnation, &LogHello::isEmpty); }
+    static constexpr auto members() { return std::make_tuple(&LogHello::incarnation, &LogHello::isEmpty, &LogHello::region); }
 };
 
 /// What a control host says of itself, periodically and after changes.
--- a/src/io/fleet_settings_json.cpp
+++ b/src/io/fleet_settings_json.cpp
@@ -49,6 +49,7 @@
     FleetProcessSettings settings;
     settings.node.self = readHost(fields.required<std::string>("address"), "address");
     settings.node.dataCentre = fields.required<std::string>("dataCentre");
+    settings.node.region = fields.optional<std::string>("region", {});
     settings.node.seeds = readSeeds(fields);
     settings.node.mayForm = fields.optional<bool>("mayForm", false);
     settings.node.voters = fields.optional<uint32_t>("toleratedLosses", 1) * 2 + 1;
--- a/src/replica.h
+++ b/src/replica.h
@@ -133,6 +133,13 @@
             advanceCommit();
     }
 
+    /// Stands for election this much later than others, as a member does that would lead worse.
+    void setElectionHandicap(Duration handicap)
+    {
+        m_electionDeadline += handicap - m_electionHandicap;
+        m_electionHandicap = handicap;
+    }
+
     /// A host announced its identity. A leader admits newer identities step by step.
     void memberSeen(Member member)
     {
@@ -302,7 +309,7 @@
     void resetElectionDeadline(Time now)
     {
         const auto spread = static_cast<uint64_t>(electionTimeout().count());
-        m_electionDeadline = now + electionTimeout() + Duration(static_cast<Duration::rep>(m_random.below(spread)));
+        m_electionDeadline = now + m_electionHandicap + electionTimeout() + Duration(static_cast<Duration::rep>(m_random.below(spread)));
     }
 
     void becomeFollower(Time now, uint64_t term)
@@ -747,6 +754,7 @@
 
     Time m_lastContact;
     Time m_electionDeadline {};
+    Duration m_electionHandicap {};
     Time m_nextHeartbeat {};
     Time m_nextCheck {}; ///< Of the quorum and the membership, by a leader.
     Time m_becameLeaderAt {};
--- a/tests/fleet_desk_test.cpp
+++ b/tests/fleet_desk_test.cpp
@@ -1,3 +1,4 @@
+#include "drain_watch.h"
 #include "support/desk_bench.h"
 
 #include <boost/test/unit_test.hpp>
@@ -203,3 +204,26 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(DrainWatchTests)
+
+/// A request that arrived just before the host stopped accepting is read a moment later.
+BOOST_AUTO_TEST_CASE(aRequestReadAfterAQuietMomentIsStillAnswered)
+{
+    const Time start { 1h };
+    DrainWatch watch(start, 800ms, start + 3s);
+    BOOST_TEST(!watch.mayStop(start, 0));
+    BOOST_TEST(!watch.mayStop(start + 100ms, 1));
+    BOOST_TEST(!watch.mayStop(start + 850ms, 0));
+    BOOST_TEST(watch.mayStop(start + 900ms, 0));
+}
+
+BOOST_AUTO_TEST_CASE(theEndOfTheGraceTimeStopsEverything)
+{
+    const Time start { 1h };
+    DrainWatch watch(start, 800ms, start + 3s);
+    BOOST_TEST(!watch.mayStop(start + 2900ms, 1));
+    BOOST_TEST(watch.mayStop(start + 3s, 1));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -46,6 +46,16 @@
         BOOST_TEST(cluster.replica(i).machine().ids.size() == 10U);
 }
 
+BOOST_AUTO_TEST_CASE(aHandicapPutsAnElectionOff)
+{
+    Replica<ListMachine> replica({ HostId { 0 }, 1 }, {}, Time(1h));
+    const Time before = replica.nextDeadline();
+    replica.setElectionHandicap(2s);
+    BOOST_TEST((replica.nextDeadline() == before + 2s));
+    replica.setElectionHandicap(Duration {});
+    BOOST_TEST((replica.nextDeadline() == before));
+}
+
 BOOST_AUTO_TEST_CASE(anIsolatedLeaderLosesItsLeaseBeforeAnotherActs)
 {
     ReplicaCluster cluster(threeHosts({ 0, 1, 2 }));
