--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -90,11 +90,9 @@
 // Configuration.
 inline constexpr size_t maxOperationIdBytes = 128;
 inline constexpr size_t maxRememberedOperations = 4096;
-inline constexpr size_t maxConfigurationBytes = 1024UL * 1024;
 
 // Tasks.
 inline constexpr Duration taskLease = 5s;
-inline constexpr Duration workerReportPeriod = 1s;
 inline constexpr uint32_t maxTasksPerJob = 4096;
 inline constexpr uint32_t maxTaskAttempts = 8;
 inline constexpr uint32_t workerFailureJobs = 3; // distinct jobs failed in a row
--- a/include/eelgrassloft/counters.h
+++ b/include/eelgrassloft/counters.h
@@ -25,7 +25,6 @@
     EntriesCommitted,
     SnapshotsSent,
     TasksPlaced,
-    TasksFinished,
     TasksLost,
     TasksPreempted,
     WorkersSetAside,
@@ -38,7 +37,7 @@
     constexpr NameTable<CounterKind> table { "requests_arrived", "attempts_started", "answers_late",
         "outliers_set_aside", "link_bytes_sent", "peer_bytes_sent", "peer_messages_sent", "claims_granted",
         "claims_repeated", "shares_granted", "shares_recalled", "elections_started", "elections_won",
-        "entries_committed", "snapshots_sent", "tasks_placed", "tasks_finished", "tasks_lost", "tasks_preempted",
+        "entries_committed", "snapshots_sent", "tasks_placed", "tasks_lost", "tasks_preempted",
         "workers_set_aside", "time_leaps" };
     static_assert(detail::isComplete<CounterKind>(table));
     return table;
--- a/include/eelgrassloft/effects.h
+++ b/include/eelgrassloft/effects.h
@@ -35,9 +35,6 @@
     WorkerJoined,
     WorkerLost,
     WorkerSetAside,
-    TaskEnded,
-    RequestRefused,
-    RequestUnknown,
     TimeLeap,
     Draining,
     LogFormed,
@@ -50,7 +47,7 @@
 {
     constexpr NameTable<LogEventKind> table { "leader-changed", "revision-in-force", "change-accepted",
         "change-refused", "upstream-announced", "upstream-leaving", "upstream-set-aside", "worker-joined",
-        "worker-lost", "worker-set-aside", "task-ended", "request-refused", "request-unknown", "time-leap", "draining",
+        "worker-lost", "worker-set-aside", "time-leap", "draining",
         "log-formed", "incarnation-changed", "job-ended" };
     static_assert(detail::isComplete<LogEventKind>(table));
     return table;
--- /dev/null
+++ b/src/job_report.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "hash.h"
+#include "work_planner.h"
+
+#include "eelgrassloft/effects.h"
+
+namespace eelgrassloft {
+
+/// What an operator asks first of a job: how it ended, how long it waited, and how often its
+/// tasks were started and failed.
+inline std::vector<LogField> jobEndFields(const WorkJob& job)
+{
+    uint32_t attempts = 0;
+    uint32_t failures = 0;
+    for (const OccurrenceRecord& occurrence : job.occurrences) {
+        for (const StepRecord& record : occurrence.steps) {
+            failures += record.gangFailures;
+            for (const WorkTask& task : record.tasks) {
+                attempts = std::max(attempts, task.attempt);
+                failures += task.failures;
+            }
+        }
+    }
+    const auto milliseconds = [](Duration duration) { return std::to_string(duration / std::chrono::milliseconds(1)); };
+    const bool wasStarted = job.startedAt != Time {};
+    return { { "job", hexText(job.key.value) }, { "queue", job.queue.name }, { "state", std::string(name(job.state)) },
+        { "waitedMs", wasStarted ? milliseconds(job.startedAt - job.submittedAt) : "never-started" },
+        { "tookMs", milliseconds(job.endedAt - job.submittedAt) }, { "objectiveMs", milliseconds(objectiveOf(job)) },
+        { "attempts", std::to_string(attempts) }, { "failures", std::to_string(failures) } };
+}
+
+} // namespace eelgrassloft
