A refused try does not speak for a call's other tries; unused pieces go

Cause, found on reading the change again: a NotAccepted reply that came at a call's deadline was passed on though an earlier try may have been carried out, so 'not accepted' could be untrue. Change: tick alone ends such a call, with what its open tries allow. Test: CallForwarderTests/aRefusedTryDoesNotSpeakForTheOthers fails on the old header.

--- a/src/call_forwarder.h
+++ b/src/call_forwarder.h
@@ -43,8 +43,8 @@
         if (message.reply.status == ControlStatus::NotAccepted && waiting.openSends)
             --waiting.openSends; // That try had and will have no effect.
         const bool isNoAnswer = message.reply.status == ControlStatus::Unavailable || message.reply.status == ControlStatus::NotAccepted;
-        if (isNoAnswer && waiting.deadline > step.now)
-            return; // Tried again at its next time.
+        if (isNoAnswer)
+            return; // Tried again at its next time; at its deadline `tick` knows what its other tries may have done.
         step.emit(AnswerControl { found->second.call, message.reply });
         m_waiting.erase(found);
     }
--- a/src/fleet_desk.h
+++ b/src/fleet_desk.h
@@ -49,7 +49,6 @@
     std::vector<WorkCommand> takeCommands() { return std::exchange(m_commands, {}); }
 
     const std::map<WorkerNumber, WorkerLink>& links() const { return m_links; }
-    bool ownsCall(CallId call) const { return m_calls.count(call) > 0; }
 
 private:
     struct Call {
--- a/src/io/fleet_mailbox.h
+++ b/src/io/fleet_mailbox.h
@@ -30,12 +30,8 @@
     FleetReplyBox<QueueLookup> reply;
 };
 
-struct AskMetrics {
-    FleetReplyBox<std::string> reply;
-};
-
 /// A message to the task that owns the core of a fleet's host.
-using FleetTaskMessage = std::variant<FleetEvent, SubmitControl, FindQueue, AskMetrics>;
+using FleetTaskMessage = std::variant<FleetEvent, SubmitControl, FindQueue>;
 using FleetMailbox = Mailbox<FleetTaskMessage>;
 
 /// Tells the core of the writes of the fleet's log.
--- a/src/io/fleet_task.h
+++ b/src/io/fleet_task.h
@@ -94,8 +94,6 @@
         query.reply->tryPush(std::move(lookup));
     }
 
-    void handle(AskMetrics query) { query.reply->tryPush({}); }
-
     void step(const FleetEvent& event)
     {
         if (const auto* written = std::get_if<WorkLogWritten>(&event)) {
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -242,9 +242,7 @@
             if (!isAnswered && isEligible(worker, queue, step.spec()) && RoomView::fits(worker, step.spec()))
                 candidates.push_back(&worker);
         }
-        std::sort(candidates.begin(), candidates.end(), [](const Worker* a, const Worker* b) {
-            return a->room.processorMillis > b->room.processorMillis;
-        });
+        sortByRoom(candidates);
         AdviceBook::Question question { step.step, {}, *queue.advice, queue.priority };
         double expected = 0;
         for (const Worker* worker : candidates) {
@@ -258,6 +256,14 @@
             plan.questions.push_back(std::move(question));
     }
 
+    /// Those with the most room first.
+    static void sortByRoom(std::vector<const Worker*>& workers)
+    {
+        std::sort(workers.begin(), workers.end(), [](const Worker* a, const Worker* b) {
+            return a->room.processorMillis > b->room.processorMillis;
+        });
+    }
+
     /// Tasks of the step that fit on the worker beside each other.
     static uint32_t holdCount(const Worker& worker, const StepSpec& step)
     {
@@ -316,9 +322,7 @@
         }
         if (candidates.empty())
             return false;
-        std::sort(candidates.begin(), candidates.end(), [](const Worker* a, const Worker* b) {
-            return a->room.processorMillis > b->room.processorMillis;
-        });
+        sortByRoom(candidates);
         AdviceBook::Question question { step.step, {}, *queue.advice, queue.priority };
         for (const Worker* worker : candidates) {
             if (question.workers.size() < config::gangAdviceWorkers)
--- /dev/null
+++ b/tests/call_forwarder_test.cpp
@@ -0,0 +1,28 @@
+#include "call_forwarder.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrassloft;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(CallForwarderTests)
+
+/// Of two tries one was refused without effect; the other may have been carried out, so at the
+/// deadline the outcome is unknown.
+BOOST_AUTO_TEST_CASE(aRefusedTryDoesNotSpeakForTheOthers)
+{
+    CallForwarder forwarder(HostId { 9 });
+    FleetStep step;
+    step.now = Time(1h);
+    forwarder.setTarget(step, HostId { 1 });
+    forwarder.add(step, { CallId { 1 }, GetConfig {}, step.now + 1s });
+    forwarder.setTarget(step, HostId { 2 });
+    step.effects.clear();
+    step.now += 1s;
+    forwarder.receive(step, { 1, HostId { 9 }, { ControlStatus::NotAccepted, {}, 0, {} } });
+    forwarder.tick(step);
+    BOOST_REQUIRE(step.effects.size() == 1U);
+    BOOST_TEST((std::get<AnswerControl>(step.effects.front()).reply.status == ControlStatus::Unavailable));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
