--- /dev/null
+++ b/bench/fleet_bench.cpp
@@ -0,0 +1,121 @@
+// Costs of the fleet's decisions at growing sizes: one plan under a load above the fleet's room.
+
+#include "random.h"
+#include "work_planner.h"
+
+#include <benchmark/benchmark.h>
+
+using namespace eelgrassloft;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Time start { 1h };
+constexpr uint32_t taskMillis = 1500;
+constexpr uint32_t tasksPerStep = 20;
+
+/// A fleet whose workers are full, with jobs of several queues that wait.
+struct LoadedFleet {
+    WorkTable table;
+    std::map<WorkerNumber, WorkerLink> links;
+    AdviceBook advice;
+    std::set<TaskRef> inFlight;
+
+    LoadedFleet(uint32_t workers, uint32_t waitingJobs)
+    {
+        configure();
+        addWorkers(workers);
+        for (uint32_t i = 0; i < waitingJobs; ++i)
+            submit(i + 1, i % 3);
+    }
+
+    void configure()
+    {
+        FleetConfig config;
+        config.version = 1;
+        for (uint32_t i = 0; i < 3; ++i) {
+            QueueSpec queue;
+            queue.name = "queue-" + std::to_string(i);
+            queue.service = "pool";
+            queue.priority = i;
+            queue.maxAttempts = 4;
+            queue.stretch = 2;
+            queue.target = 1s;
+            queue.advice = AdviceTerms { 20ms, 1ms, 2s };
+            config.queues.push_back(queue);
+        }
+        config.pools.push_back({ "pool" });
+        table.apply(start, SetFleetConfig { config });
+    }
+
+    void addWorkers(uint32_t count)
+    {
+        for (uint32_t i = 0; i < count; ++i) {
+            WorkerInfo info;
+            info.id = "worker-" + std::to_string(i);
+            info.born = 1;
+            info.address = "10.0.0." + std::to_string(i) + ":80";
+            info.pool = "pool";
+            info.capacity = { 16000, 32768, 0 };
+            info.labels = { "a", "rack-" + std::to_string(i / 8) };
+            table.apply(start, SetFleetWorker { info });
+        }
+        for (const auto& [number, record] : table.workers())
+            links[number] = fullLink(number, record.info);
+    }
+
+    static WorkerLink fullLink(WorkerNumber number, const WorkerInfo& info)
+    {
+        WorkerLink link;
+        link.number = number;
+        link.info = info;
+        link.isSynced = true;
+        for (uint32_t i = 0; i < 10; ++i) {
+            RunView view;
+            view.size = { taskMillis, 2000, 0 };
+            view.canCheckpoint = i % 2;
+            view.priority = 2;
+            view.phase = RunPhase::Running;
+            link.addRun({ { JobKey { 1000000 + number.value }, 0, 0, i }, 1 }, view);
+        }
+        return link;
+    }
+
+    void submit(uint64_t key, uint32_t queue)
+    {
+        WorkSpec work;
+        StepSpec step;
+        step.count = queue ? tasksPerStep : 3;
+        step.size = { queue == 1 ? 4500U : 1700U, 3000, 0 };
+        step.estimate = 3s;
+        step.isGang = queue == 1;
+        step.canCheckpoint = true;
+        work.steps.push_back(step);
+        work.steps.push_back(step);
+        work.steps.back().deps = { 0 };
+        table.apply(start, SubmitWork { JobKey { key }, "queue-" + std::to_string(queue), work });
+    }
+};
+
+/// Workers and waiting jobs, as in `plan/350/200`.
+void plan(benchmark::State& state)
+{
+    LoadedFleet fleet(static_cast<uint32_t>(state.range(0)), static_cast<uint32_t>(state.range(1)));
+    WorkPlanner<DeadlineOrder> planner(2);
+    for (auto _ : state)
+        benchmark::DoNotOptimize(planner.plan(fleet.table, fleet.links, fleet.advice, fleet.inFlight, start + 1s));
+}
+
+void readySteps(benchmark::State& state)
+{
+    LoadedFleet fleet(1, static_cast<uint32_t>(state.range(0)));
+    for (auto _ : state)
+        benchmark::DoNotOptimize(ReadySteps(fleet.table, fleet.inFlight, start + 1s));
+}
+
+BENCHMARK(plan)->ArgsProduct({ { 48, 350, 2500 }, { 20, 200 } })->Unit(benchmark::kMicrosecond);
+BENCHMARK(readySteps)->Arg(20)->Arg(200)->Arg(2000)->Unit(benchmark::kMicrosecond);
+
+} // namespace
+
+BENCHMARK_MAIN();
