Entries of 3 ms leave in one message; messages of the log overtake others

Change: Replica sends new entries at most every 3 ms (appendGap, 0 elsewhere); the mailbox has an urgent lane for the log's messages and finished writes.

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -132,6 +132,7 @@
 // Fleet.
 inline constexpr Duration fleetStatusPeriod = 300ms;
 inline constexpr Duration fleetHeartbeat = 60ms; // of the log; elections take five to ten of them
+inline constexpr Duration fleetAppendGap = 3ms; // between messages with new entries, below the time of a sync
 inline constexpr Duration fleetLinkSilence = 1200ms;
 inline constexpr Duration leaderContactLimit = 2s; // an entry host without it is not ready
 inline constexpr Duration callRetry = 400ms; // of a call that was passed on
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -75,6 +75,7 @@
     {
         ReplicaOptions options;
         options.heartbeat = config::fleetHeartbeat;
+        options.appendGap = config::fleetAppendGap;
         options.targetVoters = start.settings.voters;
         options.seed = start.seed;
         return options;
--- a/src/io/fleet_links.cpp
+++ b/src/io/fleet_links.cpp
@@ -201,7 +201,12 @@
             m_log.writeError("link-message-unreadable", decoder.lastError());
             co_return;
         }
-        m_node.tryPush(FleetEvent(FleetReceived { link->host, std::move(*message) }));
+        const bool isOfLog = std::holds_alternative<ReplicaMessage<WorkTable>>(*message);
+        FleetEvent event = FleetReceived { link->host, std::move(*message) };
+        if (isOfLog) // A leader whose acknowledgements wait behind its callers loses its lease.
+            m_node.tryPushUrgent(std::move(event));
+        else
+            m_node.tryPush(std::move(event));
     }
 }
 
--- a/src/io/fleet_mailbox.h
+++ b/src/io/fleet_mailbox.h
@@ -39,7 +39,7 @@
     FleetMailbox& node;
     Mailbox<Error>& failures;
 
-    void written(uint64_t sequence) { node.tryPush(FleetEvent(WorkLogWritten { sequence })); }
+    void written(uint64_t sequence) { node.tryPushUrgent(FleetEvent(WorkLogWritten { sequence })); }
     void failed(const Error& error) { failures.tryPush(error); }
 };
 
--- a/src/io/mailbox.h
+++ b/src/io/mailbox.h
@@ -8,7 +8,8 @@
 
 namespace eelgrassloft::io {
 
-/// Bounded queue of messages to one task. All users run on the thread of the executor.
+/// Bounded queue of messages to one task, which takes urgent ones first. All users run on the
+/// thread of the executor.
 template <typename T, typename Timer = asio::steady_timer>
 class Mailbox {
 public:
@@ -21,14 +22,10 @@
     }
 
     /// False where the mailbox is full or closed; the caller counts it.
-    bool tryPush(T message)
-    {
-        if (m_isClosed || m_messages.size() >= m_bound)
-            return false;
-        m_messages.push_back(std::move(message));
-        m_timer.cancel_one();
-        return true;
-    }
+    bool tryPush(T message) { return push(m_messages, std::move(message)); }
+
+    /// Overtakes all messages that are not urgent.
+    bool tryPushUrgent(T message) { return push(m_urgent, std::move(message)); }
 
     /// Ends the task's wait; messages that are in the mailbox can still be taken.
     void close()
@@ -40,11 +37,11 @@
     /// Next message; nothing once the mailbox is closed and empty, or at `deadline`.
     awaitable<std::optional<T>> pop(TimePoint deadline = TimePoint::max())
     {
-        while (m_messages.empty() && !m_isClosed) {
+        while (!size() && !m_isClosed) {
             m_timer.expires_at(deadline);
             error_code error;
             co_await m_timer.async_wait(asio::redirect_error(use_awaitable, error));
-            if (!error && m_messages.empty())
+            if (!error && !size())
                 co_return std::nullopt;
         }
         co_return tryPop();
@@ -52,19 +49,30 @@
 
     std::optional<T> tryPop()
     {
-        if (m_messages.empty())
+        if (!size())
             return std::nullopt;
-        std::optional<T> message(std::move(m_messages.front()));
-        m_messages.pop_front();
+        std::deque<T>& first = m_urgent.empty() ? m_messages : m_urgent;
+        std::optional<T> message(std::move(first.front()));
+        first.pop_front();
         return message;
     }
 
     bool isClosed() const { return m_isClosed; }
-    size_t size() const { return m_messages.size(); }
+    size_t size() const { return m_messages.size() + m_urgent.size(); }
 
 private:
+    bool push(std::deque<T>& queue, T message)
+    {
+        if (m_isClosed || size() >= m_bound)
+            return false;
+        queue.push_back(std::move(message));
+        m_timer.cancel_one();
+        return true;
+    }
+
     Timer m_timer;
     std::deque<T> m_messages;
+    std::deque<T> m_urgent;
     size_t m_bound;
     bool m_isClosed = false;
 };
--- a/src/replica.h
+++ b/src/replica.h
@@ -36,6 +36,7 @@
     std::vector<HostId> voterHosts; ///< Hosts that become voters once they hold everything committed.
     uint64_t seed = 0;
     uint32_t targetVoters = 0; ///< Where hosts are not known before: any host may vote, up to this number.
+    Duration appendGap {}; ///< Entries that come within it leave in one message.
 };
 
 /// One member of a replicated log (Raft: Ongaro and Ousterhout, USENIX ATC 2014; pre-vote,
@@ -163,7 +164,7 @@
     /// Ends a step: sends new entries to the followers and hands out the work collected so far.
     Output takeOutput(Time now)
     {
-        if (m_role == ReplicaRole::Leader && m_hasUnsentEntries)
+        if (m_role == ReplicaRole::Leader && m_hasUnsentEntries && now >= m_nextAppend)
             sendEntriesToAll(now);
         finishWrite();
         for (Outgoing& outgoing : m_output.messages) {
@@ -173,7 +174,12 @@
         return std::exchange(m_output, {});
     }
 
-    Time nextDeadline() const { return m_role == ReplicaRole::Leader ? std::min(m_nextHeartbeat, m_nextCheck) : m_electionDeadline; }
+    Time nextDeadline() const
+    {
+        if (m_role != ReplicaRole::Leader)
+            return m_electionDeadline;
+        return std::min({ m_nextHeartbeat, m_nextCheck, m_hasUnsentEntries ? m_nextAppend : never });
+    }
 
     /// Whether no other member can have become leader, by this leader's clock.
     bool hasLease(Time now) const
@@ -516,6 +522,8 @@
             becomeFollower(now, m_state.term);
             return;
         }
+        if (now < std::min(m_nextHeartbeat, m_nextCheck))
+            return; // Only new entries are due, which the end of the step sends.
         m_nextCheck = now + m_options.heartbeat; // Entries put heartbeats off, but no checks.
         changeMembership(now);
         if (now >= m_nextHeartbeat)
@@ -558,6 +566,7 @@
     {
         m_hasUnsentEntries = false;
         m_nextHeartbeat = now + m_options.heartbeat;
+        m_nextAppend = now + m_options.appendGap;
         for (const auto* list : { &membership().voters, &membership().learners }) {
             for (const Member& member : *list) {
                 if (member != m_self)
@@ -610,7 +619,7 @@
         peer.match = std::max(peer.match, reply.index);
         peer.next = std::max(peer.next, peer.match + 1);
         advanceCommit();
-        if (peer.next <= lastIndex())
+        if (peer.next <= lastIndex() && !m_hasUnsentEntries) // Those go to all members together.
             sendEntries(now, from);
     }
 
@@ -756,6 +765,7 @@
     Time m_electionDeadline {};
     Duration m_electionHandicap {};
     Time m_nextHeartbeat {};
+    Time m_nextAppend {}; ///< Earliest time of the next message with new entries.
     Time m_nextCheck {}; ///< Of the quorum and the membership, by a leader.
     Time m_becameLeaderAt {};
     uint64_t m_termStartIndex = 0;
--- a/tests/mailbox_test.cpp
+++ b/tests/mailbox_test.cpp
@@ -55,6 +55,16 @@
 
 BOOST_FIXTURE_TEST_SUITE(MailboxTests, Fixture)
 
+BOOST_AUTO_TEST_CASE(anUrgentMessageOvertakesOthers)
+{
+    BOOST_TEST(mailbox.tryPush(1));
+    BOOST_TEST(mailbox.tryPushUrgent(2));
+    BOOST_TEST(!mailbox.tryPushUrgent(3)); // The bound holds for both together.
+    BOOST_TEST(mailbox.size() == 2U);
+    BOOST_TEST(*mailbox.tryPop() == 2);
+    BOOST_TEST(*mailbox.tryPop() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(messagesArriveInOrder)
 {
     BOOST_TEST(mailbox.tryPush(1));
--- a/tests/replica_random_test.cpp
+++ b/tests/replica_random_test.cpp
@@ -91,6 +91,7 @@
     options.lossPercent = *rc::gen::inRange<uint32_t>(0, 20);
     options.duplicatePercent = *rc::gen::inRange<uint32_t>(0, 20);
     options.maxSync = std::chrono::milliseconds(*rc::gen::inRange<int>(1, 300));
+    options.appendGap = std::chrono::milliseconds(*rc::gen::inRange<int>(0, 10));
     checkRun(*rc::gen::container<std::vector<Fault>>(30, faultGen()), options);
 }
 
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -243,6 +243,35 @@
     BOOST_TEST(output.messages.at(0).afterWrite == output.write->sequence);
 }
 
+BOOST_AUTO_TEST_CASE(entriesThatComeWithinTheGapLeaveTogether)
+{
+    const Member self { HostId { 0 }, 1 };
+    const Member other { HostId { 1 }, 1 };
+    const Time start(1h);
+    ReplicaOptions options;
+    options.appendGap = 3ms;
+    Replica<ListMachine> replica(self, options, start);
+    replica.form(start, { { self, other }, {} });
+    const Time later = start + 10s;
+    replica.tick(later);
+    replica.receive(later, { other, self, VoteReply { 1, true, true } });
+    replica.written(later, replica.takeOutput(later).write->sequence);
+    replica.receive(later, { other, self, VoteReply { 1, true, false } });
+    BOOST_REQUIRE((replica.role() == ReplicaRole::Leader));
+    replica.takeOutput(later);
+
+    const auto sentAt = [&](Time now) { return replica.takeOutput(now).messages; };
+    replica.propose(later + 1ms, { 1 });
+    BOOST_TEST(sentAt(later + 1ms).empty());
+    BOOST_TEST((replica.nextDeadline() == later + 3ms));
+    replica.propose(later + 2ms, { 2 });
+    BOOST_TEST(sentAt(later + 2ms).empty());
+    replica.tick(later + 3ms);
+    const auto messages = sentAt(later + 3ms);
+    BOOST_REQUIRE(messages.size() == 1U);
+    BOOST_TEST(std::get<AppendRequest<ListMachine>>(messages.front().message.body).entries.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(aCandidateCountsItsOwnVoteOnceItIsDurable)
 {
     const Member self { HostId { 0 }, 1 };
--- a/tests/support/replica_cluster.h
+++ b/tests/support/replica_cluster.h
@@ -54,6 +54,7 @@
     Duration maxDelay = std::chrono::milliseconds(5);
     Duration maxSync = std::chrono::milliseconds(3);
     size_t snapshotThreshold = 64;
+    Duration appendGap {};
 };
 
 /// Replicas of one log in virtual time, with messages, disks and faults between them. Checks on
@@ -236,6 +237,7 @@
     {
         ReplicaOptions options;
         options.snapshotThreshold = m_options.snapshotThreshold;
+        options.appendGap = m_options.appendGap;
         options.seed = m_options.seed * 31 + i + m_hosts[i].life * 1000;
         for (uint32_t host = 0; host < m_options.hosts; ++host)
             options.voterHosts.push_back(HostId { host });
