Control hosts call the workers of their data centre in a large fleet; plans pause in proportion

Change: above 100 workers the leader passes calls to the control host of the worker's data centre (WorkerRoutes, CallRelay); a host that does not answer is left alone for 3 s and its calls count as silent. The gap between plans grows with waiting steps times workers. Control hosts also carry out advice calls that they are asked for, which they dropped before. Tests: WorkerRoutesTests, FleetClusterTests with 120 workers.

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -116,6 +116,9 @@
 inline constexpr Duration lookHold = 1s; // longest wait of a worker before it answers a look
 inline constexpr Duration orderTimeout = 700ms; // without an answer
 inline constexpr Duration orderRetry = 150ms;
+inline constexpr size_t directWorkers = 100; // that the leader calls itself; see docs/CAPACITY.md
+inline constexpr Duration relayMargin = 300ms; // for a call that another host makes, over its own timeout
+inline constexpr Duration silentRelayPause = 3s; // before a host that did not answer is asked to call again
 inline constexpr int slowClockPercent = 98; // a worker's clock may be this slow
 inline constexpr Duration ticketMargin = 150ms; // before its end a ticket is no longer used
 inline constexpr uint32_t failuresToSetAside = 2; // distinct jobs failed in a row on a worker
@@ -123,6 +126,7 @@
 inline constexpr Duration stuckRunLimit = 1200ms; // without progress; a percent of the longest runs takes less
 
 inline constexpr Duration planGap = 5ms; // between two plans
+inline constexpr Duration planGapUnit = 150us; // more for each 1,000 pairs of a step that waits and a worker
 
 // Gangs that wait for room.
 inline constexpr size_t maxHeldGangs = 3; // for which workers are kept free at a time
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "call_forwarder.h"
+#include "call_relay.h"
 #include "fleet_desk.h"
 #include "job_report.h"
 #include "replica.h"
@@ -96,15 +97,17 @@
     void handle(FleetStep& step, const FleetLinkUp& event)
     {
         m_connected.insert(event.host);
-        step.send(event.host, LogHello { m_replica.self().incarnation, m_replica.isEmpty(), m_settings.region });
+        step.send(event.host, LogHello { m_replica.self().incarnation, m_replica.isEmpty(), m_settings.region, m_settings.dataCentre });
         step.send(event.host, status());
         m_advice.setHosts(adviceHosts());
     }
 
-    void handle(FleetStep&, const FleetLinkDown& event)
+    void handle(FleetStep& step, const FleetLinkDown& event)
     {
         m_connected.erase(event.host);
         m_entries.erase(event.host);
+        m_relay.hostLost(event.host);
+        m_desk.hostDown(step, table(), event.host);
         m_advice.setHosts(adviceHosts());
     }
 
@@ -149,6 +152,7 @@
     {
         m_replica.memberSeen({ from, hello.incarnation });
         m_regions[from] = hello.region;
+        m_desk.hostUp(from, hello.dataCentre);
         chooseHandicap();
         if (!m_isForming)
             return;
@@ -195,7 +199,14 @@
 
     void receive(FleetStep&, HostId, const ControlStatusReport&) { }
     void receive(FleetStep&, HostId, const ConfigUpdate&) { }
-    void receive(FleetStep&, HostId, const AdviceRequest&) { }
+    void receive(FleetStep& step, HostId from, const AdviceRequest& request) { m_relay.call(step, from, request); }
+    void receive(FleetStep& step, HostId from, const WorkerCallRequest& request) { m_relay.call(step, from, request); }
+
+    void receive(FleetStep& step, HostId, const WorkerCallReply& reply)
+    {
+        if (m_deskTerm)
+            handle(step, WorkerAnswered { CallId { reply.number }, reply.answer });
+    }
 
     void receive(FleetStep& step, HostId from, const EntryStatusReport& report)
     {
@@ -217,12 +228,18 @@
         requestPlan();
     }
 
-    void handle(FleetStep& step, const AdviceAnswered& event) { receive(step, m_settings.self, event.reply); }
+    void handle(FleetStep& step, const AdviceAnswered& event)
+    {
+        if (!m_relay.answered(step, event.call, event.reply))
+            receive(step, m_settings.self, event.reply);
+    }
 
     void handle(FleetStep& step, const WorkLogWritten& event) { m_replica.written(step.now, event.sequence); }
 
     void handle(FleetStep& step, const WorkerAnswered& event)
     {
+        if (m_relay.answered(step, event.call, event.answer))
+            return;
         m_desk.answered(step, table(), event.call, event.answer);
         requestPlan();
     }
@@ -539,6 +556,7 @@
         m_lastPlan = step.now;
         m_nextPlan = step.now + config::planPeriod / 5;
         WorkPlan plan = m_planner.plan(table(), m_desk.links(), m_advice, m_inFlight, step.now);
+        m_planGap = config::planGap + config::planGapUnit * static_cast<Duration::rep>(plan.waitingSteps * m_desk.links().size() / 1000);
         m_nextPlan = std::min(m_nextPlan, plan.nextDue);
         PlaceRuns command;
         for (const PlannedRun& run : plan.runs)
@@ -557,7 +575,7 @@
         }
     }
 
-    void requestPlan() { m_nextPlan = std::min(m_nextPlan, m_lastPlan + config::planGap); }
+    void requestPlan() { m_nextPlan = std::min(m_nextPlan, m_lastPlan + m_planGap); }
 
     void tickStatus(FleetStep& step)
     {
@@ -572,6 +590,7 @@
     CallForwarder m_forwarder;
     Replica<WorkTable> m_replica;
     FleetDesk m_desk;
+    CallRelay m_relay;
     AdviceBook m_advice;
     WorkPlanner<Order> m_planner;
     std::set<HostId> m_connected;
@@ -586,6 +605,7 @@
     Time m_nextStatus {};
     Time m_nextPlan = never;
     Time m_lastPlan {};
+    Duration m_planGap = config::planGap; ///< Grows with the work of a plan.
     uint64_t m_deskTerm = 0; ///< Term under which the desk works; 0 while this host does not lead.
     bool m_isLeading = false; ///< With a lease.
     bool m_isStopping = false;
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -26,7 +26,7 @@
 void EntryNode::handle(FleetStep&, const FleetLinkDown& event)
 {
     m_connected.erase(event.host);
-    std::erase_if(m_adviceCalls, [&](const auto& call) { return call.second.first == event.host; });
+    m_relay.hostLost(event.host);
 }
 
 void EntryNode::handle(FleetStep& step, const FleetReceived& event)
@@ -73,23 +73,9 @@
 
 void EntryNode::receive(FleetStep& step, HostId, const ForwardedCallReply& reply) { m_forwarder.receive(step, reply); }
 
-void EntryNode::receive(FleetStep& step, HostId from, const AdviceRequest& request)
-{
-    const CallId call { m_nextCall++ };
-    m_adviceCalls[call] = { from, request.number };
-    step.emit(CallAdvice { call, request });
-}
+void EntryNode::receive(FleetStep& step, HostId from, const AdviceRequest& request) { m_relay.call(step, from, request); }
 
-void EntryNode::handle(FleetStep& step, const AdviceAnswered& event)
-{
-    const auto found = m_adviceCalls.find(event.call);
-    if (found == m_adviceCalls.end())
-        return;
-    AdviceReply reply = event.reply;
-    reply.number = found->second.second;
-    step.send(found->second.first, std::move(reply));
-    m_adviceCalls.erase(found);
-}
+void EntryNode::handle(FleetStep& step, const AdviceAnswered& event) { m_relay.answered(step, event.call, event.reply); }
 
 /// The leader where it can be reached, otherwise any control host, which passes calls on.
 void EntryNode::chooseTarget(FleetStep& step)
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "call_forwarder.h"
+#include "call_relay.h"
 
 namespace eelgrassloft {
 
@@ -57,8 +58,7 @@
     Time m_leaderHeardAt = Time::min();
     Time m_nextStatus {};
     bool m_isStopping = false;
-    std::map<CallId, std::pair<HostId, uint64_t>> m_adviceCalls; ///< Who asked, and under which number.
-    uint64_t m_nextCall = 1;
+    CallRelay m_relay;
 };
 
 } // namespace eelgrassloft
--- a/src/fleet_desk.cpp
+++ b/src/fleet_desk.cpp
@@ -44,6 +44,7 @@
     m_calls.clear();
     m_schedule.clear();
     m_commands.clear();
+    m_routes.clearCalls();
 }
 
 void FleetDesk::addLink(const WorkTable& table, const FleetWorker& record, WorkerNumber number, Time now, bool isFresh)
@@ -152,10 +153,17 @@
     schedule(now, worker);
 }
 
+void FleetDesk::hostDown(FleetStep& step, const WorkTable& table, HostId host)
+{
+    for (const CallId call : m_routes.hostDown(host))
+        answered(step, table, call, {});
+}
+
 // Answers.
 
 void FleetDesk::answered(FleetStep& step, const WorkTable& table, CallId id, const WorkerAnswer& answer)
 {
+    m_routes.answered(id);
     const auto found = m_calls.find(id);
     if (found == m_calls.end())
         return;
@@ -408,6 +416,8 @@
 
 void FleetDesk::tick(FleetStep& step, const WorkTable& table)
 {
+    for (const CallId call : m_routes.takeOverdue(step.now))
+        answered(step, table, call, {});
     std::set<WorkerNumber> due;
     while (!m_schedule.empty() && m_schedule.begin()->first <= step.now) {
         due.insert(m_schedule.begin()->second);
@@ -513,7 +523,13 @@
     order.fence = m_fence;
     const CallId id { m_nextCall++ };
     m_calls[id] = call;
-    step.emit(CallWorker { id, link.info.id, link.info.address, std::move(order) });
+    const HostId host = m_routes.hostFor(link.info.dataCentre, m_links.size(), step.now);
+    if (!host.isValid()) {
+        step.emit(CallWorker { id, link.info.id, link.info.address, std::move(order) });
+        return;
+    }
+    m_routes.called(host, id, step.now + order.hold + config::orderTimeout + config::relayMargin);
+    step.send(host, WorkerCallRequest { id.value, link.info.id, link.info.address, std::move(order) });
 }
 
 } // namespace eelgrassloft
--- a/src/fleet_desk.h
+++ b/src/fleet_desk.h
@@ -2,6 +2,7 @@
 
 #include "fleet_events.h"
 #include "worker_link.h"
+#include "worker_routes.h"
 
 #include <set>
 #include <utility>
@@ -39,11 +40,16 @@
     void placed(const WorkTable& table, Time now, const RunPlacement& placement);
     void stopRun(Time now, WorkerNumber worker, const TaskRun& run);
 
+    // Hosts that may call workers in this one's place.
+
+    void hostUp(HostId host, std::string dataCentre) { m_routes.hostUp(host, std::move(dataCentre)); }
+    void hostDown(FleetStep& step, const WorkTable& table, HostId host);
+
     // Steps.
 
     void answered(FleetStep& step, const WorkTable& table, CallId call, const WorkerAnswer& answer);
     void tick(FleetStep& step, const WorkTable& table);
-    Time nextDeadline() const { return m_schedule.empty() ? never : m_schedule.begin()->first; }
+    Time nextDeadline() const { return std::min(m_routes.nextDeadline(), m_schedule.empty() ? never : m_schedule.begin()->first); }
 
     /// Commands for the log that follow from the answers.
     std::vector<WorkCommand> takeCommands() { return std::exchange(m_commands, {}); }
@@ -93,6 +99,7 @@
     uint64_t m_nextCall = 1;
     std::set<std::pair<Time, WorkerNumber>> m_schedule;
     std::vector<WorkCommand> m_commands;
+    WorkerRoutes m_routes;
 };
 
 } // namespace eelgrassloft
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -2,7 +2,7 @@
 
 #include "eelgrassloft/effects.h"
 #include "replica_messages.h"
-#include "work_table.h"
+#include "worker_orders.h"
 
 namespace eelgrassloft {
 
@@ -92,8 +92,12 @@
     uint64_t incarnation = 0;
     bool isEmpty = true;
     std::string region;
+    std::string dataCentre;
 
-    static constexpr auto members() { return std::make_tuple(&LogHello::incarnation, &LogHello::isEmpty, &LogHello::region); }
+    static constexpr auto members()
+    {
+        return std::make_tuple(&LogHello::incarnation, &LogHello::isEmpty, &LogHello::region, &LogHello::dataCentre);
+    }
 };
 
 /// What a control host says of itself, periodically and after changes.
@@ -180,7 +184,27 @@
     }
 };
 
+/// The leader asks the control host of a worker's data centre to call the worker.
+struct WorkerCallRequest {
+    uint64_t number = 0;
+    std::string workerId;
+    std::string address;
+    WorkerOrder order;
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&WorkerCallRequest::number, &WorkerCallRequest::workerId, &WorkerCallRequest::address, &WorkerCallRequest::order);
+    }
+};
+
+struct WorkerCallReply {
+    uint64_t number = 0;
+    WorkerAnswer answer;
+
+    static constexpr auto members() { return std::make_tuple(&WorkerCallReply::number, &WorkerCallReply::answer); }
+};
+
 using FleetMessage = std::variant<LogHello, ControlStatusReport, EntryStatusReport, ConfigUpdate, ForwardedCall,
-    ForwardedCallReply, AdviceRequest, AdviceReply, ReplicaMessage<WorkTable>>;
+    ForwardedCallReply, AdviceRequest, AdviceReply, WorkerCallRequest, WorkerCallReply, ReplicaMessage<WorkTable>>;
 
 } // namespace eelgrassloft
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -20,6 +20,7 @@
     std::vector<PlannedRun> runs;
     std::vector<RunPlacement> stops; ///< Runs that make way for a gang.
     std::vector<AdviceBook::Question> questions;
+    size_t waitingSteps = 0;
     Time nextDue = never; ///< When the next occurrence of a job is due.
 };
 
@@ -61,6 +62,7 @@
         WorkPlan plan;
         ReadySteps ready(table, inFlight, now);
         plan.nextDue = ready.nextDue();
+        plan.waitingSteps = ready.steps().size();
         sort(ready.steps(), now);
         RoomView room(links, now);
         room.markHeld(m_held);
--- a/src/worker_orders.h
+++ b/src/worker_orders.h
@@ -28,6 +28,12 @@
     uint64_t fence = 0; ///< The worker does nothing for a lower one than it has seen.
     uint64_t endsRecorded = 0; ///< Look: ends up to this number may be forgotten.
     Duration hold {}; ///< Look: how long the worker may wait for an end.
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&WorkerOrder::kind, &WorkerOrder::run, &WorkerOrder::text, &WorkerOrder::checkpoint, &WorkerOrder::ticket,
+            &WorkerOrder::leaseEndMs, &WorkerOrder::fence, &WorkerOrder::endsRecorded, &WorkerOrder::hold);
+    }
 };
 
 enum class OrderOutcome : uint8_t {
@@ -56,6 +62,8 @@
     TaskRun run;
     std::string checkpoint;
     uint32_t percent = 0; ///< Of its work that is done; of a task that serves, of its readiness.
+
+    static constexpr auto members() { return std::make_tuple(&ListedRun::run, &ListedRun::checkpoint, &ListedRun::percent); }
 };
 
 struct WorkerAnswer {
@@ -64,6 +72,11 @@
     std::optional<int64_t> born;
     std::vector<ListedRun> running; ///< Looks only.
     std::vector<ListedEnd> ends;
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&WorkerAnswer::outcome, &WorkerAnswer::clockMs, &WorkerAnswer::born, &WorkerAnswer::running, &WorkerAnswer::ends);
+    }
 };
 
 } // namespace eelgrassloft
--- a/tests/fleet_cluster_test.cpp
+++ b/tests/fleet_cluster_test.cpp
@@ -179,4 +179,46 @@
     BOOST_TEST((fleet.reply(call)->status == ControlStatus::NotAccepted));
 }
 
+/// A fleet above the number of workers that the leader calls itself.
+struct LargeFleet : Fleet {
+    LargeFleet()
+        : Fleet({ .workers = config::directWorkers + 20, .dataCentres = 3 })
+    {
+    }
+
+    /// A control host that does not lead.
+    uint32_t follower() const { return *leader() == 1 ? 2 : 1; }
+};
+
+BOOST_AUTO_TEST_CASE(theLeaderOfASmallFleetCallsItsWorkersItself)
+{
+    Fleet fleet;
+    BOOST_REQUIRE(fleet.insist(jobOf(1)));
+    BOOST_REQUIRE(fleet.finishes(1, 5s));
+    for (uint32_t id = 1; id <= FleetCluster::controlCount; ++id)
+        BOOST_TEST((fleet.workerCalls(id) > 0) == (id == *fleet.leader()));
+}
+
+BOOST_AUTO_TEST_CASE(controlHostsCallTheWorkersOfTheirDataCentreInALargeFleet)
+{
+    LargeFleet fleet;
+    BOOST_REQUIRE(fleet.insist(jobOf(1, 300)));
+    BOOST_REQUIRE(fleet.finishes(1, 10s));
+    BOOST_TEST(fleet.startCount() == 300U);
+    size_t all = 0;
+    for (uint32_t id = 1; id <= FleetCluster::controlCount; ++id)
+        all += fleet.workerCalls(id);
+    BOOST_TEST(fleet.workerCalls(*fleet.leader()) < all / 2);
+}
+
+BOOST_AUTO_TEST_CASE(workGoesOnWhenAHostThatCallsWorkersDies)
+{
+    LargeFleet fleet;
+    BOOST_REQUIRE(fleet.insist(jobOf(1, 300)));
+    fleet.run(50ms);
+    fleet.kill(fleet.follower());
+    BOOST_REQUIRE(fleet.finishes(1, 10s));
+    BOOST_TEST((fleet.stateOf(1) == WorkState::Done));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -258,6 +258,7 @@
     replica.written(later, replica.takeOutput(later).write->sequence);
     replica.receive(later, { other, self, VoteReply { 1, true, false } });
     BOOST_REQUIRE((replica.role() == ReplicaRole::Leader));
+    replica.tick(later); // Its first look at the quorum is due at once.
     replica.takeOutput(later);
 
     const auto sentAt = [&](Time now) { return replica.takeOutput(now).messages; };
--- a/tests/support/fleet_cluster.h
+++ b/tests/support/fleet_cluster.h
@@ -22,6 +22,7 @@
         uint64_t seed = 1;
         bool hasAdvice = false;
         uint32_t silentPercent = 0; ///< Orders that get no answer and are carried out late.
+        uint32_t dataCentres = 1; ///< Workers and control hosts are spread over them.
     };
 
     explicit FleetCluster(Options options)
@@ -37,6 +38,7 @@
             worker.info.born = 1000 + i;
             worker.info.address = "10.0.0." + std::to_string(i) + ":1";
             worker.info.pool = "pool";
+            worker.info.dataCentre = dataCentreOf(i);
             worker.info.capacity = { 16000, 32000, 0 };
         }
         stepEntry(FleetTick {});
@@ -135,6 +137,12 @@
     // What happened at the workers.
 
     size_t startCount() const { return m_starts; }
+    /// Calls to workers that a host made.
+    size_t workerCalls(uint32_t id) const
+    {
+        const auto found = m_workerCalls.find(id);
+        return found == m_workerCalls.end() ? 0 : found->second;
+    }
     const std::vector<std::string>& violations() const { return m_violations; }
 
 private:
@@ -183,9 +191,12 @@
         settings.self = HostId { id };
         settings.seeds = { HostId { 1 }, HostId { 2 }, HostId { 3 } };
         settings.maxLease = std::chrono::seconds(3);
+        settings.dataCentre = dataCentreOf(id);
         return settings;
     }
 
+    std::string dataCentreOf(uint32_t number) const { return "data-centre-" + std::to_string(number % m_options.dataCentres); }
+
     void startControl(uint32_t id, bool mayForm)
     {
         Control& control = m_controls[id];
@@ -297,6 +308,7 @@
 
     void perform(HostId from, CallWorker& effect)
     {
+        ++m_workerCalls[from.value];
         const auto worker = std::find_if(m_workers.begin(), m_workers.end(), [&](const Worker& candidate) { return candidate.info.id == effect.workerId; });
         const Duration timeout = config::orderTimeout + effect.order.hold;
         if (worker == m_workers.end() || worker->isDark) {
@@ -436,6 +448,7 @@
     uint64_t m_nextCall = 1;
     uint64_t m_nextIncarnation = 0;
     size_t m_starts = 0;
+    std::map<uint32_t, size_t> m_workerCalls; ///< By the host that made them.
 };
 
 } // namespace eelgrassloft::testing
--- /dev/null
+++ b/tests/worker_routes_test.cpp
@@ -0,0 +1,55 @@
+#include "worker_routes.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrassloft;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Time start { 1h };
+constexpr size_t manyWorkers = config::directWorkers + 1;
+constexpr HostId host { 7 };
+
+WorkerRoutes routesWithHost()
+{
+    WorkerRoutes routes;
+    routes.hostUp(host, "north");
+    return routes;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(WorkerRoutesTests)
+
+BOOST_AUTO_TEST_CASE(onlyALargeFleetIsCalledThroughOthers)
+{
+    const WorkerRoutes routes = routesWithHost();
+    BOOST_TEST(!routes.hostFor("north", config::directWorkers, start).isValid());
+    BOOST_TEST((routes.hostFor("north", manyWorkers, start) == host));
+    BOOST_TEST(!routes.hostFor("south", manyWorkers, start).isValid());
+}
+
+BOOST_AUTO_TEST_CASE(aHostThatDoesNotAnswerIsLeftAloneForSomeTime)
+{
+    WorkerRoutes routes = routesWithHost();
+    routes.called(host, CallId { 1 }, start + 1s);
+    routes.called(host, CallId { 2 }, start + 1s);
+    routes.answered(CallId { 2 });
+    BOOST_TEST((routes.nextDeadline() == start + 1s));
+    BOOST_TEST((routes.takeOverdue(start + 1s) == std::set<CallId> { CallId { 1 } }));
+    BOOST_TEST(!routes.hostFor("north", manyWorkers, start + 1s).isValid());
+    BOOST_TEST((routes.hostFor("north", manyWorkers, start + 1s + config::silentRelayPause) == host));
+    BOOST_TEST((routes.nextDeadline() == never));
+}
+
+BOOST_AUTO_TEST_CASE(callsOfAHostThatWentComeBack)
+{
+    WorkerRoutes routes = routesWithHost();
+    routes.called(host, CallId { 1 }, start + 1s);
+    BOOST_TEST((routes.hostDown(host) == std::set<CallId> { CallId { 1 } }));
+    BOOST_TEST(!routes.hostFor("north", manyWorkers, start).isValid());
+    BOOST_TEST(routes.takeOverdue(start + 2s).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
