Entry hosts find a leader that is no seed; only leaders hand out configurations; more gangs are held

A configuration was sent again every 300 ms while it was still on a 2 Mbit/s link. Change: hosts are learned from every report; the leader's report names its configuration's version, and an entry host that holds an older one says 503; configurations are sent by the leader, again after 1.5 s at the earliest; one gang in 16 workers is held; pending jobs of a dropped queue are refused by the leader. Tests: EntryNodeTests, FleetClusterTests/pendingJobsOfADroppedQueueAreNotCounted.

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -129,7 +129,8 @@
 inline constexpr Duration planGapUnit = 150us; // more for each 1,000 pairs of a step that waits and a worker
 
 // Gangs that wait for room.
-inline constexpr size_t maxHeldGangs = 3; // for which workers are kept free at a time
+inline constexpr size_t maxHeldGangs = 3; // of a priority, for which workers are kept free at a time
+inline constexpr size_t workersPerHeldGang = 16; // in large fleets, of all workers
 inline constexpr size_t gangAdviceWorkers = 30; // named in one question for a gang
 inline constexpr uint32_t nearlyDonePercent = 80; // a run beyond this is not stopped for another
 
@@ -139,6 +140,7 @@
 inline constexpr Duration fleetAppendGap = 3ms; // between messages with new entries, below the time of a sync
 inline constexpr Duration fleetLinkSilence = 1200ms;
 inline constexpr Duration leaderContactLimit = 2s; // an entry host without it is not ready
+inline constexpr Duration configResend = 1500ms; // to an entry host that has not confirmed it
 inline constexpr Duration callRetry = 400ms; // of a call that was passed on
 inline constexpr Duration controlCallTimeout = 2500ms;
 inline constexpr Duration unsentCallPatience = 1s; // for a leader to be known
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -66,6 +66,12 @@
         uint64_t number = 0;
     };
 
+    /// Last configuration that was sent to an entry host over its present link.
+    struct SentConfig {
+        uint64_t version = 0;
+        Time at {};
+    };
+
     struct Pending {
         uint64_t term = 0;
         std::optional<ReplyTo> reply;
@@ -138,6 +144,7 @@
         report.term = m_replica.term();
         report.leader = m_replica.leader().host;
         report.isLeading = m_isLeading;
+        report.configVersion = m_isLeading ? table().config().version : 0;
         for (const Member& member : m_replica.membership().voters)
             report.hosts.push_back(member.host);
         return report;
@@ -210,10 +217,22 @@
 
     void receive(FleetStep& step, HostId from, const EntryStatusReport& report)
     {
-        m_entries.insert(from);
-        const bool isBehind = report.configVersion < table().config().version;
-        if (isBehind && (m_isLeading || !m_replica.leader().host.isValid()))
-            step.send(from, ConfigUpdate { table().config() });
+        // A host that does not lead may itself hold an older configuration than was accepted.
+        if (m_isLeading && report.configVersion < table().config().version)
+            sendConfig(step, from);
+        else
+            m_entries[from];
+    }
+
+    /// A large configuration takes its time on a slow link, so it is not sent again before that.
+    void sendConfig(FleetStep& step, HostId entry)
+    {
+        SentConfig& sent = m_entries[entry];
+        const uint64_t version = table().config().version;
+        if (sent.version == version && step.now < sent.at + config::configResend)
+            return;
+        sent = { version, step.now };
+        step.send(entry, ConfigUpdate { table().config() });
     }
 
     void receive(FleetStep& step, HostId, const ReplicaMessage<WorkTable>& message)
@@ -317,7 +336,8 @@
 
     void process(FleetStep& step, const ReplyTo& to, const CountPendingJobs& request)
     {
-        answer(step, to, { ControlStatus::Ok, {}, table().pendingCount(request.queue), {} });
+        const bool isKnown = table().config().queue(request.queue) != nullptr;
+        answer(step, to, { isKnown ? ControlStatus::Ok : ControlStatus::UnknownQueue, {}, table().pendingCount(request.queue), {} });
     }
 
     void process(FleetStep& step, const ReplyTo& to, const PutConfig& request)
@@ -506,8 +526,8 @@
         requestPlan();
         const uint64_t version = table().config().version;
         step.log(LogEventKind::RevisionInForce, { { "version", std::to_string(version) } });
-        for (const HostId entry : m_entries)
-            step.send(entry, ConfigUpdate { table().config() });
+        for (const auto& [entry, sent] : m_entries)
+            sendConfig(step, entry);
     }
 
     void jobEnded(FleetStep& step, JobKey key)
@@ -594,7 +614,7 @@
     AdviceBook m_advice;
     WorkPlanner<Order> m_planner;
     std::set<HostId> m_connected;
-    std::set<HostId> m_entries;
+    std::map<HostId, SentConfig> m_entries;
     std::set<HostId> m_dialed;
     bool m_isForming = false;
     std::map<HostId, uint64_t> m_heardEmpty;
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -50,11 +50,13 @@
 {
     if (report.term < m_leaderTerm)
         return;
+    if (!report.hosts.empty()) // The leader need not be among the seeds.
+        m_controlHosts = report.hosts;
     if (report.isLeading) {
         m_leaderTerm = report.term;
         m_leader = from;
         m_leaderHeardAt = step.now;
-        m_controlHosts = report.hosts;
+        m_leaderConfigVersion = report.configVersion;
         return;
     }
     if (report.term > m_leaderTerm && report.leader.isValid()) {
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -22,6 +22,9 @@
     const FleetConfig& config() const { return m_config; }
     /// Whether the leader was heard of lately, so that the configuration is surely in force.
     bool isInTouch(Time now) const { return now < m_leaderHeardAt + config::leaderContactLimit; }
+    /// Whether the leader holds a newer configuration.
+    bool isStale() const { return m_config.version < m_leaderConfigVersion; }
+    bool isSure(Time now) const { return m_config.version && isInTouch(now) && !isStale(); }
     bool isReady(Time now) const { return !m_isStopping && m_config.version && isInTouch(now); }
 
 private:
@@ -52,10 +55,11 @@
     FleetConfig m_config;
     std::set<HostId> m_connected;
     std::set<HostId> m_dialed;
-    std::vector<HostId> m_controlHosts; ///< As the latest leader listed them.
+    std::vector<HostId> m_controlHosts; ///< As listed under the highest term heard of.
     HostId m_leader;
     uint64_t m_leaderTerm = 0;
     Time m_leaderHeardAt = Time::min();
+    uint64_t m_leaderConfigVersion = 0;
     Time m_nextStatus {};
     bool m_isStopping = false;
     CallRelay m_relay;
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -106,10 +106,12 @@
     HostId leader; ///< Invalid where none is known.
     bool isLeading = false; ///< The sender leads and holds a lease.
     std::vector<HostId> hosts; ///< Hosts that hold the log.
+    uint64_t configVersion = 0; ///< In force, where the sender leads.
 
     static constexpr auto members()
     {
-        return std::make_tuple(&ControlStatusReport::term, &ControlStatusReport::leader, &ControlStatusReport::isLeading, &ControlStatusReport::hosts);
+        return std::make_tuple(&ControlStatusReport::term, &ControlStatusReport::leader, &ControlStatusReport::isLeading,
+            &ControlStatusReport::hosts, &ControlStatusReport::configVersion);
     }
 };
 
--- a/src/io/fleet_mailbox.h
+++ b/src/io/fleet_mailbox.h
@@ -21,6 +21,7 @@
 struct QueueLookup {
     bool isReady = false; ///< The host takes new connections.
     bool isSure = false; ///< The configuration that was looked at is surely in force.
+    bool isStale = false; ///< The leader is known to hold a newer one.
     std::optional<QueueSpec> queue;
 };
 
--- a/src/io/fleet_task.h
+++ b/src/io/fleet_task.h
@@ -87,7 +87,8 @@
         QueueLookup lookup;
         if constexpr (requires { m_node.config(); }) {
             lookup.isReady = m_node.isReady(m_clock.now());
-            lookup.isSure = m_node.config().version && m_node.isInTouch(m_clock.now());
+            lookup.isSure = m_node.isSure(m_clock.now());
+            lookup.isStale = m_node.isStale();
             if (const QueueSpec* queue = m_node.config().queueAt(query.host, query.path))
                 lookup.queue = *queue;
         }
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -121,7 +121,8 @@
                 candidates.push_back(&worker);
         }
         const size_t placedCount = spec.isGang ? placeGang(plan, room, candidates, step, known) : placeEach(plan, room, candidates, step, known);
-        if (spec.isGang && !placedCount && m_heldGangs[queue.priority] < config::maxHeldGangs) {
+        const size_t maxHeld = std::max(config::maxHeldGangs, room.workers().size() / config::workersPerHeldGang);
+        if (spec.isGang && !placedCount && m_heldGangs[queue.priority] < maxHeld) {
             hold(plan, room, queue, step, known, now);
             return;
         }
--- /dev/null
+++ b/tests/entry_node_test.cpp
@@ -0,0 +1,76 @@
+#include "entry_node.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrassloft;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Time start { 1h };
+constexpr HostId seed { 1 };
+constexpr HostId leader { 4 };
+
+/// An entry host with a link to a seed that does not lead.
+struct Entry {
+    Entry()
+        : node(settings())
+    {
+        node.step(start, FleetLinkUp { seed });
+    }
+
+    static FleetSettings settings()
+    {
+        FleetSettings settings;
+        settings.self = HostId { 100 };
+        settings.seeds = { seed };
+        return settings;
+    }
+
+    std::vector<FleetEffect> receive(HostId from, FleetMessage message) { return node.step(start, FleetReceived { from, std::move(message) }); }
+
+    void receiveConfig(uint64_t version)
+    {
+        FleetConfig config;
+        config.version = version;
+        receive(seed, ConfigUpdate { config });
+    }
+
+    EntryNode node;
+};
+
+ControlStatusReport statusOf(bool isLeading, uint64_t configVersion = 0)
+{
+    return { 3, leader, isLeading, { seed, leader }, configVersion };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EntryNodeTests)
+
+/// After a restart of everything a host that is no seed may lead.
+BOOST_AUTO_TEST_CASE(aLeaderThatIsNoSeedIsDialed)
+{
+    Entry entry;
+    std::vector<HostId> dialed;
+    for (const FleetEffect& effect : entry.receive(seed, statusOf(false))) {
+        if (const auto* dial = std::get_if<DialHosts>(&effect))
+            dialed = dial->hosts;
+    }
+    BOOST_TEST((dialed == std::vector<HostId> { seed, leader }));
+}
+
+BOOST_AUTO_TEST_CASE(aConfigurationIsSureOnceItIsTheLeaders)
+{
+    Entry entry;
+    entry.receiveConfig(68);
+    BOOST_TEST(!entry.node.isSure(start)); // The leader was not heard of.
+    entry.receive(leader, statusOf(true, 71));
+    BOOST_TEST(entry.node.isStale());
+    BOOST_TEST(!entry.node.isSure(start));
+    entry.receiveConfig(71);
+    BOOST_TEST(!entry.node.isStale());
+    BOOST_TEST(entry.node.isSure(start));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fleet_cluster_test.cpp
+++ b/tests/fleet_cluster_test.cpp
@@ -76,6 +76,18 @@
     BOOST_TEST(fleet.startCount() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(pendingJobsOfADroppedQueueAreNotCounted)
+{
+    Fleet fleet;
+    const CallId known = fleet.call(CountPendingJobs { "queue" });
+    const CallId dropped = fleet.call(CountPendingJobs { "dropped" });
+    fleet.run(1s);
+    BOOST_REQUIRE(fleet.reply(known).has_value());
+    BOOST_REQUIRE(fleet.reply(dropped).has_value());
+    BOOST_TEST((fleet.reply(known)->status == ControlStatus::Ok));
+    BOOST_TEST((fleet.reply(dropped)->status == ControlStatus::UnknownQueue));
+}
+
 BOOST_AUTO_TEST_CASE(anUnknownQueueIsRefused)
 {
     Fleet fleet;
