Plans visit only allowed workers and build no question that cannot be asked

Change: RoomView finds workers by number, sorts them once for each plan and remembers refused sizes; candidates of a queue with advice are those its advice allows. The second holdCount went.

--- a/src/advice_book.h
+++ b/src/advice_book.h
@@ -54,11 +54,11 @@
         return found == m_steps.end() ? nullptr : &found->second;
     }
 
-    /// Whether a call of this length could be made at once.
-    bool mayAsk(const AdviceTerms& terms, size_t workers) const
+    /// Whether a call of this length could be made at once, beside others that are `planned`.
+    bool mayAsk(const AdviceTerms& terms, size_t workers, size_t planned = 0) const
     {
         const bool isLong = durationOf(terms, workers) >= config::longAdvice;
-        const size_t busy = m_asked.size();
+        const size_t busy = m_asked.size() + planned;
         return busy + (isLong ? config::hostsForShortAdvice : 0) < m_hosts.size();
     }
 
--- a/src/room_view.cpp
+++ b/src/room_view.cpp
@@ -56,9 +56,36 @@
         worker.isHeld = all.count(worker.link->number) > 0;
 }
 
-bool RoomView::hasRoomFor(const StepSpec& step) const
+bool RoomView::hasRoomFor(const StepSpec& step)
 {
-    return std::any_of(m_workers.begin(), m_workers.end(), [&](const Worker& worker) { return fits(worker, step); });
+    const Resources size = countedSize(step);
+    const auto isSmaller = [&](const Resources& refused) { return refused.fitsIn(size); };
+    if (std::any_of(m_refused.begin(), m_refused.end(), isSmaller))
+        return false;
+    if (std::any_of(m_workers.begin(), m_workers.end(), [&](const Worker& worker) { return fits(worker, step); }))
+        return true;
+    if (m_refused.size() < config::maxRefusedSizes)
+        m_refused.push_back(size);
+    return false;
+}
+
+RoomView::Worker* RoomView::find(WorkerNumber number)
+{
+    const auto found = std::lower_bound(m_workers.begin(), m_workers.end(), number,
+        [](const Worker& worker, WorkerNumber wanted) { return worker.link->number < wanted; });
+    return found != m_workers.end() && found->link->number == number ? &*found : nullptr;
+}
+
+const std::vector<const RoomView::Worker*>& RoomView::byRoom()
+{
+    if (m_byRoom.empty()) {
+        for (const Worker& worker : m_workers)
+            m_byRoom.push_back(&worker);
+        std::sort(m_byRoom.begin(), m_byRoom.end(), [](const Worker* a, const Worker* b) {
+            return a->room.processorMillis > b->room.processorMillis;
+        });
+    }
+    return m_byRoom;
 }
 
 } // namespace eelgrassloft
--- a/src/room_view.h
+++ b/src/room_view.h
@@ -24,15 +24,23 @@
     };
 
     std::vector<Worker>& workers() { return m_workers; }
+    /// The worker, if something may be placed there.
+    Worker* find(WorkerNumber number);
+    /// Those with the most room at the plan's begin first.
+    const std::vector<const Worker*>& byRoom();
     static void take(Worker& worker, const StepSpec& step);
     /// Takes as much as is there of the room of `tasks`, and promises the rest.
     static void keep(Worker& worker, const StepSpec& step, uint32_t tasks);
     static bool fits(const Worker& worker, const StepSpec& step);
-    bool hasRoomFor(const StepSpec& step) const;
+    /// Whether some worker has room for one task. Room only shrinks within a plan, so sizes that
+    /// were refused are remembered.
+    bool hasRoomFor(const StepSpec& step);
     void markHeld(const HeldWorkers& held);
 
 private:
-    std::vector<Worker> m_workers;
+    std::vector<Worker> m_workers; ///< In the order of their numbers.
+    std::vector<const Worker*> m_byRoom;
+    std::vector<Resources> m_refused;
 };
 
 } // namespace eelgrassloft
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -107,6 +107,23 @@
         return info.pool == queue.service && (step.label.empty() || info.hasLabel(step.label));
     }
 
+    /// Workers that may run the step, whether or not their tickets are still valid.
+    static std::vector<Worker*> allowedWorkers(RoomView& room, const QueueSpec& queue, const StepSpec& step, const StepAdvice* known)
+    {
+        std::vector<Worker*> allowed;
+        if (!queue.advice) {
+            for (Worker& worker : room.workers())
+                allowed.push_back(&worker);
+        } else if (known) {
+            for (const auto& [number, ticket] : known->allowed) {
+                if (Worker* worker = room.find(number))
+                    allowed.push_back(worker);
+            }
+        }
+        std::erase_if(allowed, [&](const Worker* worker) { return !isEligible(*worker, queue, step); });
+        return allowed;
+    }
+
     void place(WorkPlan& plan, const WorkTable& table, RoomView& room, const AdviceBook& advice, const ReadyStep& step, Time now)
     {
         const StepSpec& spec = step.spec();
@@ -114,12 +131,10 @@
         if (!spec.isGang && !room.hasRoomFor(spec))
             return;
         const StepAdvice* known = queue.advice ? advice.find(step.step) : nullptr;
-        std::vector<Worker*> candidates;
-        for (Worker& worker : room.workers()) {
-            const bool isAllowed = !queue.advice || (known && known->mayRun(worker.link->number, now));
-            if (isAllowed && isEligible(worker, queue, spec) && RoomView::fits(worker, spec))
-                candidates.push_back(&worker);
-        }
+        std::vector<Worker*> candidates = allowedWorkers(room, queue, spec, known);
+        std::erase_if(candidates, [&](const Worker* worker) {
+            return !RoomView::fits(*worker, spec) || (known && !known->mayRun(worker->link->number, now));
+        });
         const size_t placedCount = spec.isGang ? placeGang(plan, room, candidates, step, known) : placeEach(plan, room, candidates, step, known);
         const size_t maxHeld = std::max(config::maxHeldGangs, room.workers().size() / config::workersPerHeldGang);
         if (spec.isGang && !placedCount && m_heldGangs[queue.priority] < maxHeld) {
@@ -238,20 +253,18 @@
     void question(WorkPlan& plan, RoomView& room, const AdviceBook& advice, const QueueSpec& queue, const ReadyStep& step,
         const StepAdvice* known, size_t missing, Time now) const
     {
-        std::vector<const Worker*> candidates;
-        for (const Worker& worker : room.workers()) {
-            const WorkerNumber number = worker.link->number;
-            const bool isAnswered = known && (known->denied.count(number) || known->mayRun(number, now));
-            if (!isAnswered && isEligible(worker, queue, step.spec()) && RoomView::fits(worker, step.spec()))
-                candidates.push_back(&worker);
-        }
-        sortByRoom(candidates);
+        if (!advice.mayAsk(*queue.advice, 1, plan.questions.size()))
+            return;
         AdviceBook::Question question { step.step, {}, *queue.advice, queue.priority };
         double expected = 0;
-        for (const Worker* worker : candidates) {
+        for (const Worker* worker : room.byRoom()) {
+            const WorkerNumber number = worker->link->number;
+            const bool isAnswered = known && (known->denied.count(number) || known->mayRun(number, now));
+            if (isAnswered || !RoomView::fits(*worker, step.spec()) || !isEligible(*worker, queue, step.spec()))
+                continue;
             const bool isAllowed = known && known->allowed.count(worker->link->number);
-            expected += static_cast<double>(holdCount(*worker, step.spec())) * (isAllowed ? 1 : advice.allowedShare(*queue.advice));
-            question.workers.push_back(worker->link->number);
+            expected += static_cast<double>(GangHold::holdCount(worker->room, step.spec())) * (isAllowed ? 1 : advice.allowedShare(*queue.advice));
+            question.workers.push_back(number);
             if (question.workers.size() >= config::maxAdviceWorkers || expected >= static_cast<double>(missing) * askMargin)
                 break;
         }
@@ -259,34 +272,14 @@
             plan.questions.push_back(std::move(question));
     }
 
-    /// Those with the most room first.
-    static void sortByRoom(std::vector<const Worker*>& workers)
-    {
-        std::sort(workers.begin(), workers.end(), [](const Worker* a, const Worker* b) {
-            return a->room.processorMillis > b->room.processorMillis;
-        });
-    }
-
-    /// Tasks of the step that fit on the worker beside each other.
-    static uint32_t holdCount(const Worker& worker, const StepSpec& step)
-    {
-        uint32_t count = worker.room.processorMillis / std::max<uint32_t>(1, step.size.processorMillis);
-        count = std::min(count, worker.room.memoryMiB / std::max<uint32_t>(1, step.size.memoryMiB));
-        return step.maxPerWorker ? std::min(count, step.maxPerWorker) : count;
-    }
-
     /// A gang that does not fit now: keeps its workers from what comes later in the order, stops
     /// what may make way once the tickets are there, and asks for those that are missing.
     void hold(WorkPlan& plan, RoomView& room, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* known, Time now)
     {
-        std::vector<Worker*> candidates;
+        const std::vector<Worker*> candidates = allowedWorkers(room, queue, step.spec(), known);
         std::set<WorkerNumber> ready;
-        for (Worker& worker : room.workers()) {
-            const WorkerNumber number = worker.link->number;
-            const bool isAllowed = !queue.advice || (known && known->allowed.count(number));
-            if (!isAllowed || !isEligible(worker, queue, step.spec()))
-                continue;
-            candidates.push_back(&worker);
+        for (const Worker* worker : candidates) {
+            const WorkerNumber number = worker->link->number;
             if (!queue.advice || known->mayRun(number, now + config::orderTimeout))
                 ready.insert(number);
         }
@@ -317,20 +310,18 @@
     /// is left to ask.
     bool questionByCapacity(WorkPlan& plan, RoomView& room, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* known) const
     {
-        std::vector<const Worker*> candidates;
-        for (const Worker& worker : room.workers()) {
-            const bool isKnown = known && (known->denied.count(worker.link->number) || known->allowed.count(worker.link->number));
-            if (!isKnown && isEligible(worker, queue, step.spec()) && GangHold::holdCount(worker.link->info.capacity, step.spec()))
-                candidates.push_back(&worker);
-        }
-        if (candidates.empty())
-            return false;
-        sortByRoom(candidates);
         AdviceBook::Question question { step.step, {}, *queue.advice, queue.priority };
-        for (const Worker* worker : candidates) {
-            if (question.workers.size() < config::gangAdviceWorkers)
-                question.workers.push_back(worker->link->number);
+        for (const Worker* worker : room.byRoom()) {
+            const WorkerNumber number = worker->link->number;
+            const bool isKnown = known && (known->denied.count(number) || known->allowed.count(number));
+            if (isKnown || !isEligible(*worker, queue, step.spec()) || !GangHold::holdCount(worker->link->info.capacity, step.spec()))
+                continue;
+            question.workers.push_back(number);
+            if (question.workers.size() >= config::gangAdviceWorkers)
+                break;
         }
+        if (question.workers.empty())
+            return false;
         plan.questions.push_back(std::move(question));
         return true;
     }
