--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -126,7 +126,7 @@
 inline constexpr Duration stuckRunLimit = 1200ms; // without progress; a percent of the longest runs takes less
 
 inline constexpr Duration planGap = 5ms; // between two plans
-inline constexpr Duration planGapUnit = 150us; // more for each 1,000 pairs of a step that waits and a worker
+inline constexpr Duration planGapUnit = 300us; // more for each 1,000 pairs of a step that waits and a worker
 
 // Gangs that wait for room.
 inline constexpr size_t maxHeldGangs = 3; // of a priority, for which workers are kept free at a time
@@ -150,6 +150,8 @@
 inline constexpr size_t hostsForShortAdvice = 3; // kept free of long calls
 inline constexpr Duration longAdvice = 200ms;
 inline constexpr size_t maxFleetMailbox = 65536;
+inline constexpr size_t maxMessagesInARow = 16; // that the core takes before the links are read again
+inline constexpr size_t fleetSnapshotEntries = 4096; // between snapshots, which copy the whole state
 
 // Daemon.
 inline constexpr size_t maxNodeMailbox = 65536;
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -83,6 +83,7 @@
         ReplicaOptions options;
         options.heartbeat = config::fleetHeartbeat;
         options.appendGap = config::fleetAppendGap;
+        options.snapshotThreshold = config::fleetSnapshotEntries;
         options.targetVoters = start.settings.voters;
         options.seed = start.seed;
         return options;
--- a/src/io/fleet_task.h
+++ b/src/io/fleet_task.h
@@ -56,7 +56,10 @@
     awaitable<void> run()
     {
         step(FleetTick {});
-        while (!m_parts.mailbox.isClosed()) {
+        for (size_t taken = 1; !m_parts.mailbox.isClosed(); ++taken) {
+            // The links are read meanwhile, so that urgent messages get ahead of a full mailbox.
+            if (taken % config::maxMessagesInARow == 0)
+                co_await asio::post(co_await asio::this_coro::executor, use_awaitable);
             const Time next = m_node.nextDeadline();
             const Time now = m_clock.now();
             auto deadline = std::chrono::steady_clock::time_point::max();
@@ -98,13 +101,24 @@
     void step(const FleetEvent& event)
     {
         if (const auto* written = std::get_if<WorkLogWritten>(&event)) {
-            for (const SendFleet& message : m_gate.written(written->sequence))
-                m_parts.links.send(message.to, message.message);
+            const std::vector<SendFleet> free = m_gate.written(written->sequence);
+            for (size_t i = 0; i < free.size(); ++i) {
+                if (i + 1 == free.size() || !isSuperseded(free[i], free[i + 1]))
+                    m_parts.links.send(free[i].to, free[i].message);
+            }
         }
         for (FleetEffect& effect : m_node.step(m_clock.now(), event))
             std::visit([&](auto& body) { perform(std::move(body)); }, effect);
     }
 
+    /// One sync often sets several replies to the same leader free, of which the last one says all.
+    static bool isSuperseded(const SendFleet& earlier, const SendFleet& later)
+    {
+        const auto* first = std::get_if<ReplicaMessage<WorkTable>>(&earlier.message);
+        const auto* second = std::get_if<ReplicaMessage<WorkTable>>(&later.message);
+        return first && second && earlier.to == later.to && eelgrassloft::isSuperseded(*first, *second);
+    }
+
     void perform(SendFleet effect)
     {
         if (const auto message = m_gate.pass(std::move(effect)))
--- a/src/replica_messages.h
+++ b/src/replica_messages.h
@@ -182,6 +182,16 @@
     }
 };
 
+/// Whether `later` says all that `earlier` does: both accept entries of the same leader.
+template <typename M>
+bool isSuperseded(const ReplicaMessage<M>& earlier, const ReplicaMessage<M>& later)
+{
+    const auto* first = std::get_if<AppendReply>(&earlier.body);
+    const auto* second = std::get_if<AppendReply>(&later.body);
+    return first && second && earlier.from == later.from && earlier.to == later.to && first->isAccepted && second->isAccepted
+        && first->term == second->term && first->index <= second->index && first->sentAt <= second->sentAt;
+}
+
 /// Work for the storage of a log, in this order: hard state, snapshot, truncation, entries.
 template <typename M>
 struct LogWrite {
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -273,6 +273,21 @@
     BOOST_TEST(std::get<AppendRequest<ListMachine>>(messages.front().message.body).entries.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(onlyTheLastOfSeveralAcceptancesIsNeeded)
+{
+    const Member self { HostId { 0 }, 1 };
+    const Member leader { HostId { 1 }, 1 };
+    const Time start(1h);
+    const auto reply = [&](uint64_t term, bool isAccepted, uint64_t index) {
+        return ReplicaMessage<ListMachine> { self, leader, AppendReply { term, isAccepted, index, start } };
+    };
+    BOOST_TEST(isSuperseded(reply(2, true, 7), reply(2, true, 8)));
+    BOOST_TEST(!isSuperseded(reply(2, true, 8), reply(2, true, 7)));
+    BOOST_TEST(!isSuperseded(reply(2, false, 7), reply(2, true, 8)));
+    BOOST_TEST(!isSuperseded(reply(1, true, 7), reply(2, true, 8)));
+    BOOST_TEST(!isSuperseded(ReplicaMessage<ListMachine> { self, leader, VoteReply { 2, true, false } }, reply(2, true, 8)));
+}
+
 BOOST_AUTO_TEST_CASE(aCandidateCountsItsOwnVoteOnceItIsDurable)
 {
     const Member self { HostId { 0 }, 1 };
