--- /dev/null
+++ b/tests/fleet_random_test.cpp
@@ -0,0 +1,177 @@
+#include "support/fleet_cluster.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <set>
+
+using namespace eelgrassloft;
+using namespace eelgrassloft::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+enum class FleetFault : uint8_t {
+    None,
+    KillControl, ///< Its disk is kept.
+    WipeControl, ///< It comes back with an empty disk.
+    PowerOff, ///< All control hosts, just after something was accepted.
+    DarkWorker, ///< Silent for the whole of the fault, and running on.
+    FailingWorker,
+    Cancel, ///< The job that was handed in last.
+    Count
+};
+
+/// One fault, and the times it lasts and is followed by calm.
+struct FaultStep {
+    FleetFault kind = FleetFault::None;
+    uint32_t target = 0;
+    uint32_t lastsMs = 0;
+    uint32_t calmMs = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, const FaultStep& step)
+{
+    return out << static_cast<int>(step.kind) << " on " << step.target << " for " << step.lastsMs << " ms, calm for " << step.calmMs << " ms";
+}
+
+rc::Gen<FaultStep> faultStepGen()
+{
+    return rc::gen::construct<FaultStep>(rc::gen::map(rc::gen::inRange<int>(0, static_cast<int>(FleetFault::Count)), [](int kind) { return static_cast<FleetFault>(kind); }),
+        rc::gen::inRange<uint32_t>(0, 12), rc::gen::inRange<uint32_t>(50, 4000), rc::gen::inRange<uint32_t>(0, 1500));
+}
+
+FleetConfig configOf()
+{
+    FleetConfig config;
+    config.version = 1;
+    config.queues.push_back({ "queue", "host", "/jobs/", "pool", 0, 20, 2, 400ms, {} });
+    config.pools.push_back({ "pool" });
+    return config;
+}
+
+/// Two steps, of which the second waits for the first.
+SubmitJob jobOf(uint64_t key)
+{
+    StepSpec step;
+    step.count = 2;
+    step.size = { 3000, 2000, 0 };
+    step.estimate = 300ms;
+    StepSpec second = step;
+    second.deps = { 0 };
+    return { { JobKey { key }, "queue", { "text", { step, second }, 0, {}, {} } } };
+}
+
+/// A fleet under faults, with a caller that hands in jobs and remembers what was accepted.
+class Soak {
+public:
+    explicit Soak(FleetCluster::Options options)
+        : m_cluster(options)
+    {
+        RC_ASSERT(m_cluster.insist(PutConfig { configOf() }));
+        m_cluster.run(1s);
+    }
+
+    void play(const FaultStep& step)
+    {
+        submit();
+        const uint32_t control = step.target % FleetCluster::controlCount + 1;
+        const size_t worker = step.target % workerCount;
+        const Duration lasts = std::chrono::milliseconds(step.lastsMs);
+        switch (step.kind) {
+        case FleetFault::KillControl:
+        case FleetFault::WipeControl:
+            loseControl(control, lasts, step.kind == FleetFault::KillControl);
+            break;
+        case FleetFault::PowerOff:
+            powerOff(lasts);
+            break;
+        case FleetFault::DarkWorker:
+            m_cluster.goDark(worker);
+            m_cluster.run(lasts);
+            m_cluster.goDark(worker, false);
+            break;
+        case FleetFault::FailingWorker:
+            m_cluster.failEverything(worker);
+            m_cluster.run(lasts);
+            m_cluster.failEverything(worker, false);
+            break;
+        case FleetFault::Cancel:
+            if (m_cluster.insist(CancelJob { JobKey { m_nextKey - 1 } }))
+                m_cancelled.insert(m_nextKey - 1);
+            break;
+        default:
+            break;
+        }
+        m_cluster.run(std::chrono::milliseconds(step.calmMs));
+    }
+
+    /// After the faults every accepted job ends as it should.
+    void settle()
+    {
+        submit();
+        const bool isSettled = m_cluster.runUntil(60s, [&] { return m_cluster.leader() && m_cluster.table().openJobs().empty(); });
+        RC_ASSERT(isSettled);
+        for (const uint64_t key : m_accepted) {
+            const WorkJob* job = m_cluster.table().job(JobKey { key });
+            RC_ASSERT(job);
+            const bool isCancelled = job->state == WorkState::Cancelled && m_cancelled.count(key);
+            RC_ASSERT(job->state == WorkState::Done || isCancelled);
+        }
+        for (const std::string& violation : m_cluster.violations())
+            RC_FAIL(violation);
+    }
+
+    static constexpr uint32_t workerCount = 4;
+
+private:
+    void submit()
+    {
+        const uint64_t key = m_nextKey++;
+        if (m_cluster.insist(jobOf(key)))
+            m_accepted.insert(key);
+    }
+
+    /// A lost disk counts as lost until its host has caught up.
+    void loseControl(uint32_t control, Duration lasts, bool keepsDisk)
+    {
+        m_cluster.kill(control);
+        m_cluster.run(lasts);
+        m_cluster.restart(control, keepsDisk);
+        if (!keepsDisk)
+            m_cluster.run(4s);
+    }
+
+    void powerOff(Duration lasts)
+    {
+        for (uint32_t id = 1; id <= FleetCluster::controlCount; ++id)
+            m_cluster.kill(id);
+        m_cluster.run(lasts);
+        for (uint32_t id = 1; id <= FleetCluster::controlCount; ++id)
+            m_cluster.restart(id);
+    }
+
+    FleetCluster m_cluster;
+    std::set<uint64_t> m_accepted;
+    std::set<uint64_t> m_cancelled;
+    uint64_t m_nextKey = 1;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FleetRandom)
+
+RC_BOOST_PROP(whatWasAcceptedEndsOnceUnderFaults, ())
+{
+    FleetCluster::Options options;
+    options.workers = Soak::workerCount;
+    options.seed = *rc::gen::arbitrary<uint32_t>();
+    options.silentPercent = *rc::gen::inRange<uint32_t>(0, 15);
+    options.maxLate = std::chrono::milliseconds(*rc::gen::inRange<uint32_t>(0, 8000));
+    Soak soak(options);
+    for (const FaultStep& step : *rc::gen::container<std::vector<FaultStep>>(12, faultStepGen()))
+        soak.play(step);
+    soak.settle();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
