Metrics and decision lines of the fleet; a job is pending until a worker confirms it

Pending jobs are counted by what workers have confirmed to the leader. The check of CallForwarderTests that one effect leaves now asks for the line and the answer: both, in their order. The unused stopTimeMs and m_isStopping of the control host are gone. Tests: everyOutcomeThatACallerSeesLeavesALineWithTheJob, aJobIsPendingUntilAWorkerConfirmsIt (fails on the former count), LogBudgetTests.

--- a/include/eelgrassloft/effects.h
+++ b/include/eelgrassloft/effects.h
@@ -40,6 +40,12 @@
     LogFormed,
     IncarnationChanged,
     JobEnded,
+    JobAccepted,
+    CallUnanswered,
+    OrderRefused,
+    RunFailed,
+    RunsLost,
+    AdviceUnanswered,
     Count
 };
 
@@ -48,7 +54,8 @@
     constexpr NameTable<LogEventKind> table { "leader-changed", "revision-in-force", "change-accepted",
         "change-refused", "upstream-announced", "upstream-leaving", "upstream-set-aside", "worker-joined",
         "worker-lost", "worker-set-aside", "time-leap", "draining",
-        "log-formed", "incarnation-changed", "job-ended" };
+        "log-formed", "incarnation-changed", "job-ended", "job-accepted", "call-unanswered", "order-refused",
+        "run-failed", "runs-lost", "advice-unanswered" };
     static_assert(detail::isComplete<LogEventKind>(table));
     return table;
 }
--- a/src/advice_book.h
+++ b/src/advice_book.h
@@ -120,9 +120,10 @@
         return std::max(minShare, found == m_allowedShare.end() ? initialShare : found->second);
     }
 
-    void tick(Time now)
+    /// Gives up calls that are overdue; gives their number.
+    size_t tick(Time now)
     {
-        std::erase_if(m_asked, [&](const auto& entry) {
+        return std::erase_if(m_asked, [&](const auto& entry) {
             if (entry.second.deadline > now)
                 return false;
             endAsking(entry.second);
--- a/src/call_forwarder.h
+++ b/src/call_forwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet_events.h"
+#include "hash.h"
 
 #include <algorithm>
 #include <map>
@@ -20,7 +21,7 @@
     {
         const uint64_t number = m_nextNumber++;
         Waiting& waiting = m_waiting[number];
-        waiting = { called.call, std::move(called.request), called.deadline, {}, step.now, 0 };
+        waiting = { called.call, std::move(called.request), called.deadline, {}, step.now, 0, 0 };
         trySend(step, number, waiting);
     }
 
@@ -45,6 +46,7 @@
         const bool isNoAnswer = message.reply.status == ControlStatus::Unavailable || message.reply.status == ControlStatus::NotAccepted;
         if (isNoAnswer)
             return; // Tried again at its next time; at its deadline `tick` knows what its other tries may have done.
+        ++m_replies[message.reply.status];
         step.emit(AnswerControl { found->second.call, message.reply });
         m_waiting.erase(found);
     }
@@ -56,6 +58,8 @@
             const Time end = waiting.openSends ? waiting.deadline : std::min(waiting.deadline, waiting.arrivedAt + config::unsentCallPatience);
             if (end <= step.now) {
                 const ControlStatus status = waiting.openSends ? ControlStatus::Unavailable : ControlStatus::NotAccepted;
+                step.log(LogEventKind::CallUnanswered, unansweredFields(step.now, waiting, status));
+                ++m_replies[status];
                 step.emit(AnswerControl { waiting.call, { status, {}, 0, {} } });
                 i = m_waiting.erase(i);
                 continue;
@@ -85,6 +89,8 @@
     }
 
     size_t size() const { return m_waiting.size(); }
+    uint64_t passedOn() const { return m_passedOn; }
+    const EnumArray<ControlStatus, uint64_t>& replies() const { return m_replies; }
 
 private:
     struct Waiting {
@@ -94,20 +100,33 @@
         Time nextTry {};
         Time arrivedAt {};
         uint32_t openSends = 0; ///< Tries that may have been carried out.
+        uint32_t sends = 0;
     };
 
+    std::vector<LogField> unansweredFields(Time now, const Waiting& waiting, ControlStatus status) const
+    {
+        const JobKey job = jobOf(waiting.request);
+        return { { "call", std::string(callName(waiting.request)) }, { "job", job.isValid() ? hexText(job.value) : "none" }, { "status", std::string(name(status)) },
+            { "waitedMs", std::to_string((now - waiting.arrivedAt) / std::chrono::milliseconds(1)) }, { "sends", std::to_string(waiting.sends) },
+            { "open", std::to_string(waiting.openSends) }, { "target", m_target.isValid() ? std::to_string(m_target.value) : "none" } };
+    }
+
     void trySend(FleetStep& step, uint64_t number, Waiting& waiting)
     {
         waiting.nextTry = step.now + config::callRetry;
         if (!m_target.isValid())
             return;
         ++waiting.openSends;
+        ++waiting.sends;
+        ++m_passedOn;
         step.send(m_target, ForwardedCall { number, 0, m_self, waiting.request });
     }
 
     HostId m_self;
     HostId m_target;
     uint64_t m_nextNumber = 1;
+    uint64_t m_passedOn = 0; ///< Sends since the start.
+    EnumArray<ControlStatus, uint64_t> m_replies; ///< That were given to callers.
     std::map<uint64_t, Waiting> m_waiting;
 };
 
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -56,7 +56,32 @@
     const Replica<WorkTable>& replica() const { return m_replica; }
     const FleetDesk& desk() const { return m_desk; }
     bool isLeading() const { return m_isLeading; }
-    bool isReady() const { return !m_isStopping; }
+
+    FleetCounters counters() const
+    {
+        FleetCounters counters = m_desk.counters();
+        forEachValue<FleetCounter>([&](FleetCounter counter) { counters.events[counter] += m_counters.events[counter]; });
+        counters.events[FleetCounter::CallsPassedOn] = m_forwarder.passedOn();
+        counters.replies = m_counters.replies;
+        return counters;
+    }
+
+    FleetGauges gauges() const
+    {
+        FleetGauges gauges;
+        gauges[FleetGauge::IsLeading] = m_isLeading;
+        gauges[FleetGauge::Term] = static_cast<double>(m_replica.term());
+        gauges[FleetGauge::CommitIndex] = static_cast<double>(m_replica.commitIndex());
+        gauges[FleetGauge::ConfigVersion] = static_cast<double>(table().config().version);
+        gauges[FleetGauge::OpenJobs] = static_cast<double>(table().openJobs().size());
+        gauges[FleetGauge::Workers] = static_cast<double>(table().workers().size());
+        gauges[FleetGauge::WaitingCalls] = static_cast<double>(m_forwarder.size());
+        for (const auto& [number, link] : m_desk.links()) {
+            gauges[FleetGauge::SilentWorkers] += link.isSilent;
+            gauges[FleetGauge::HeldRuns] += static_cast<double>(link.runs.size());
+        }
+        return gauges;
+    }
 
 private:
     /// Who waits for the result of a proposal.
@@ -76,6 +101,7 @@
         uint64_t term = 0;
         std::optional<ReplyTo> reply;
         std::vector<RunPlacement> placements;
+        Time proposedAt {};
     };
 
     static ReplicaOptions replicaOptions(const ControlStart& start)
@@ -92,7 +118,7 @@
     // Links.
 
     void handle(FleetStep&, const FleetTick&) { }
-    void handle(FleetStep&, const FleetStopRequested&) { m_isStopping = true; }
+    void handle(FleetStep&, const FleetStopRequested&) { } // The log goes on to the end.
 
     void handle(FleetStep& step, const SeedsChanged& event)
     {
@@ -301,6 +327,7 @@
 
     void answer(FleetStep& step, const ReplyTo& to, ControlReply reply)
     {
+        ++m_counters.replies[reply.status];
         if (to.host == m_settings.self)
             step.emit(AnswerControl { CallId { to.number }, std::move(reply) });
         else if (m_connected.count(to.via))
@@ -314,10 +341,12 @@
 
     void process(FleetStep& step, const ReplyTo& to, const SubmitJob& request)
     {
-        if (table().job(request.work.key))
+        if (table().job(request.work.key)) {
+            m_counters.add(FleetCounter::JobsRepeated);
             answer(step, to, {});
-        else
+        } else {
             propose(step, request.work, to);
+        }
     }
 
     void process(FleetStep& step, const ReplyTo& to, const GetJobState& request)
@@ -338,7 +367,17 @@
     void process(FleetStep& step, const ReplyTo& to, const CountPendingJobs& request)
     {
         const bool isKnown = table().config().queue(request.queue) != nullptr;
-        answer(step, to, { isKnown ? ControlStatus::Ok : ControlStatus::UnknownQueue, {}, table().pendingCount(request.queue), {} });
+        answer(step, to, { isKnown ? ControlStatus::Ok : ControlStatus::UnknownQueue, {}, pendingCount(request.queue), {} });
+    }
+
+    /// Jobs of a queue of which nothing has begun, those included that a worker has yet to confirm.
+    uint64_t pendingCount(const std::string& queue) const
+    {
+        const auto isPending = [&](JobKey key) {
+            const WorkJob& job = *table().job(key);
+            return job.queue.name == queue && !m_desk.hasBegun(key) && !job.hasEnds();
+        };
+        return static_cast<uint64_t>(std::count_if(table().openJobs().begin(), table().openJobs().end(), isPending));
     }
 
     void process(FleetStep& step, const ReplyTo& to, const PutConfig& request)
@@ -385,7 +424,7 @@
     {
         const auto index = m_replica.propose(step.now, std::move(command));
         if (index)
-            m_pending[*index] = { m_replica.term(), std::move(reply), std::move(placements) };
+            m_pending[*index] = { m_replica.term(), std::move(reply), std::move(placements), step.now };
         else if (reply)
             answer(step, *reply, { ControlStatus::NotAccepted, {}, 0, {} });
         return index.has_value();
@@ -472,7 +511,7 @@
         const auto* entry = m_replica.entryAt(applied.index);
         if (entry && m_deskTerm) {
             if (const auto* command = std::get_if<WorkCommand>(&entry->payload))
-                std::visit([&](const auto& body) { follow(step, body); }, *command);
+                std::visit([&](const auto& body) { follow(step, body, applied); }, *command);
         }
         const auto found = m_pending.find(applied.index);
         if (found == m_pending.end())
@@ -481,6 +520,7 @@
         m_pending.erase(found);
         if (pending.term != applied.term)
             return;
+        m_counters.add(FleetCounter::RunsPlaced, pending.placements.size());
         for (const RunPlacement& placement : pending.placements) {
             m_inFlight.erase(placement.run.task);
             m_desk.placed(table(), step.now, placement);
@@ -503,14 +543,27 @@
 
     // What the leader does when a command has been applied.
 
-    void follow(FleetStep&, const SubmitWork&) { requestPlan(); }
-    void follow(FleetStep&, const PlaceRuns&) { requestPlan(); }
-    void follow(FleetStep&, const LoseRuns&) { requestPlan(); }
-    void follow(FleetStep& step, const CancelWork& command) { jobEnded(step, command.key); }
-    void follow(FleetStep& step, const SetFleetWorker&) { workersChanged(step); }
-    void follow(FleetStep& step, const RemoveFleetWorker&) { workersChanged(step); }
+    using Applied = Replica<WorkTable>::Applied;
+
+    void follow(FleetStep& step, const SubmitWork& command, const Applied& applied)
+    {
+        requestPlan();
+        if (applied.result.status != WorkStatus::Applied)
+            return;
+        m_counters.add(FleetCounter::JobsAccepted);
+        step.log(LogEventKind::JobAccepted, { { "job", hexText(command.key.value) }, { "queue", command.queue }, { "index", std::to_string(applied.index) }, { "term", std::to_string(applied.term) } });
+        const auto pending = m_pending.find(applied.index);
+        if (pending != m_pending.end())
+            step.measure(FleetTimer::HandInToCommit, step.now - pending->second.proposedAt);
+    }
+
+    void follow(FleetStep&, const PlaceRuns&, const Applied&) { requestPlan(); }
+    void follow(FleetStep&, const LoseRuns&, const Applied&) { requestPlan(); }
+    void follow(FleetStep& step, const CancelWork& command, const Applied&) { jobEnded(step, command.key); }
+    void follow(FleetStep& step, const SetFleetWorker&, const Applied&) { workersChanged(step); }
+    void follow(FleetStep& step, const RemoveFleetWorker&, const Applied&) { workersChanged(step); }
 
-    void follow(FleetStep& step, const RecordEnds& command)
+    void follow(FleetStep& step, const RecordEnds& command, const Applied&)
     {
         m_desk.endsRecorded(command.worker, step.now);
         requestPlan();
@@ -522,7 +575,7 @@
         }
     }
 
-    void follow(FleetStep& step, const SetFleetConfig&)
+    void follow(FleetStep& step, const SetFleetConfig&, const Applied&)
     {
         requestPlan();
         const uint64_t version = table().config().version;
@@ -534,6 +587,7 @@
     void jobEnded(FleetStep& step, JobKey key)
     {
         m_advice.forget(key);
+        m_desk.forget(key);
         const WorkJob* job = table().job(key);
         if (!job)
             return;
@@ -553,7 +607,10 @@
 
     void lead(FleetStep& step)
     {
-        m_advice.tick(step.now);
+        if (const size_t overdue = m_advice.tick(step.now)) {
+            m_counters.add(FleetCounter::AdviceUnanswered, overdue);
+            step.log(LogEventKind::AdviceUnanswered, { { "calls", std::to_string(overdue) } });
+        }
         m_desk.tick(step, table());
         proposeDeskCommands(step);
         if (step.now >= m_nextPlan)
@@ -588,11 +645,14 @@
                 m_desk.reserve(table(), run.placement, std::move(run.ticket));
             }
         }
+        m_counters.add(FleetCounter::RunsStoppedForGangs, plan.stops.size());
         for (const RunPlacement& victim : plan.stops)
             m_desk.stopRun(step.now, victim.worker, victim.run);
         for (const AdviceBook::Question& question : plan.questions) {
-            if (m_advice.mayAsk(question.terms, question.workers.size()))
-                m_advice.ask(step, table(), m_settings.self, question);
+            if (!m_advice.mayAsk(question.terms, question.workers.size()))
+                continue;
+            m_counters.add(FleetCounter::AdviceAsked);
+            m_advice.ask(step, table(), m_settings.self, question);
         }
     }
 
@@ -629,7 +689,7 @@
     Duration m_planGap = config::planGap; ///< Grows with the work of a plan.
     uint64_t m_deskTerm = 0; ///< Term under which the desk works; 0 while this host does not lead.
     bool m_isLeading = false; ///< With a lease.
-    bool m_isStopping = false;
+    FleetCounters m_counters;
 };
 
 extern template class ControlNode<>;
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -18,6 +18,23 @@
     std::vector<FleetEffect> step(Time now, const FleetEvent& event);
     Time nextDeadline() const { return std::min(m_forwarder.nextDeadline(), m_nextStatus); }
 
+    FleetCounters counters() const
+    {
+        FleetCounters counters;
+        counters.events[FleetCounter::CallsPassedOn] = m_forwarder.passedOn();
+        counters.replies = m_forwarder.replies();
+        return counters;
+    }
+
+    FleetGauges gauges() const
+    {
+        FleetGauges gauges;
+        gauges[FleetGauge::Term] = static_cast<double>(m_leaderTerm);
+        gauges[FleetGauge::ConfigVersion] = static_cast<double>(m_config.version);
+        gauges[FleetGauge::WaitingCalls] = static_cast<double>(m_forwarder.size());
+        return gauges;
+    }
+
     /// The configuration in force; its version is 0 before the first.
     const FleetConfig& config() const { return m_config; }
     /// Whether the leader was heard of lately, so that the configuration is surely in force.
--- a/src/fleet_desk.cpp
+++ b/src/fleet_desk.cpp
@@ -1,5 +1,7 @@
 #include "fleet_desk.h"
 
+#include "hash.h"
+
 #include <algorithm>
 
 namespace eelgrassloft {
@@ -44,6 +46,7 @@
     m_calls.clear();
     m_schedule.clear();
     m_commands.clear();
+    m_begun.clear();
     m_routes.clearCalls();
 }
 
@@ -155,8 +158,10 @@
 
 void FleetDesk::hostDown(FleetStep& step, const WorkTable& table, HostId host)
 {
-    for (const CallId call : m_routes.hostDown(host))
+    for (const CallId call : m_routes.hostDown(host)) {
+        m_counters.add(FleetCounter::RelaysUnanswered);
         answered(step, table, call, {});
+    }
 }
 
 // Answers.
@@ -169,6 +174,9 @@
         return;
     const Call call = found->second;
     m_calls.erase(found);
+    ++m_counters.orders[call.kind][answer.outcome];
+    if (call.kind != OrderKind::Look && answer.outcome != OrderOutcome::Silent)
+        step.measure(FleetTimer::OrderRoundTrip, step.now - call.sentAt);
     WorkerLink* target = link(call.worker);
     if (!target)
         return;
@@ -201,12 +209,16 @@
     RunView& run = found->second;
     run.hasOrder = false;
     link.isDoubtful = answer.outcome == OrderOutcome::Silent;
+    if (answer.outcome != OrderOutcome::Accepted)
+        logRun(step, LogEventKind::OrderRefused, link, call.run, name(answer.outcome));
     switch (answer.outcome) {
     case OrderOutcome::Accepted:
     case OrderOutcome::Outdated: // It has ended here: the next look tells how.
         if (run.phase == RunPhase::Starting) {
             run.phase = RunPhase::Running;
             run.confirmedAt = run.progressAt = step.now;
+            m_begun.insert(call.run.task.job);
+            step.measure(FleetTimer::CommitToStart, step.now - run.placedAt);
         }
         break;
     case OrderOutcome::LeaseOver:
@@ -296,6 +308,7 @@
 {
     link.setAsideUntil = step.now + config::setAsidePause;
     link.isOnProbation = true;
+    m_counters.add(FleetCounter::WorkersSetAside);
     step.log(LogEventKind::WorkerSetAside, { { "worker", link.info.id }, { "jobs", std::to_string(link.failedJobs.size()) } });
 }
 
@@ -307,6 +320,7 @@
             continue;
         link.endsProposed = end.number;
         noteEnd(step, link, end);
+        m_begun.insert(end.run.task.job);
         link.removeRun(end.run);
         command.ends.push_back(end);
     }
@@ -325,6 +339,7 @@
     }
     if (end.how != RunEnd::Failed)
         return;
+    logRun(step, LogEventKind::RunFailed, link, end.run, name(end.how));
     const JobKey job = end.run.task.job;
     if (std::find(link.failedJobs.begin(), link.failedJobs.end(), job) == link.failedJobs.end())
         link.failedJobs.push_back(job);
@@ -352,6 +367,7 @@
         if (listed.percent != run.percent || !run.isListed)
             run.progressAt = now;
         run.isListed = true;
+        m_begun.insert(listed.run.task.job);
         run.percent = listed.percent;
         if (!listed.checkpoint.empty())
             run.checkpoint = listed.checkpoint;
@@ -389,10 +405,17 @@
         if (isGang)
             stopGang(table, now, run);
     }
+    m_counters.add(FleetCounter::RunsLost, command.runs.size());
     if (!command.runs.empty())
         m_commands.push_back(std::move(command));
 }
 
+void FleetDesk::logRun(FleetStep& step, LogEventKind kind, const WorkerLink& link, const TaskRun& run, std::string_view reason)
+{
+    const TaskRef& task = run.task;
+    step.log(kind, { { "job", hexText(task.job.value) }, { "step", std::to_string(task.step) }, { "task", std::to_string(task.index) }, { "attempt", std::to_string(run.attempt) }, { "worker", link.info.id }, { "reason", std::string(reason) }, { "fence", std::to_string(m_fence) } });
+}
+
 void FleetDesk::loseAll(const WorkTable& table, WorkerLink& link, Time now)
 {
     std::vector<TaskRun> runs;
@@ -416,8 +439,10 @@
 
 void FleetDesk::tick(FleetStep& step, const WorkTable& table)
 {
-    for (const CallId call : m_routes.takeOverdue(step.now))
+    for (const CallId call : m_routes.takeOverdue(step.now)) {
+        m_counters.add(FleetCounter::RelaysUnanswered);
         answered(step, table, call, {});
+    }
     std::set<WorkerNumber> due;
     while (!m_schedule.empty() && m_schedule.begin()->first <= step.now) {
         due.insert(m_schedule.begin()->second);
@@ -432,9 +457,10 @@
 void FleetDesk::serve(FleetStep& step, const WorkTable& table, WorkerLink& link)
 {
     if (link.isSilent && !link.runs.empty() && link.lease.isSurelyOver(step.now)) {
+        m_counters.add(FleetCounter::WorkersLost);
+        step.log(LogEventKind::WorkerLost, { { "worker", link.info.id }, { "runs", std::to_string(link.runs.size()) } });
         loseAll(table, link, step.now);
         link.isSynced = false;
-        step.log(LogEventKind::WorkerLost, { { "worker", link.info.id } });
     }
     if (link.isSilent && link.runs.empty() && step.now > link.lastReport + config::fleetLinkSilence * 5) {
         m_commands.push_back(RemoveFleetWorker { link.number });
@@ -528,6 +554,7 @@
         step.emit(CallWorker { id, link.info.id, link.info.address, std::move(order) });
         return;
     }
+    m_counters.add(FleetCounter::CallsRelayed);
     m_routes.called(host, id, step.now + order.hold + config::orderTimeout + config::relayMargin);
     step.send(host, WorkerCallRequest { id.value, link.info.id, link.info.address, std::move(order) });
 }
--- a/src/fleet_desk.h
+++ b/src/fleet_desk.h
@@ -27,6 +27,9 @@
     void workersChanged(const WorkTable& table, Time now);
     /// Stops what a job that has ended still runs.
     void jobEnded(Time now, JobKey job);
+    /// Whether a worker has confirmed some run of the job, to this leader.
+    bool hasBegun(JobKey job) const { return m_begun.count(job) > 0; }
+    void forget(JobKey job) { m_begun.erase(job); }
     /// A worker reported itself; it need not have changed.
     void workerReported(WorkerNumber number, Time now);
 
@@ -55,6 +58,7 @@
     std::vector<WorkCommand> takeCommands() { return std::exchange(m_commands, {}); }
 
     const std::map<WorkerNumber, WorkerLink>& links() const { return m_links; }
+    const FleetCounters& counters() const { return m_counters; }
 
 private:
     struct Call {
@@ -78,6 +82,7 @@
     void stopStuck(FleetStep& step, const WorkTable& table, WorkerLink& link);
     void setAside(FleetStep& step, WorkerLink& link);
     void noteEnd(FleetStep& step, WorkerLink& link, const ListedEnd& end);
+    void logRun(FleetStep& step, LogEventKind kind, const WorkerLink& link, const TaskRun& run, std::string_view reason);
 
     void notStarted(const WorkTable& table, WorkerLink& link, Time now, const TaskRun& run);
     void lose(const WorkTable& table, WorkerLink& link, Time now, const std::vector<TaskRun>& runs);
@@ -99,7 +104,9 @@
     uint64_t m_nextCall = 1;
     std::set<std::pair<Time, WorkerNumber>> m_schedule;
     std::vector<WorkCommand> m_commands;
+    std::set<JobKey> m_begun;
     WorkerRoutes m_routes;
+    FleetCounters m_counters;
 };
 
 } // namespace eelgrassloft
--- a/src/fleet_events.h
+++ b/src/fleet_events.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "fleet_messages.h"
+#include "fleet_counters.h"
 #include "worker_orders.h"
 
 #include "eelgrassloft/config.h"
@@ -97,7 +97,13 @@
     std::vector<HostId> hosts;
 };
 
-using FleetEffect = std::variant<SendFleet, WriteWorkLog, AnswerControl, CallWorker, CallAdvice, DialHosts, LogEvent>;
+/// A duration for the host's statistics.
+struct Measured {
+    FleetTimer timer = FleetTimer::Count;
+    Duration value {};
+};
+
+using FleetEffect = std::variant<SendFleet, WriteWorkLog, AnswerControl, CallWorker, CallAdvice, DialHosts, LogEvent, Measured>;
 
 /// What one step of a core collects.
 struct FleetStep {
@@ -109,6 +115,8 @@
 
     void send(HostId to, FleetMessage message, uint64_t afterWrite = 0) { emit(SendFleet { to, std::move(message), afterWrite }); }
 
+    void measure(FleetTimer timer, Duration value) { emit(Measured { timer, value }); }
+
     void log(LogEventKind kind, std::vector<LogField> fields) { emit(LogEvent { kind, std::move(fields) }); }
 };
 
@@ -122,7 +130,6 @@
     uint32_t voters = 3; ///< Members of the log that vote, once there are as many hosts.
     Duration maxLease = std::chrono::seconds(5); ///< Longest lease that workers grant.
     Duration gangTimeout = std::chrono::seconds(3); ///< How long a gang's members wait for each other.
-    Duration stopTime {}; ///< Longest time that a worker takes for a stop.
     double remoteFactor = 1; ///< Slowdown of a task away from its data.
 };
 
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -57,6 +57,26 @@
 
 using ControlRequest = std::variant<SubmitJob, GetJobState, CancelJob, CountPendingJobs, PutConfig, GetConfig, ReportWorker, WorkerGone>;
 
+/// Name of a kind of call, for logs.
+constexpr std::string_view callName(const ControlRequest& request)
+{
+    constexpr std::array<std::string_view, std::variant_size_v<ControlRequest>> names { "submit-job", "get-job-state", "cancel-job",
+        "count-pending-jobs", "put-config", "get-config", "report-worker", "worker-gone" };
+    return names[request.index()];
+}
+
+/// Job that a call is about; invalid where it is about none.
+inline JobKey jobOf(const ControlRequest& request)
+{
+    if (const auto* submit = std::get_if<SubmitJob>(&request))
+        return submit->work.key;
+    if (const auto* get = std::get_if<GetJobState>(&request))
+        return get->key;
+    if (const auto* cancel = std::get_if<CancelJob>(&request))
+        return cancel->key;
+    return {};
+}
+
 enum class ControlStatus : uint8_t {
     Ok,
     UnknownQueue, ///< No such queue in the configuration in force.
--- /dev/null
+++ b/src/io/duration_statistic.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <chrono>
+#include <string>
+#include <string_view>
+
+namespace eelgrassloft::io {
+
+/// Distribution of a duration, estimated in constant memory.
+class DurationStatistic {
+public:
+    DurationStatistic();
+
+    void add(std::chrono::nanoseconds value);
+    /// Lines of a Prometheus summary.
+    std::string text(std::string_view metric) const;
+
+private:
+    using Accumulator = boost::accumulators::accumulator_set<double,
+        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
+            boost::accumulators::tag::max, boost::accumulators::tag::extended_p_square_quantile>>;
+
+    Accumulator m_accumulator;
+};
+
+} // namespace eelgrassloft::io
--- a/src/io/event_log.cpp
+++ b/src/io/event_log.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr uint64_t linesPerSecond = 100; // of one kind of event
 constexpr const char* linePattern = "time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p %m%n";
 
 /// Quotes a value where it would not read back as one word.
@@ -39,6 +40,7 @@
 
 EventLog::EventLog(const std::string& file, const std::string& level)
     : m_logger(log4cxx::Logger::getLogger("eelgrassloft"))
+    , m_budget(linesPerSecond)
 {
     const auto layout = std::make_shared<log4cxx::PatternLayout>(linePattern);
     log4cxx::AppenderPtr appender;
@@ -55,6 +57,15 @@
 void EventLog::write(const LogEvent& event) { write(name(event.kind), event.fields); }
 
 void EventLog::write(std::string_view eventName, const std::vector<LogField>& fields)
+{
+    if (!m_budget.mayWrite(eventName, std::chrono::steady_clock::now()))
+        return;
+    if (const uint64_t count = m_budget.takeLeftOut(eventName))
+        writeLine("lines-left-out", { { "kind", std::string(eventName) }, { "count", std::to_string(count) } });
+    writeLine(eventName, fields);
+}
+
+void EventLog::writeLine(std::string_view eventName, const std::vector<LogField>& fields)
 {
     LOG4CXX_INFO(m_logger, lineOf(eventName, fields));
 }
--- a/src/io/event_log.h
+++ b/src/io/event_log.h
@@ -3,11 +3,13 @@
 #include "eelgrassloft/effects.h"
 #include "eelgrassloft/error.h"
 
+#include "io/log_budget.h"
+
 #include <log4cxx/logger.h>
 
 namespace eelgrassloft::io {
 
-/// Writes one line of key=value pairs for each event.
+/// Writes one line of key=value pairs for each event, and bounds the lines of a kind in a second.
 class EventLog {
 public:
     /// `file` is empty for standard output; `level` is debug, info, warn or error.
@@ -18,7 +20,10 @@
     void writeError(std::string_view eventName, const Error& error);
 
 private:
+    void writeLine(std::string_view eventName, const std::vector<LogField>& fields);
+
     log4cxx::LoggerPtr m_logger;
+    LogBudget m_budget;
 };
 
 } // namespace eelgrassloft::io
--- a/src/io/fleet_mailbox.h
+++ b/src/io/fleet_mailbox.h
@@ -31,8 +31,13 @@
     FleetReplyBox<QueueLookup> reply;
 };
 
+/// Asks for the host's metrics as text.
+struct ReadMetrics {
+    FleetReplyBox<std::string> reply;
+};
+
 /// A message to the task that owns the core of a fleet's host.
-using FleetTaskMessage = std::variant<FleetEvent, SubmitControl, FindQueue>;
+using FleetTaskMessage = std::variant<FleetEvent, SubmitControl, FindQueue, ReadMetrics>;
 using FleetMailbox = Mailbox<FleetTaskMessage>;
 
 /// Tells the core of the writes of the fleet's log.
--- a/src/io/fleet_settings_json.cpp
+++ b/src/io/fleet_settings_json.cpp
@@ -55,13 +55,13 @@
     settings.node.voters = fields.optional<uint32_t>("toleratedLosses", 1) * 2 + 1;
     settings.node.maxLease = readMilliseconds(fields, "maxLeaseMs", settings.node.maxLease);
     settings.node.gangTimeout = readMilliseconds(fields, "gangTimeoutMs", settings.node.gangTimeout);
-    settings.node.stopTime = readMilliseconds(fields, "stopTimeMs", settings.node.stopTime);
     settings.node.remoteFactor = fields.optional<double>("remoteFactor", settings.node.remoteFactor);
     settings.linkPort = fields.required<uint16_t>("linkPort");
     settings.dataFolder = fields.optional<std::string>("dataFolder", {});
     settings.callersListen = fields.optional<std::string>("callersListen", {});
     settings.readyListen = fields.optional<std::string>("readyListen", {});
     settings.controlListen = fields.optional<std::string>("controlListen", {});
+    settings.metricsListen = fields.optional<std::string>("metricsListen", {});
     settings.adviceAddress = fields.optional<std::string>("adviceAddress", {});
     settings.stopGrace = std::chrono::milliseconds(static_cast<int64_t>(fields.optional<double>("stopGraceS", 6) * 1000));
     settings.logLevel = fields.optional<std::string>("logLevel", settings.logLevel);
--- a/src/io/fleet_settings_json.h
+++ b/src/io/fleet_settings_json.h
@@ -27,6 +27,7 @@
     std::string callersListen; ///< `IP:PORT`; empty where the role has no such callers.
     std::string readyListen;
     std::string controlListen;
+    std::string metricsListen; ///< Empty for none.
     std::string adviceAddress; ///< Empty where there is no advice service.
     Duration stopGrace = std::chrono::seconds(6); ///< From the order to stop until the process is killed.
     std::string logLevel = "info";
--- a/src/io/fleet_task.h
+++ b/src/io/fleet_task.h
@@ -3,6 +3,7 @@
 #include "io/boot_clock.h"
 #include "io/event_log.h"
 #include "io/fleet_links.h"
+#include "io/fleet_metrics.h"
 #include "io/log_writer.h"
 #include "io/write_gate.h"
 
@@ -98,6 +99,8 @@
         query.reply->tryPush(std::move(lookup));
     }
 
+    void handle(ReadMetrics query) { query.reply->tryPush(fleetMetricsText(m_node.counters(), m_node.gauges(), m_statistics)); }
+
     void step(const FleetEvent& event)
     {
         if (const auto* written = std::get_if<WorkLogWritten>(&event)) {
@@ -143,6 +146,7 @@
     void perform(CallWorker effect) { m_parts.outside.callWorker(std::move(effect)); }
     void perform(CallAdvice effect) { m_parts.outside.callAdvice(std::move(effect)); }
     void perform(DialHosts effect) { m_parts.links.setTargets(effect.hosts); }
+    void perform(Measured effect) { m_statistics[effect.timer].add(effect.value); }
     void perform(LogEvent effect) { m_parts.log.write(effect); }
 
     Node m_node;
@@ -151,6 +155,7 @@
     uint64_t m_nextCall = 1;
     std::map<CallId, FleetReplyBox<ControlReply>> m_calls;
     WriteGate<SendFleet> m_gate;
+    FleetStatistics m_statistics;
 };
 
 /// Hands a call to the core and waits for its reply; `Unavailable` where the core has no room.
--- /dev/null
+++ b/src/io/metrics_text.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "eelgrassloft/name_table.h"
+
+#include <ostream>
+#include <sstream>
+#include <string>
+#include <string_view>
+
+/// Lines of the Prometheus text format, written over tables of names.
+namespace eelgrassloft::io {
+
+constexpr std::string_view metricPrefix = "eelgrassloft_";
+
+inline void writeLine(std::ostream& out, std::string_view metric, std::string_view label, std::string_view value, uint64_t count)
+{
+    out << metricPrefix << metric << '{' << label << "=\"" << value << "\"} " << count << '\n';
+}
+
+/// One line for each value of an enumeration, told apart by a label.
+template <CountedEnum E>
+void writeTable(std::ostream& out, std::string_view metric, std::string_view label, const EnumArray<E, uint64_t>& counts)
+{
+    out << "# TYPE " << metricPrefix << metric << " counter\n";
+    forEachValue<E>([&](E value) { writeLine(out, metric, label, name(value), counts[value]); });
+}
+
+/// One metric for each value of an enumeration.
+template <CountedEnum E>
+void writeCounters(std::ostream& out, const EnumArray<E, uint64_t>& counts)
+{
+    forEachValue<E>([&](E value) {
+        out << "# TYPE " << metricPrefix << name(value) << "_total counter\n"
+            << metricPrefix << name(value) << "_total " << counts[value] << '\n';
+    });
+}
+
+/// A single value.
+inline std::string gaugeText(std::string_view metric, double value)
+{
+    std::ostringstream out;
+    out << "# TYPE " << metricPrefix << metric << " gauge\n"
+        << metricPrefix << metric << ' ' << value << '\n';
+    return out.str();
+}
+
+} // namespace eelgrassloft::io
--- a/src/work_table.cpp
+++ b/src/work_table.cpp
@@ -59,12 +59,14 @@
     return found == m_workerById.end() ? WorkerNumber {} : found->second;
 }
 
-uint64_t WorkTable::pendingCount(const std::string& queue) const
+bool WorkJob::hasEnds() const
 {
-    return static_cast<uint64_t>(std::count_if(m_open.begin(), m_open.end(), [&](JobKey key) {
-        const WorkJob& record = m_jobs.at(key);
-        return record.state == WorkState::Queued && record.queue.name == queue;
-    }));
+    const auto hasStepEnds = [](const StepRecord& step) {
+        return step.doneCount || step.gangFailures || std::any_of(step.tasks.begin(), step.tasks.end(), [](const WorkTask& task) { return task.failures > 0; });
+    };
+    return std::any_of(occurrences.begin(), occurrences.end(), [&](const OccurrenceRecord& occurrence) {
+        return std::any_of(occurrence.steps.begin(), occurrence.steps.end(), hasStepEnds);
+    });
 }
 
 // Jobs.
--- a/src/work_table.h
+++ b/src/work_table.h
@@ -72,6 +72,9 @@
             &WorkJob::startedAt, &WorkJob::endedAt, &WorkJob::endedBy, &WorkJob::occurrences, &WorkJob::doneOccurrences);
     }
 
+    /// Whether some task has been done or has failed.
+    bool hasEnds() const;
+
     /// The task's record; null where the job has no such task.
     WorkTask* task(const TaskRef& ref)
     {
@@ -225,8 +228,6 @@
     bool isWanted(const TaskRun& run) const;
     /// Number of the worker's present life; invalid where it is not known.
     WorkerNumber findWorker(const std::string& id) const;
-    /// Accepted jobs of a queue that nothing was started of.
-    uint64_t pendingCount(const std::string& queue) const;
 
 private:
     Result handle(Time at, const SubmitWork& command);
--- a/tests/call_forwarder_test.cpp
+++ b/tests/call_forwarder_test.cpp
@@ -21,8 +21,9 @@
     step.now += 1s;
     forwarder.receive(step, { 1, HostId { 9 }, { ControlStatus::NotAccepted, {}, 0, {} } });
     forwarder.tick(step);
-    BOOST_REQUIRE(step.effects.size() == 1U);
-    BOOST_TEST((std::get<AnswerControl>(step.effects.front()).reply.status == ControlStatus::Unavailable));
+    BOOST_REQUIRE(step.effects.size() == 2U); // The log line that names the outcome, then the answer.
+    BOOST_TEST((std::get<LogEvent>(step.effects.front()).kind == LogEventKind::CallUnanswered));
+    BOOST_TEST((std::get<AnswerControl>(step.effects.back()).reply.status == ControlStatus::Unavailable));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fleet_cluster_test.cpp
+++ b/tests/fleet_cluster_test.cpp
@@ -88,6 +88,59 @@
     BOOST_TEST((fleet.reply(dropped)->status == ControlStatus::UnknownQueue));
 }
 
+/// A placement alone is no begin: its order may wait at a worker that does not answer.
+BOOST_AUTO_TEST_CASE(aJobIsPendingUntilAWorkerConfirmsIt)
+{
+    Fleet fleet;
+    for (size_t worker = 0; worker < 4; ++worker)
+        fleet.goDark(worker);
+    BOOST_REQUIRE(fleet.insist(jobOf(1)));
+    BOOST_REQUIRE(fleet.runUntil(1s, [&] { return fleet.stateOf(1) == WorkState::Running; }));
+    const CallId whileDark = fleet.call(CountPendingJobs { "queue" });
+    fleet.run(100ms);
+    BOOST_REQUIRE(fleet.reply(whileDark).has_value());
+    BOOST_TEST(fleet.reply(whileDark)->count == 1U);
+    for (size_t worker = 0; worker < 4; ++worker)
+        fleet.goDark(worker, false);
+    fleet.run(5s);
+    const CallId later = fleet.call(CountPendingJobs { "queue" });
+    fleet.run(100ms);
+    BOOST_REQUIRE(fleet.reply(later).has_value());
+    BOOST_TEST(fleet.reply(later)->count == 0U);
+}
+
+/// Whether some line of a kind names the job.
+bool isLogged(const FleetCluster& fleet, LogEventKind kind, uint64_t key)
+{
+    return std::any_of(fleet.log().begin(), fleet.log().end(), [&](const LogEvent& event) {
+        const auto namesJob = [&](const LogField& field) { return field.key == "job" && field.value == hexText(key); };
+        return event.kind == kind && std::any_of(event.fields.begin(), event.fields.end(), namesJob);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(everyOutcomeThatACallerSeesLeavesALineWithTheJob)
+{
+    Fleet fleet;
+    BOOST_REQUIRE(fleet.insist(jobOf(1)));
+    BOOST_REQUIRE(fleet.insist(jobOf(2)));
+    BOOST_REQUIRE(fleet.insist(CancelJob { JobKey { 2 } }));
+    BOOST_REQUIRE(fleet.finishes(1, 5s));
+    for (const uint64_t key : { 1, 2 }) {
+        BOOST_TEST(isLogged(fleet, LogEventKind::JobAccepted, key));
+        BOOST_TEST(isLogged(fleet, LogEventKind::JobEnded, key));
+    }
+    for (size_t worker = 0; worker < 4; ++worker)
+        fleet.failEverything(worker);
+    BOOST_REQUIRE(fleet.insist(jobOf(3, 1)));
+    BOOST_REQUIRE(fleet.finishes(3, 60s));
+    BOOST_TEST(isLogged(fleet, LogEventKind::RunFailed, 3));
+    for (uint32_t id = 1; id <= FleetCluster::controlCount; ++id)
+        fleet.kill(id);
+    fleet.call(jobOf(4));
+    fleet.run(4s);
+    BOOST_TEST(isLogged(fleet, LogEventKind::CallUnanswered, 4));
+}
+
 BOOST_AUTO_TEST_CASE(anUnknownQueueIsRefused)
 {
     Fleet fleet;
--- /dev/null
+++ b/tests/log_budget_test.cpp
@@ -0,0 +1,42 @@
+#include "io/fleet_metrics.h"
+#include "io/log_budget.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrassloft;
+using namespace eelgrassloft::io;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(LogBudgetTests)
+
+BOOST_AUTO_TEST_CASE(whatIsOverTheBudgetIsCounted)
+{
+    LogBudget budget(2);
+    const LogBudget::TimePoint start { 1h };
+    BOOST_TEST(budget.mayWrite("job-ended", start));
+    BOOST_TEST(budget.mayWrite("job-ended", start));
+    BOOST_TEST(!budget.mayWrite("job-ended", start + 900ms));
+    BOOST_TEST(!budget.mayWrite("job-ended", start + 950ms));
+    BOOST_TEST(budget.mayWrite("call-unanswered", start + 950ms)); // Other kinds have budgets of their own.
+    BOOST_TEST(budget.mayWrite("job-ended", start + 1s));
+    BOOST_TEST(budget.takeLeftOut("job-ended") == 2U);
+    BOOST_TEST(budget.takeLeftOut("job-ended") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(everyCounterOfAFleetIsShown)
+{
+    FleetCounters counters;
+    counters.add(FleetCounter::RunsLost, 3);
+    counters.orders[OrderKind::Start][OrderOutcome::NoRoom] = 7;
+    FleetGauges gauges;
+    gauges[FleetGauge::Term] = 4;
+    FleetStatistics statistics;
+    statistics[FleetTimer::CommitToStart].add(20ms);
+    const std::string text = fleetMetricsText(counters, gauges, statistics);
+    for (const char* line : { "eelgrassloft_runs_lost_total 3\n", "eelgrassloft_start_orders_total{outcome=\"no-room\"} 7\n",
+             "eelgrassloft_term 4\n", "eelgrassloft_commit_to_start_seconds_count 1\n" })
+        BOOST_TEST(text.find(line) != std::string::npos, line);
+    forEachValue<FleetCounter>([&](FleetCounter counter) { BOOST_TEST(text.find(name(counter)) != std::string::npos); });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/fleet_cluster.h
+++ b/tests/support/fleet_cluster.h
@@ -146,6 +146,8 @@
         const auto found = m_workerCalls.find(id);
         return found == m_workerCalls.end() ? 0 : found->second;
     }
+    /// Lines that all hosts logged.
+    const std::vector<LogEvent>& log() const { return m_log; }
     const std::vector<std::string>& violations() const { return m_violations; }
 
 private:
@@ -297,7 +299,8 @@
 
     void perform(HostId, AnswerControl& effect) { m_replies[effect.call] = effect.reply; }
     void perform(HostId, DialHosts&) { }
-    void perform(HostId, LogEvent&) { }
+    void perform(HostId, LogEvent& event) { m_log.push_back(std::move(event)); }
+    void perform(HostId, Measured&) { }
 
     void perform(HostId from, CallAdvice& effect)
     {
@@ -461,6 +464,7 @@
     std::map<CallId, ControlReply> m_replies;
     std::set<TaskRef> m_done; ///< Tasks whose end was acknowledged.
     std::vector<std::string> m_violations;
+    std::vector<LogEvent> m_log;
     std::multimap<Time, std::pair<size_t, WorkerOrder>> m_lateOrders; ///< With the worker's position.
     Time m_nextReport {};
     uint64_t m_nextCall = 1;
