Changes of a log's membership stand by themselves; the operators' page is OPERATIONS.md

Change: replica_membership.h and .cpp, plain functions over a view; behaviour as before. OPERATING.md renamed.

--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -56,7 +56,7 @@
     return table;
 }
 
-/// Exit codes; docs/OPERATING.md lists them.
+/// Exit codes; docs/OPERATIONS.md lists them.
 enum class ExitCode : uint8_t {
     Success,
     Failed, ///< The system answered with an error.
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -206,7 +206,7 @@
     } else if (auto kind = parseName<QueryKind>(target.starts_with("/v1/") ? std::string_view(target).substr(4) : std::string_view())) {
         query.kind = *kind;
     } else {
-        co_return errorResponse(http::status::not_found, { ErrorKind::UnknownName, target + " does not exist", "see docs/OPERATING.md for the paths" });
+        co_return errorResponse(http::status::not_found, { ErrorKind::UnknownName, target + " does not exist", "see docs/OPERATIONS.md for the paths" });
     }
     const bool isText = query.kind == QueryKind::Metrics || query.kind == QueryKind::Ready;
     co_return co_await respondToQuery(std::move(query), isText ? "text/plain" : jsonType);
--- a/src/replica.h
+++ b/src/replica.h
@@ -2,7 +2,7 @@
 
 #include "invariant.h"
 #include "random.h"
-#include "replica_log.h"
+#include "replica_membership.h"
 
 #include "eelgrassloft/config.h"
 
@@ -29,16 +29,6 @@
     return table;
 }
 
-struct ReplicaOptions {
-    Duration heartbeat = config::heartbeatPeriod;
-    size_t snapshotThreshold = config::snapshotThresholdEntries;
-    bool isStored = true; ///< Without storage no snapshots are copied for it; followers still get them.
-    std::vector<HostId> voterHosts; ///< Hosts that become voters once they hold everything committed.
-    uint64_t seed = 0;
-    uint32_t targetVoters = 0; ///< Where hosts are not known before: any host may vote, up to this number.
-    Duration appendGap {}; ///< Entries that come within it leave in one message.
-};
-
 /// One member of a replicated log (Raft: Ongaro and Ousterhout, USENIX ATC 2014; pre-vote,
 /// quorum check and single-member changes: Ongaro's thesis, 2014). It has no clock, file or
 /// socket: inputs are times, messages and finished writes; `takeOutput` gives what to do.
@@ -208,12 +198,7 @@
     Duration electionTimeout() const { return m_options.heartbeat * config::electionTimeoutHeartbeats; }
 
 private:
-    struct Progress {
-        uint64_t match = 0;
-        uint64_t next = 1;
-        Time lastAck {}; ///< `sentAt` of the latest acknowledged message.
-        Time snapshotSentAt {};
-    };
+    using Progress = MemberProgress;
 
     struct PendingWrite {
         uint64_t sequence = 0;
@@ -657,83 +642,9 @@
     {
         if (!hasCommittedInTerm() || m_log.membershipIndex() > m_commitIndex)
             return;
-        Membership next = membership();
-        if (admitSeen(next) || promoteLearner(now, next) || removeSilentVoter(now, next))
-            append(now, std::move(next));
-    }
-
-    bool admitSeen(Membership& next) const
-    {
-        for (const auto& [host, incarnation] : m_seen) {
-            const Member seen { host, incarnation };
-            if (next.hasVoter(seen) || host == m_self.host)
-                continue;
-            const auto learner = std::find_if(next.learners.begin(), next.learners.end(),
-                [&](const Member& member) { return member.host == seen.host; });
-            if (learner == next.learners.end()) {
-                const Member* known = next.find(host);
-                if (known && known->incarnation > incarnation)
-                    continue;
-                next.learners.push_back(seen);
-                return true;
-            }
-            if (learner->incarnation < incarnation) {
-                *learner = seen;
-                return true;
-            }
-        }
-        return false;
-    }
-
-    /// A learner that holds everything committed takes the vote of its host's former identity,
-    /// which never votes again, or a new vote where the settings want one.
-    bool promoteLearner(Time now, Membership& next) const
-    {
-        for (auto learner = next.learners.begin(); learner != next.learners.end(); ++learner) {
-            const Member member = *learner;
-            const bool hasVote = std::any_of(next.voters.begin(), next.voters.end(), [&](const Member& voter) { return voter.host == member.host; });
-            if (progressOf(member).match < m_commitIndex || !(hasVote || wantsVote(now, member.host)))
-                continue;
-            next.learners.erase(learner);
-            for (Member& voter : next.voters) {
-                if (voter.host == member.host) {
-                    voter = member;
-                    return true;
-                }
-            }
-            next.voters.push_back(member);
-            return true;
-        }
-        return false;
-    }
-
-    bool wantsVote(Time now, HostId host) const
-    {
-        if (!m_options.targetVoters)
-            return std::find(m_options.voterHosts.begin(), m_options.voterHosts.end(), host) != m_options.voterHosts.end();
-        const size_t voters = membership().voters.size();
-        return voters < m_options.targetVoters || (voters == m_options.targetVoters && silentVoter(now));
-    }
-
-    /// A voter that has not been heard of for some time, if there is one.
-    const Member* silentVoter(Time now) const
-    {
-        if (now < m_becameLeaderAt + config::voterSilence)
-            return nullptr;
-        for (const Member& voter : membership().voters) {
-            if (voter != m_self && progressOf(voter).lastAck + config::voterSilence < now)
-                return &voter;
-        }
-        return nullptr;
-    }
-
-    /// A voter that is not heard of goes once another host has taken a vote in its place.
-    bool removeSilentVoter(Time now, Membership& next) const
-    {
-        if (!m_options.targetVoters || next.voters.size() <= m_options.targetVoters)
-            return false;
-        const Member* silent = silentVoter(now);
-        return silent && std::erase(next.voters, *silent);
+        const MembershipView view { membership(), m_self, m_seen, m_progress, m_commitIndex, m_becameLeaderAt };
+        if (auto next = nextMembership(view, m_options, now))
+            append(now, std::move(*next));
     }
 
     static constexpr uint64_t noIndex = UINT64_MAX;
--- /dev/null
+++ b/src/replica_membership.cpp
@@ -0,0 +1,90 @@
+#include "replica_membership.h"
+
+#include <algorithm>
+
+namespace eelgrassloft {
+
+namespace {
+
+bool admitSeen(const MembershipView& view, Membership& next)
+{
+    for (const auto& [host, incarnation] : view.seen) {
+        const Member seen { host, incarnation };
+        if (next.hasVoter(seen) || host == view.self.host)
+            continue;
+        const auto learner = std::find_if(next.learners.begin(), next.learners.end(), [&](const Member& member) { return member.host == seen.host; });
+        if (learner == next.learners.end()) {
+            const Member* known = next.find(host);
+            if (known && known->incarnation > incarnation)
+                continue;
+            next.learners.push_back(seen);
+            return true;
+        }
+        if (learner->incarnation < incarnation) {
+            *learner = seen;
+            return true;
+        }
+    }
+    return false;
+}
+
+/// A voter that has not been heard of for some time, if there is one.
+const Member* silentVoter(const MembershipView& view, Time now)
+{
+    if (now < view.becameLeaderAt + config::voterSilence)
+        return nullptr;
+    for (const Member& voter : view.current.voters) {
+        if (voter != view.self && view.progressOf(voter).lastAck + config::voterSilence < now)
+            return &voter;
+    }
+    return nullptr;
+}
+
+bool wantsVote(const MembershipView& view, const ReplicaOptions& options, Time now, HostId host)
+{
+    if (!options.targetVoters)
+        return std::find(options.voterHosts.begin(), options.voterHosts.end(), host) != options.voterHosts.end();
+    const size_t voters = view.current.voters.size();
+    return voters < options.targetVoters || (voters == options.targetVoters && silentVoter(view, now));
+}
+
+/// The former identity of a learner's host never votes again, so its vote may pass on.
+bool promoteLearner(const MembershipView& view, const ReplicaOptions& options, Time now, Membership& next)
+{
+    for (auto learner = next.learners.begin(); learner != next.learners.end(); ++learner) {
+        const Member member = *learner;
+        const bool hasVote = std::any_of(next.voters.begin(), next.voters.end(), [&](const Member& voter) { return voter.host == member.host; });
+        if (view.progressOf(member).match < view.commitIndex || !(hasVote || wantsVote(view, options, now, member.host)))
+            continue;
+        next.learners.erase(learner);
+        for (Member& voter : next.voters) {
+            if (voter.host == member.host) {
+                voter = member;
+                return true;
+            }
+        }
+        next.voters.push_back(member);
+        return true;
+    }
+    return false;
+}
+
+bool removeSilentVoter(const MembershipView& view, const ReplicaOptions& options, Time now, Membership& next)
+{
+    if (!options.targetVoters || next.voters.size() <= options.targetVoters)
+        return false;
+    const Member* silent = silentVoter(view, now);
+    return silent && std::erase(next.voters, *silent);
+}
+
+} // namespace
+
+std::optional<Membership> nextMembership(const MembershipView& view, const ReplicaOptions& options, Time now)
+{
+    Membership next = view.current;
+    if (admitSeen(view, next) || promoteLearner(view, options, now, next) || removeSilentVoter(view, options, now, next))
+        return next;
+    return std::nullopt;
+}
+
+} // namespace eelgrassloft
