Messages that are refused together are sent again once; entries to a silent member are bounded

Longer logs (4,096 entries) had made catching up by entries common. Change: a refusal of a message that was sent before the last step back is ignored; at most 2,048 entries are on their way to one member.

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -62,6 +62,7 @@
 inline constexpr uint32_t electionTimeoutHeartbeats = 5;
 inline constexpr size_t maxEntriesPerAppend = 256;
 inline constexpr size_t maxUnconfirmedEntries = 4096;
+inline constexpr uint64_t maxUnackedEntries = 2048; // on their way to one member
 inline constexpr size_t snapshotThresholdEntries = 1024;
 inline constexpr uint64_t recordsPerSnapshotEntry = 8; // a larger state is copied after more entries
 
--- a/src/replica.h
+++ b/src/replica.h
@@ -573,7 +573,8 @@
         request.previousTerm = m_log.termAt(peer.next - 1);
         request.commitIndex = m_commitIndex;
         request.sentAt = now;
-        const uint64_t end = std::min(lastIndex() + 1, peer.next + config::maxEntriesPerAppend);
+        const uint64_t window = peer.match + 1 + config::maxUnackedEntries;
+        const uint64_t end = std::max(peer.next, std::min({ lastIndex() + 1, peer.next + config::maxEntriesPerAppend, window }));
         for (uint64_t i = peer.next; i < end; ++i)
             request.entries.push_back(*entryAt(i));
         peer.next = end; // Pipelining: the next message goes on before this one is answered.
@@ -596,6 +597,10 @@
         Progress& peer = progress(from);
         peer.lastAck = std::max(peer.lastAck, reply.sentAt);
         if (!reply.isAccepted) {
+            // All messages on their way are refused together; the entries are sent again once.
+            if (reply.sentAt < peer.wentBackAt)
+                return;
+            peer.wentBackAt = now;
             peer.next = std::max(peer.match + 1, std::min(reply.index + 1, lastIndex() + 1));
             sendEntries(now, from);
             return;
--- a/src/replica_membership.h
+++ b/src/replica_membership.h
@@ -25,6 +25,7 @@
     uint64_t next = 1;
     Time lastAck {}; ///< `sentAt` of the latest acknowledged message.
     Time snapshotSentAt {};
+    Time wentBackAt {}; ///< When `next` was last put back after a refusal.
 };
 
 /// What a leader knows when it looks whether the membership should change.
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -273,6 +273,69 @@
     BOOST_TEST(std::get<AppendRequest<ListMachine>>(messages.front().message.body).entries.size() == 2U);
 }
 
+/// A leader of two hosts that has just been elected.
+struct ElectedLeader {
+    const Member self { HostId { 0 }, 1 };
+    const Member other { HostId { 1 }, 1 };
+    Time now { 1h + 10s };
+    Replica<ListMachine> replica { self, {}, Time(1h) };
+
+    ElectedLeader()
+    {
+        replica.form(Time(1h), { { self, other }, {} });
+        replica.tick(now);
+        replica.receive(now, { other, self, VoteReply { 1, true, true } });
+        replica.written(now, replica.takeOutput(now).write->sequence);
+        replica.receive(now, { other, self, VoteReply { 1, true, false } });
+        replica.takeOutput(now);
+    }
+
+    /// Messages with entries that the leader sends now.
+    std::vector<AppendRequest<ListMachine>> sent()
+    {
+        std::vector<AppendRequest<ListMachine>> requests;
+        for (const auto& outgoing : replica.takeOutput(now).messages)
+            requests.push_back(std::get<AppendRequest<ListMachine>>(outgoing.message.body));
+        return requests;
+    }
+};
+
+/// A member that has missed one message refuses all that come after it. Each of them led to all
+/// entries being sent again, which grew into hundreds of megabytes.
+BOOST_AUTO_TEST_CASE(messagesThatAreRefusedTogetherAreSentAgainOnce)
+{
+    ElectedLeader leader;
+    std::vector<Time> sentAt;
+    for (uint64_t id = 1; id <= 10; ++id) {
+        leader.now += 1ms;
+        leader.replica.propose(leader.now, { id });
+        BOOST_REQUIRE(leader.sent().size() == 1U);
+        sentAt.push_back(leader.now);
+    }
+    leader.now += 20ms;
+    size_t resent = 0;
+    for (const Time at : sentAt) {
+        leader.replica.receive(leader.now, { leader.other, leader.self, AppendReply { 1, false, 0, at } });
+        resent += leader.sent().size();
+    }
+    BOOST_TEST(resent == 1U);
+    leader.now += 5ms; // That message was lost too.
+    leader.replica.receive(leader.now, { leader.other, leader.self, AppendReply { 1, false, 0, leader.now - 2ms } });
+    BOOST_TEST(leader.sent().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aMemberThatDoesNotAnswerGetsABoundedNumberOfEntries)
+{
+    ElectedLeader leader;
+    size_t entries = 0;
+    for (uint64_t id = 1; id <= config::maxUnackedEntries * 3 / 2; ++id) {
+        leader.replica.propose(leader.now, { id });
+        for (const auto& request : leader.sent())
+            entries += request.entries.size();
+    }
+    BOOST_TEST(entries <= config::maxUnackedEntries);
+}
+
 BOOST_AUTO_TEST_CASE(onlyTheLastOfSeveralAcceptancesIsNeeded)
 {
     const Member self { HostId { 0 }, 1 };
