A late job names its last worker; silent workers and lost runs leave lines

Change: job-ended names the last run and its worker; worker-silent, worker-back and run-lost are lines. No decision changes.

--- a/include/eelgrassloft/effects.h
+++ b/include/eelgrassloft/effects.h
@@ -44,7 +44,9 @@
     CallUnanswered,
     OrderRefused,
     RunFailed,
-    RunsLost,
+    RunLost,
+    WorkerSilent,
+    WorkerBack,
     AdviceUnanswered,
     Count
 };
@@ -55,7 +57,7 @@
         "change-refused", "upstream-announced", "upstream-leaving", "upstream-set-aside", "worker-joined",
         "worker-lost", "worker-set-aside", "time-leap", "draining",
         "log-formed", "incarnation-changed", "job-ended", "job-accepted", "call-unanswered", "order-refused",
-        "run-failed", "runs-lost", "advice-unanswered" };
+        "run-failed", "run-lost", "worker-silent", "worker-back", "advice-unanswered" };
     static_assert(detail::isComplete<LogEventKind>(table));
     return table;
 }
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -593,7 +593,7 @@
             return;
         if (job->state != WorkState::Done)
             m_desk.jobEnded(step.now, key);
-        step.log(LogEventKind::JobEnded, jobEndFields(*job));
+        step.log(LogEventKind::JobEnded, jobEndFields(table(), *job));
         requestPlan();
     }
 
--- a/src/fleet_desk.cpp
+++ b/src/fleet_desk.cpp
@@ -270,17 +270,21 @@
 {
     link.hasLook = false;
     if (answer.outcome != OrderOutcome::Accepted) {
-        link.isSilent = true;
+        if (!std::exchange(link.isSilent, true)) {
+            link.silentSince = call.sentAt;
+            step.log(LogEventKind::WorkerSilent, { { "worker", link.info.id }, { "runs", std::to_string(link.runs.size()) }, { "outcome", std::string(name(answer.outcome)) } });
+        }
         link.nextLook = step.now + config::orderRetry;
         return;
     }
-    link.isSilent = false;
+    if (std::exchange(link.isSilent, false))
+        step.log(LogEventKind::WorkerBack, { { "worker", link.info.id }, { "silentMs", std::to_string((step.now - link.silentSince) / std::chrono::milliseconds(1)) } });
     link.isDoubtful = false;
     link.endsForgotten = std::max(link.endsForgotten, call.endsRecorded);
     link.nextLook = std::max(step.now, call.sentAt + config::lookGap);
     takeEnds(step, table, link, answer.ends);
     takeRunning(table, link, step.now, answer.running);
-    loseUnlisted(table, link, step.now, call.sentAt, answer);
+    loseUnlisted(step, table, link, call.sentAt, answer);
     stopStuck(step, table, link);
     link.isSynced = true;
 }
@@ -377,7 +381,7 @@
 
 /// A run that was confirmed before the look was sent, and is neither listed as running nor as
 /// ended, is not there and cannot start any more.
-void FleetDesk::loseUnlisted(const WorkTable& table, WorkerLink& link, Time now, Time lookSentAt, const WorkerAnswer& answer)
+void FleetDesk::loseUnlisted(FleetStep& step, const WorkTable& table, WorkerLink& link, Time lookSentAt, const WorkerAnswer& answer)
 {
     std::set<TaskRun> listed;
     for (const ListedRun& run : answer.running)
@@ -388,8 +392,10 @@
         if (isConfirmed && view.confirmedAt < lookSentAt && !listed.count(run))
             gone.push_back(run);
     }
+    for (const TaskRun& run : gone)
+        logRun(step, LogEventKind::RunLost, link, run, "not-listed");
     if (!gone.empty())
-        lose(table, link, now, gone);
+        lose(table, link, step.now, gone);
 }
 
 void FleetDesk::lose(const WorkTable& table, WorkerLink& link, Time now, const std::vector<TaskRun>& runs)
@@ -459,6 +465,8 @@
     if (link.isSilent && !link.runs.empty() && link.lease.isSurelyOver(step.now)) {
         m_counters.add(FleetCounter::WorkersLost);
         step.log(LogEventKind::WorkerLost, { { "worker", link.info.id }, { "runs", std::to_string(link.runs.size()) } });
+        for (const auto& [run, view] : link.runs)
+            logRun(step, LogEventKind::RunLost, link, run, "lease-over");
         loseAll(table, link, step.now);
         link.isSynced = false;
     }
--- a/src/fleet_desk.h
+++ b/src/fleet_desk.h
@@ -78,7 +78,7 @@
     void lookAnswered(FleetStep& step, const WorkTable& table, WorkerLink& link, const Call& call, const WorkerAnswer& answer);
     void takeEnds(FleetStep& step, const WorkTable& table, WorkerLink& link, const std::vector<ListedEnd>& ends);
     void takeRunning(const WorkTable& table, WorkerLink& link, Time now, const std::vector<ListedRun>& running);
-    void loseUnlisted(const WorkTable& table, WorkerLink& link, Time now, Time lookSentAt, const WorkerAnswer& answer);
+    void loseUnlisted(FleetStep& step, const WorkTable& table, WorkerLink& link, Time lookSentAt, const WorkerAnswer& answer);
     void stopStuck(FleetStep& step, const WorkTable& table, WorkerLink& link);
     void setAside(FleetStep& step, WorkerLink& link);
     void noteEnd(FleetStep& step, WorkerLink& link, const ListedEnd& end);
--- a/src/job_report.h
+++ b/src/job_report.h
@@ -7,9 +7,17 @@
 
 namespace eelgrassloft {
 
-/// What an operator asks first of a job: how it ended, how long it waited, and how often its
-/// tasks were started and failed.
-inline std::vector<LogField> jobEndFields(const WorkJob& job)
+/// Worker of the run whose end was the job's, as far as it is known.
+inline std::string lastWorkerOf(const WorkTable& table, const WorkJob& job)
+{
+    const WorkTask* task = job.endedBy.attempt ? job.task(job.endedBy.task) : nullptr;
+    const FleetWorker* worker = task ? table.worker(task->worker) : nullptr;
+    return worker ? worker->info.id : "none";
+}
+
+/// What an operator asks first of a job: how it ended, how long it waited, how often its tasks were
+/// started and failed, and which run came last.
+inline std::vector<LogField> jobEndFields(const WorkTable& table, const WorkJob& job)
 {
     uint32_t attempts = 0;
     uint32_t failures = 0;
@@ -27,7 +35,8 @@
     return { { "job", hexText(job.key.value) }, { "queue", job.queue.name }, { "state", std::string(name(job.state)) },
         { "waitedMs", wasStarted ? milliseconds(job.startedAt - job.submittedAt) : "never-started" },
         { "tookMs", milliseconds(job.endedAt - job.submittedAt) }, { "objectiveMs", milliseconds(objectiveOf(job)) },
-        { "attempts", std::to_string(attempts) }, { "failures", std::to_string(failures) } };
+        { "attempts", std::to_string(attempts) }, { "failures", std::to_string(failures) }, { "lastStep", std::to_string(job.endedBy.task.step) },
+        { "lastTask", std::to_string(job.endedBy.task.index) }, { "lastWorker", lastWorkerOf(table, job) } };
 }
 
 } // namespace eelgrassloft
--- a/src/worker_link.h
+++ b/src/worker_link.h
@@ -103,6 +103,7 @@
     WorkerLease lease;
     bool isSynced = false; ///< Has answered a look under the present fence.
     bool isSilent = false; ///< The last look was not answered.
+    Time silentSince {};
     bool isDoubtful = false; ///< A start was not answered, and nothing was since.
     bool hasLook = false; ///< A look is under way.
     Time nextLook {};
