One way for calls that a host in between left unanswered; only open jobs are noted as begun

Cause: read again as a whole, the change gave up unanswered relayed calls in two places, and runs or ends listed after their job had ended put it back among those that have begun, where nothing took it out until the lead changed. Change: relaysUnanswered and noteBegun in the desk; an entry host is noted in one place. No answer and no decision changes: pending jobs are counted over open jobs only.

--- a/src/control_node.h
+++ b/src/control_node.h
@@ -244,11 +244,10 @@
 
     void receive(FleetStep& step, HostId from, const EntryStatusReport& report)
     {
+        m_entries.try_emplace(from);
         // A host that does not lead may itself hold an older configuration than was accepted.
         if (m_isLeading && report.configVersion < table().config().version)
             sendConfig(step, from);
-        else
-            m_entries[from];
     }
 
     /// A large configuration takes its time on a slow link, so it is not sent again before that.
--- a/src/fleet_desk.cpp
+++ b/src/fleet_desk.cpp
@@ -158,10 +158,22 @@
 
 void FleetDesk::hostDown(FleetStep& step, const WorkTable& table, HostId host)
 {
-    for (const CallId call : m_routes.hostDown(host)) {
-        m_counters.add(FleetCounter::RelaysUnanswered);
+    relaysUnanswered(step, table, m_routes.hostDown(host));
+}
+
+/// What the hosts in between did with the calls is not known, as with a worker that is silent.
+void FleetDesk::relaysUnanswered(FleetStep& step, const WorkTable& table, const std::set<CallId>& calls)
+{
+    m_counters.add(FleetCounter::RelaysUnanswered, calls.size());
+    for (const CallId call : calls)
         answered(step, table, call, {});
-    }
+}
+
+/// Ends and runs may be listed after their job has ended and was forgotten.
+void FleetDesk::noteBegun(const WorkTable& table, JobKey job)
+{
+    if (table.openJobs().count(job))
+        m_begun.insert(job);
 }
 
 // Answers.
@@ -217,7 +229,7 @@
         if (run.phase == RunPhase::Starting) {
             run.phase = RunPhase::Running;
             run.confirmedAt = run.progressAt = step.now;
-            m_begun.insert(call.run.task.job);
+            noteBegun(table, call.run.task.job);
             step.measure(FleetTimer::CommitToStart, step.now - run.placedAt);
         }
         break;
@@ -324,7 +336,7 @@
             continue;
         link.endsProposed = end.number;
         noteEnd(step, link, end);
-        m_begun.insert(end.run.task.job);
+        noteBegun(table, end.run.task.job);
         link.removeRun(end.run);
         command.ends.push_back(end);
     }
@@ -371,7 +383,7 @@
         if (listed.percent != run.percent || !run.isListed)
             run.progressAt = now;
         run.isListed = true;
-        m_begun.insert(listed.run.task.job);
+        noteBegun(table, listed.run.task.job);
         run.percent = listed.percent;
         if (!listed.checkpoint.empty())
             run.checkpoint = listed.checkpoint;
@@ -445,10 +457,7 @@
 
 void FleetDesk::tick(FleetStep& step, const WorkTable& table)
 {
-    for (const CallId call : m_routes.takeOverdue(step.now)) {
-        m_counters.add(FleetCounter::RelaysUnanswered);
-        answered(step, table, call, {});
-    }
+    relaysUnanswered(step, table, m_routes.takeOverdue(step.now));
     std::set<WorkerNumber> due;
     while (!m_schedule.empty() && m_schedule.begin()->first <= step.now) {
         due.insert(m_schedule.begin()->second);
--- a/src/fleet_desk.h
+++ b/src/fleet_desk.h
@@ -82,6 +82,8 @@
     void stopStuck(FleetStep& step, const WorkTable& table, WorkerLink& link);
     void setAside(FleetStep& step, WorkerLink& link);
     void noteEnd(FleetStep& step, WorkerLink& link, const ListedEnd& end);
+    void noteBegun(const WorkTable& table, JobKey job);
+    void relaysUnanswered(FleetStep& step, const WorkTable& table, const std::set<CallId>& calls);
     void logRun(FleetStep& step, LogEventKind kind, const WorkerLink& link, const TaskRun& run, std::string_view reason);
 
     void notStarted(const WorkTable& table, WorkerLink& link, Time now, const TaskRun& run);
@@ -104,7 +106,7 @@
     uint64_t m_nextCall = 1;
     std::set<std::pair<Time, WorkerNumber>> m_schedule;
     std::vector<WorkCommand> m_commands;
-    std::set<JobKey> m_begun;
+    std::set<JobKey> m_begun; ///< Open jobs of which a worker has confirmed a run.
     WorkerRoutes m_routes;
     FleetCounters m_counters;
 };
