--- a/src/control_node.h
+++ b/src/control_node.h
@@ -266,6 +266,8 @@
 
     void receive(FleetStep& step, HostId, const ReplicaMessage<WorkTable>& message)
     {
+        if (const auto* reply = std::get_if<AppendReply>(&message.body); reply && m_isLeading)
+            step.measure(FleetTimer::AcknowledgementAge, step.now - reply->sentAt);
         m_replica.receive(step.now, message);
         m_isForming = m_isForming && m_replica.isEmpty();
     }
@@ -491,7 +493,7 @@
         if (isLeading != m_isLeading) {
             m_isLeading = isLeading;
             m_nextStatus = step.now;
-            step.log(LogEventKind::LeaderChanged, { { "log", "fleet" }, { "leading", isLeading ? "yes" : "no" }, { "term", std::to_string(term) }, { "index", std::to_string(m_replica.commitIndex()) } });
+            step.log(LogEventKind::LeaderChanged, { { "log", "fleet" }, { "leading", isLeading ? "yes" : "no" }, { "term", std::to_string(term) }, { "index", std::to_string(m_replica.commitIndex()) }, { "contactMs", std::to_string(m_replica.quorumContactAge(step.now) / std::chrono::milliseconds(1)) } });
             if (isLeading) {
                 for (ControlCallReceived& call : m_forwarder.takeAll())
                     process(step, { m_settings.self, m_settings.self, call.call.value }, call.request);
--- a/src/fleet_counters.h
+++ b/src/fleet_counters.h
@@ -57,12 +57,18 @@
     SubmitToCommit,
     CommitToStart, ///< From the commit of a placement to the worker's confirmation.
     OrderRoundTrip, ///< Start and stop orders that had a response.
+    AcknowledgementAge, ///< Leader: from sending a message of the log until its acknowledgement is handled.
+    MailboxWait, ///< Of messages to the core's task, from their arrival until they are handled.
+    UrgentMailboxWait, ///< Of urgent ones.
+    YieldWait, ///< From a yield of the core's task until it runs again: the work of all other tasks that were ready.
+    LogSync, ///< From the core's write until it is durable.
     Count
 };
 
 constexpr NameTable<FleetTimer> nameTable(FleetTimer)
 {
-    constexpr NameTable<FleetTimer> table { "hand_in_to_commit_seconds", "commit_to_start_seconds", "order_round_trip_seconds" };
+    constexpr NameTable<FleetTimer> table { "hand_in_to_commit_seconds", "commit_to_start_seconds", "order_round_trip_seconds",
+        "acknowledgement_age_seconds", "mailbox_wait_seconds", "urgent_mailbox_wait_seconds", "yield_wait_seconds", "log_sync_seconds" };
     static_assert(detail::isComplete<FleetTimer>(table));
     return table;
 }
--- a/src/fleet_events.h
+++ b/src/fleet_events.h
@@ -62,6 +62,55 @@
 using FleetEvent = std::variant<FleetTick, FleetPeerUp, FleetPeerDown, FleetMessageReceived, WorkLogWritten, ControlCallReceived,
     OrderResponseReceived, AdviceReplyReceived, FleetStopRequested, SeedsChanged>;
 
+/// Kind of an event, for metrics and logs. Messages of other hosts count by the kind of message.
+enum class FleetEventKind : uint8_t {
+    Tick,
+    PeerUp,
+    PeerDown,
+    LogWritten,
+    ControlCall,
+    OrderResponse,
+    AdviceReply,
+    StopRequested,
+    SeedsChanged,
+    MessageLogHello,
+    MessageControlStatus,
+    MessageEntryStatus,
+    MessageConfigUpdate,
+    MessageForwardedCall,
+    MessageForwardedCallReply,
+    MessageAdviceRequest,
+    MessageAdviceReply,
+    MessageWorkerCallRequest,
+    MessageWorkerCallReply,
+    MessageReplica,
+    Count
+};
+
+constexpr NameTable<FleetEventKind> nameTable(FleetEventKind)
+{
+    constexpr NameTable<FleetEventKind> table { "tick", "peer_up", "peer_down", "log_written", "control_call", "order_response",
+        "advice_reply", "stop_requested", "seeds_changed", "log_hello", "control_status", "entry_status", "config_update", "forwarded_call",
+        "forwarded_call_reply", "relayed_advice_call", "relayed_advice_reply", "relayed_worker_call", "relayed_worker_reply", "replica" };
+    static_assert(detail::isComplete<FleetEventKind>(table));
+    return table;
+}
+
+constexpr FleetEventKind kindOf(const FleetEvent& event)
+{
+    using Kind = FleetEventKind;
+    constexpr std::array<Kind, std::variant_size_v<FleetEvent>> eventKinds { Kind::Tick, Kind::PeerUp, Kind::PeerDown, Kind::Count,
+        Kind::LogWritten, Kind::ControlCall, Kind::OrderResponse, Kind::AdviceReply, Kind::StopRequested, Kind::SeedsChanged };
+    constexpr std::array<Kind, std::variant_size_v<FleetMessage>> messageKinds { Kind::MessageLogHello, Kind::MessageControlStatus,
+        Kind::MessageEntryStatus, Kind::MessageConfigUpdate, Kind::MessageForwardedCall, Kind::MessageForwardedCallReply, Kind::MessageAdviceRequest,
+        Kind::MessageAdviceReply, Kind::MessageWorkerCallRequest, Kind::MessageWorkerCallReply, Kind::MessageReplica };
+    const auto* received = std::get_if<FleetMessageReceived>(&event);
+    return received ? messageKinds[received->message.index()] : eventKinds[event.index()];
+}
+
+/// Whether an event overtakes others that wait: the log's progress and the leader's lease rest on it.
+constexpr bool isUrgent(FleetEventKind kind) { return kind == FleetEventKind::MessageReplica || kind == FleetEventKind::LogWritten; }
+
 // Effects, which the I/O layer carries out.
 
 struct SendFleetMessage {
--- a/src/io/fleet_mailbox.h
+++ b/src/io/fleet_mailbox.h
@@ -3,6 +3,8 @@
 #include "fleet_events.h"
 #include "io/mailbox.h"
 
+#include <chrono>
+#include <concepts>
 #include <memory>
 
 namespace eelgrassloft::io {
@@ -39,7 +41,21 @@
 
 /// A message to the `FleetTask`.
 using FleetTaskMessage = std::variant<FleetEvent, SubmitControl, FindQueue, ReadMetrics>;
-using FleetMailbox = Mailbox<FleetTaskMessage>;
+
+/// A message in the mailbox, with the time of its arrival.
+struct FleetTaskDelivery {
+    template <typename Body>
+    requires std::constructible_from<FleetTaskMessage, Body>
+    FleetTaskDelivery(Body body)
+        : message(std::move(body))
+    {
+    }
+
+    FleetTaskMessage message;
+    std::chrono::steady_clock::time_point arrivedAt = std::chrono::steady_clock::now();
+};
+
+using FleetMailbox = Mailbox<FleetTaskDelivery>;
 
 /// Reports writes of the fleet's log: durable ones to the core, errors to `failures`.
 struct FleetLogWriteObserver {
--- a/src/io/fleet_peer_network.cpp
+++ b/src/io/fleet_peer_network.cpp
@@ -202,9 +202,8 @@
             m_log.writeError("link-message-unreadable", decoder.lastError());
             co_return;
         }
-        const bool isLogMessage = std::holds_alternative<ReplicaMessage<WorkTable>>(*message);
         FleetEvent event = FleetMessageReceived { connection->host, std::move(*message) };
-        if (isLogMessage) // A leader whose acknowledgements wait behind calls loses its lease.
+        if (isUrgent(kindOf(event))) // A leader whose acknowledgements wait behind calls loses its lease.
             m_nodeMailbox.tryPushUrgent(std::move(event));
         else
             m_nodeMailbox.tryPush(std::move(event));
--- a/src/io/fleet_task.h
+++ b/src/io/fleet_task.h
@@ -5,8 +5,10 @@
 #include "io/event_log.h"
 #include "io/fleet_metrics.h"
 #include "io/fleet_peer_network.h"
+#include "io/load_window.h"
 #include "io/log_writer.h"
 
+#include <deque>
 #include <map>
 
 namespace eelgrassloft::io {
@@ -59,16 +61,19 @@
         step(FleetTick {});
         for (size_t messageCount = 1; !m_dependencies.mailbox.isClosed(); ++messageCount) {
             // Yields, so that connections are read and urgent messages can overtake a long backlog.
-            if (messageCount % config::maxMessagesBeforeYield == 0)
+            if (messageCount % config::maxMessagesBeforeYield == 0) {
+                const auto yieldedAt = SteadyClock::now();
                 co_await asio::post(co_await asio::this_coro::executor, use_awaitable);
+                measure(FleetTimer::YieldWait, SteadyClock::now() - yieldedAt);
+            }
             const Time next = m_node.nextDeadline();
             const Time now = m_clock.now();
             auto deadline = std::chrono::steady_clock::time_point::max();
             if (next != never) // The timer's clock stops while the machine is suspended; the core's does not.
                 deadline = std::chrono::steady_clock::now() + std::max(next - now, Duration::zero());
-            auto message = co_await m_dependencies.mailbox.pop(deadline);
-            if (message)
-                std::visit([&](auto& body) { handle(std::move(body)); }, *message);
+            auto delivery = co_await m_dependencies.mailbox.pop(deadline);
+            if (delivery)
+                handle(std::move(*delivery));
             else
                 step(FleetTick {});
         }
@@ -77,6 +82,23 @@
     const Node& node() const { return m_node; }
 
 private:
+    using SteadyClock = std::chrono::steady_clock;
+
+    /// A write of the log that is not yet durable.
+    struct PendingWrite {
+        uint64_t sequence = 0;
+        SteadyClock::time_point startedAt;
+        uint64_t snapshotIndex = 0; ///< Of the snapshot in the write; 0 for none.
+    };
+
+    void handle(FleetTaskDelivery delivery)
+    {
+        const auto* event = std::get_if<FleetEvent>(&delivery.message);
+        const FleetTimer timer = event && isUrgent(kindOf(*event)) ? FleetTimer::UrgentMailboxWait : FleetTimer::MailboxWait;
+        measure(timer, SteadyClock::now() - delivery.arrivedAt);
+        std::visit([&](auto& body) { handle(std::move(body)); }, delivery.message);
+    }
+
     void handle(FleetEvent event) { step(event); }
 
     void handle(SubmitControl submit)
@@ -99,19 +121,56 @@
         query.reply->tryPush(std::move(lookup));
     }
 
-    void handle(ReadMetrics query) { query.reply->tryPush(fleetMetricsText(m_node.counters(), m_node.gauges(), m_durations)); }
+    void handle(ReadMetrics query) { query.reply->tryPush(fleetMetricsText(m_node.counters(), m_node.gauges(), m_metrics)); }
 
     void step(const FleetEvent& event)
     {
+        const FleetEventKind kind = kindOf(event);
+        const auto startedAt = SteadyClock::now();
         if (const auto* written = std::get_if<WorkLogWritten>(&event)) {
+            measureWrites(written->sequence, startedAt);
             const std::vector<SendFleetMessage> released = m_gate.release(written->sequence);
             for (size_t i = 0; i < released.size(); ++i) {
                 if (i + 1 == released.size() || !isSuperseded(released[i], released[i + 1]))
                     m_dependencies.peers.send(released[i].to, released[i].message);
             }
         }
-        for (FleetEffect& effect : m_node.step(m_clock.now(), event))
+        std::vector<FleetEffect> effects = m_node.step(m_clock.now(), event);
+        const auto decidedAt = SteadyClock::now();
+        for (FleetEffect& effect : effects)
             std::visit([&](auto& body) { perform(std::move(body)); }, effect);
+        const auto endedAt = SteadyClock::now();
+        measureStep(kind, endedAt, endedAt - startedAt, endedAt - decidedAt);
+    }
+
+    void measure(FleetTimer timer, SteadyClock::duration value)
+    {
+        m_metrics.durations[timer].add(value);
+        m_load.addDuration(timer, value);
+    }
+
+    void measureStep(FleetEventKind kind, SteadyClock::time_point now, SteadyClock::duration total, SteadyClock::duration effects)
+    {
+        m_metrics.steps[kind].add(total);
+        m_load.addStep(kind, total);
+        if (total >= config::slowStepThreshold)
+            m_dependencies.log.write("slow-step", { { "kind", std::string(name(kind)) }, { "tookMs", millisText(total) }, { "effectsMs", millisText(effects) }, { "queued", std::to_string(m_dependencies.mailbox.size()) } });
+        if (const std::vector<LogField> load = m_load.finish(now, m_dependencies.mailbox.size()); !load.empty())
+            m_dependencies.log.write("core-delayed", load);
+    }
+
+    static std::string millisText(SteadyClock::duration duration) { return std::to_string(duration / std::chrono::milliseconds(1)); }
+
+    /// Measures the writes up to `sequence`, which are durable.
+    void measureWrites(uint64_t sequence, SteadyClock::time_point now)
+    {
+        while (!m_pendingWrites.empty() && m_pendingWrites.front().sequence <= sequence) {
+            const PendingWrite& write = m_pendingWrites.front();
+            measure(FleetTimer::LogSync, now - write.startedAt);
+            if (write.snapshotIndex)
+                m_dependencies.log.write("snapshot-written", { { "index", std::to_string(write.snapshotIndex) }, { "tookMs", millisText(now - write.startedAt) } });
+            m_pendingWrites.pop_front();
+        }
     }
 
     /// One sync often releases several replies to the same leader, of which the last covers the others.
@@ -130,8 +189,10 @@
 
     void perform(WriteWorkLog effect)
     {
-        if (m_dependencies.logWriter)
-            m_dependencies.logWriter->write(effect.incarnation, std::move(effect.write));
+        if (!m_dependencies.logWriter)
+            return;
+        m_pendingWrites.push_back({ effect.write.sequence, SteadyClock::now(), effect.write.snapshot ? effect.write.snapshot->index : 0 });
+        m_dependencies.logWriter->write(effect.incarnation, std::move(effect.write));
     }
 
     void perform(SendControlReply effect)
@@ -146,7 +207,7 @@
     void perform(CallWorker effect) { m_dependencies.services.callWorker(std::move(effect)); }
     void perform(CallAdvice effect) { m_dependencies.services.callAdvice(std::move(effect)); }
     void perform(ConnectHosts effect) { m_dependencies.peers.setTargets(effect.hosts); }
-    void perform(RecordDuration effect) { m_durations[effect.timer].add(effect.value); }
+    void perform(RecordDuration effect) { measure(effect.timer, effect.value); }
     void perform(LogEvent effect) { m_dependencies.log.write(effect); }
 
     Node m_node;
@@ -155,7 +216,9 @@
     uint64_t m_nextCallId = 1;
     std::map<CallId, FleetReplyMailbox<ControlReply>> m_calls;
     DurabilityGate<SendFleetMessage> m_gate;
-    FleetDurationSummaries m_durations;
+    std::deque<PendingWrite> m_pendingWrites;
+    FleetDurations m_metrics;
+    LoadWindow m_load;
 };
 
 /// Submits a call to the core and waits for its reply: `NotAccepted` if the mailbox is full or
--- a/src/replica.h
+++ b/src/replica.h
@@ -183,6 +183,9 @@
             && now < lastQuorumContact(now) + electionTimeout() - config::maxClockDrift;
     }
 
+    /// Time since the latest message that a quorum has acknowledged was sent.
+    Duration quorumContactAge(Time now) const { return now - lastQuorumContact(now); }
+
     ReplicaRole role() const { return m_role; }
     uint64_t term() const { return m_state.term; }
     Member self() const { return m_self; }
