--- a/src/io/fleet_metrics.cpp
+++ b/src/io/fleet_metrics.cpp
@@ -13,7 +13,7 @@
         writeLabelledCounter(out, std::string(name(kind)) + "_orders_total", "outcome", counters.orders[kind]);
     });
     forEachValue<FleetGauge>([&](FleetGauge gauge) { out << gaugeText(name(gauge), gauges[gauge]); });
-    forEachValue<FleetTimer>([&](FleetTimer timer) { out << durations.durations[timer].text(name(timer)); });
+    forEachValue<FleetTimer>([&](FleetTimer timer) { out << durations.timers[timer].text(name(timer)); });
     forEachValue<FleetEventKind>([&](FleetEventKind kind) { out << durations.steps[kind].text("step_" + std::string(name(kind)) + "_seconds"); });
     return out.str();
 }
--- a/src/io/fleet_metrics.h
+++ b/src/io/fleet_metrics.h
@@ -7,7 +7,7 @@
 
 /// Durations that a fleet host has measured since its start.
 struct FleetDurations {
-    EnumArray<FleetTimer, DurationSummary> durations;
+    EnumArray<FleetTimer, DurationSummary> timers;
     EnumArray<FleetEventKind, DurationSummary> steps; ///< Steps of the core with their effects, by kind of event.
 };
 
--- a/src/io/fleet_task.h
+++ b/src/io/fleet_task.h
@@ -121,7 +121,7 @@
         query.reply->tryPush(std::move(lookup));
     }
 
-    void handle(ReadMetrics query) { query.reply->tryPush(fleetMetricsText(m_node.counters(), m_node.gauges(), m_metrics)); }
+    void handle(ReadMetrics query) { query.reply->tryPush(fleetMetricsText(m_node.counters(), m_node.gauges(), m_durations)); }
 
     void step(const FleetEvent& event)
     {
@@ -145,13 +145,13 @@
 
     void measure(FleetTimer timer, SteadyClock::duration value)
     {
-        m_metrics.durations[timer].add(value);
+        m_durations.timers[timer].add(value);
         m_load.addDuration(timer, value);
     }
 
     void measureStep(FleetEventKind kind, SteadyClock::time_point now, SteadyClock::duration total, SteadyClock::duration effects)
     {
-        m_metrics.steps[kind].add(total);
+        m_durations.steps[kind].add(total);
         m_load.addStep(kind, total);
         if (total >= config::slowStepThreshold)
             m_dependencies.log.write("slow-step", { { "kind", std::string(name(kind)) }, { "tookMs", millisText(total) }, { "effectsMs", millisText(effects) }, { "queued", std::to_string(m_dependencies.mailbox.size()) } });
@@ -217,7 +217,7 @@
     std::map<CallId, FleetReplyMailbox<ControlReply>> m_calls;
     DurabilityGate<SendFleetMessage> m_gate;
     std::deque<PendingWrite> m_pendingWrites;
-    FleetDurations m_metrics;
+    FleetDurations m_durations;
     LoadWindow m_load;
 };
 
--- a/tests/log_rate_limiter_test.cpp
+++ b/tests/log_rate_limiter_test.cpp
@@ -30,11 +30,12 @@
     counters.orders[OrderKind::Start][OrderOutcome::InsufficientCapacity] = 7;
     FleetGauges gauges;
     gauges[FleetGauge::Term] = 4;
-    FleetDurationSummaries durations;
-    durations[FleetTimer::CommitToStart].add(20ms);
+    FleetDurations durations;
+    durations.timers[FleetTimer::CommitToStart].add(20ms);
+    durations.steps[FleetEventKind::MessageReplica].add(1ms);
     const std::string text = fleetMetricsText(counters, gauges, durations);
     for (const char* line : { "eelgrassloft_runs_lost_total 3\n", "eelgrassloft_start_orders_total{outcome=\"no-room\"} 7\n",
-             "eelgrassloft_term 4\n", "eelgrassloft_commit_to_start_seconds_count 1\n" })
+             "eelgrassloft_term 4\n", "eelgrassloft_commit_to_start_seconds_count 1\n", "eelgrassloft_step_replica_seconds_count 1\n" })
         BOOST_TEST(text.find(line) != std::string::npos, line);
     forEachValue<FleetCounter>([&](FleetCounter counter) { BOOST_TEST(text.find(name(counter)) != std::string::npos); });
 }
