Acknowledge contact with the leader without waiting for the disk

An acknowledgement says two things: that the leader was heard, which renews its lease, and what is durable, which commits. Only the second needs the disk; a member that restarts refuses votes for a whole election timeout. A follower with unsynced entries now acknowledges contact at once, once a heartbeat, naming only entries that are durable.

--- a/src/replica.h
+++ b/src/replica.h
@@ -474,9 +474,20 @@
         const uint64_t matchIndex = std::max(m_commitIndex, request.previousIndex + request.entries.size());
         m_commitIndex = std::max(m_commitIndex, std::min(request.commitIndex, matchIndex));
         applyCommitted();
+        acknowledgeContact(now, from, matchIndex, request.sentAt);
         send(from, AppendReply { m_state.term, true, matchIndex, request.sentAt }, true);
     }
 
+    /// Acknowledges at once that the leader was heard, with the entries that are durable already. The
+    /// promise to refuse votes needs no disk: a restarted member keeps it for a whole election timeout.
+    void acknowledgeContact(Time now, Member leader, uint64_t matchIndex, Time sentAt)
+    {
+        if (m_durableIndex >= matchIndex || now < m_nextContactReply)
+            return;
+        m_nextContactReply = now + m_options.heartbeat;
+        send(leader, AppendReply { m_state.term, true, std::min(matchIndex, m_durableIndex), sentAt });
+    }
+
     void acceptEntry(const Entry& entry)
     {
         if (entry.index <= m_commitIndex)
@@ -504,6 +515,7 @@
             m_truncateFrom = 1;
             m_output.wasRestored = true;
         }
+        acknowledgeContact(now, from, m_commitIndex, request.sentAt);
         send(from, AppendReply { m_state.term, true, m_commitIndex, request.sentAt }, true);
     }
 
@@ -687,6 +699,7 @@
     std::deque<PendingWrite> m_pendingWrites;
 
     Time m_leaderContactTime;
+    Time m_nextContactReply {}; ///< Earliest time of the next acknowledgement that does not wait for the disk.
     Time m_electionDeadline {};
     Duration m_electionDelay {};
     Time m_nextHeartbeat {};
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -241,7 +241,22 @@
     replica.receive(start, { leader, self, request });
     const auto output = replica.takeOutput(start);
     BOOST_REQUIRE(output.write.has_value());
-    BOOST_TEST(output.messages.at(0).afterWrite == output.write->sequence);
+    BOOST_REQUIRE(output.messages.size() == 2U);
+    const auto replyOf = [&](size_t i) { return std::get<AppendReply>(output.messages.at(i).message.body); };
+    BOOST_TEST(output.messages.at(0).afterWrite == 0U); // Of contact, which names no entry.
+    BOOST_TEST(replyOf(0).index == 0U);
+    BOOST_TEST(output.messages.at(1).afterWrite == output.write->sequence);
+    BOOST_TEST(replyOf(1).index == 1U);
+
+    replica.completeWrites(start, output.write->sequence);
+    request.previousIndex = request.previousTerm = 1;
+    request.entries = { { 2, 1, start, ListMachine::Append { 10 } } };
+    const Time later = start + replica.electionTimeout();
+    replica.receive(later, { leader, self, request });
+    const auto second = replica.takeOutput(later);
+    BOOST_REQUIRE(second.messages.size() == 2U);
+    BOOST_TEST(std::get<AppendReply>(second.messages.at(0).message.body).index == 1U); // Only what is durable.
+    BOOST_TEST(second.messages.at(1).afterWrite == second.write->sequence);
 }
 
 BOOST_AUTO_TEST_CASE(entriesWithinTheAppendIntervalAreSentTogether)
@@ -424,4 +439,21 @@
     BOOST_TEST(replica.term() == 0U);
 }
 
+/// A leader lost its lease while all voters wrote snapshots, although every one of them heard it.
+BOOST_AUTO_TEST_CASE(leaseIsNotLostWhileTheVotersWriteSnapshots)
+{
+    ReplicaCluster cluster(threeHosts({ 0, 1, 2 }));
+    cluster.run(3s);
+    const uint32_t leader = requireLeader(cluster);
+    const uint64_t term = cluster.replica(leader).term();
+    cluster.stallDisks(cluster.replica(leader).electionTimeout() * 2);
+    for (uint64_t id = 1; id <= 200; ++id) {
+        BOOST_REQUIRE(cluster.replica(leader).hasLease(cluster.now()));
+        BOOST_REQUIRE(cluster.propose(id));
+        cluster.run(10ms);
+    }
+    BOOST_TEST(cluster.replica(leader).term() == term);
+    BOOST_TEST(cluster.accepted().size() == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/replica_cluster.h
+++ b/tests/support/replica_cluster.h
@@ -150,6 +150,16 @@
         }
     }
 
+    /// Lets no disk sync anything for `duration`, as while all hosts write large snapshots.
+    void stallDisks(Duration duration)
+    {
+        m_disksStalledUntil = m_now + duration;
+        for (Host& host : m_hosts) {
+            for (UnsyncedWrite& write : host.unsyncedWrites)
+                write.syncedAt = std::max(write.syncedAt, m_disksStalledUntil);
+        }
+    }
+
     void heal()
     {
         m_partitions.clear();
@@ -333,7 +343,7 @@
         Host& host = m_hosts[i];
         auto output = host.replica->takeOutput(m_now);
         if (output.write) {
-            const Time earliest = host.unsyncedWrites.empty() ? m_now : host.unsyncedWrites.back().syncedAt;
+            const Time earliest = std::max(m_disksStalledUntil, host.unsyncedWrites.empty() ? m_now : host.unsyncedWrites.back().syncedAt);
             host.unsyncedWrites.push_back({ earliest + randomUpTo(m_options.maxSync), std::move(*output.write) });
         }
         for (auto& outgoing : output.messages) {
@@ -381,6 +391,7 @@
 
     ClusterOptions m_options;
     Random m_random;
+    Time m_disksStalledUntil {};
     Time m_now { std::chrono::hours(1) };
     std::vector<Host> m_hosts;
     uint64_t m_nextIncarnation = 0;
