Read all that has arrived, and let the logs' messages overtake on both ends

Acknowledgements were up to 398 ms old when they were handled, although the voters had synced within 37 ms and urgent messages waited 6 to 9 ms in the mailbox: they had waited in the socket. A connection was read one frame at a time, in two turns of the event loop, so on a busy leader its backlog stood there, before anything could overtake.

FrameReader takes all that has arrived with one read, which also spares two system calls a frame, and messages of the log overtake in the queue of the sender too. The same cause in eelgrassd: its logs' messages and syncs did not overtake at all, and its core's task never yielded to the connections.

--- a/src/fleet_events.h
+++ b/src/fleet_events.h
@@ -96,16 +96,22 @@
     return table;
 }
 
-constexpr FleetEventKind kindOf(const FleetEvent& event)
+constexpr FleetEventKind kindOf(const FleetMessage& message)
 {
     using Kind = FleetEventKind;
-    constexpr std::array<Kind, std::variant_size_v<FleetEvent>> eventKinds { Kind::Tick, Kind::PeerUp, Kind::PeerDown, Kind::Count,
-        Kind::LogWritten, Kind::ControlCall, Kind::OrderResponse, Kind::AdviceReply, Kind::StopRequested, Kind::SeedsChanged };
-    constexpr std::array<Kind, std::variant_size_v<FleetMessage>> messageKinds { Kind::MessageLogHello, Kind::MessageControlStatus,
+    constexpr std::array<Kind, std::variant_size_v<FleetMessage>> kinds { Kind::MessageLogHello, Kind::MessageControlStatus,
         Kind::MessageEntryStatus, Kind::MessageConfigUpdate, Kind::MessageForwardedCall, Kind::MessageForwardedCallReply, Kind::MessageAdviceRequest,
         Kind::MessageAdviceReply, Kind::MessageWorkerCallRequest, Kind::MessageWorkerCallReply, Kind::MessageReplica };
+    return kinds[message.index()];
+}
+
+constexpr FleetEventKind kindOf(const FleetEvent& event)
+{
+    using Kind = FleetEventKind;
+    constexpr std::array<Kind, std::variant_size_v<FleetEvent>> kinds { Kind::Tick, Kind::PeerUp, Kind::PeerDown, Kind::Count,
+        Kind::LogWritten, Kind::ControlCall, Kind::OrderResponse, Kind::AdviceReply, Kind::StopRequested, Kind::SeedsChanged };
     const auto* received = std::get_if<FleetMessageReceived>(&event);
-    return received ? messageKinds[received->message.index()] : eventKinds[event.index()];
+    return received ? kindOf(received->message) : kinds[event.index()];
 }
 
 /// Whether an event overtakes others that wait: the log's progress and the leader's lease rest on it.
--- a/src/io/fleet_peer_network.cpp
+++ b/src/io/fleet_peer_network.cpp
@@ -36,6 +36,7 @@
 struct FleetPeerNetwork::Connection {
     Connection(tcp::socket socketValue, HostId initiatorValue)
         : socket(std::move(socketValue))
+        , reader(socket)
         , initiator(initiatorValue)
         , outgoing(socket.get_executor(), config::peerMailboxCapacity)
         , inactivityTimer(socket.get_executor())
@@ -43,6 +44,7 @@
     }
 
     tcp::socket socket;
+    FrameReader reader;
     HostId host; ///< Known after the handshake.
     HostId initiator;
     uint64_t incarnation = 0; ///< Of the other host's process.
@@ -85,7 +87,7 @@
 {
     const auto found = m_connections.find(to);
     if (found != m_connections.end())
-        found->second->outgoing.tryPush(encodeFrame(encode(message)));
+        found->second->outgoing.tryPush(encodeFrame(encode(message)), isUrgent(kindOf(message)));
 }
 
 awaitable<void> FleetPeerNetwork::acceptLoop()
@@ -136,7 +138,7 @@
     co_await asio::async_write(connection->socket, asio::buffer(frame), asio::redirect_error(use_awaitable, error));
     if (error)
         co_return HostId {};
-    const auto payload = co_await readFrame(connection->socket, maxHandshakeBytes);
+    const auto payload = co_await connection->reader.read(maxHandshakeBytes);
     if (!payload)
         co_return HostId {};
     RecordDecoder decoder;
@@ -193,7 +195,7 @@
 {
     RecordDecoder decoder;
     while (connection->isOpen) {
-        const auto payload = co_await readFrame(connection->socket, config::maxFrameBytes);
+        const auto payload = co_await connection->reader.read(config::maxFrameBytes);
         if (!payload || !connection->isOpen)
             co_return;
         connection->lastReceivedAt = std::chrono::steady_clock::now();
@@ -203,10 +205,8 @@
             co_return;
         }
         FleetEvent event = FleetMessageReceived { connection->host, std::move(*message) };
-        if (isUrgent(kindOf(event))) // A leader whose acknowledgements wait behind calls loses its lease.
-            m_nodeMailbox.tryPushUrgent(std::move(event));
-        else
-            m_nodeMailbox.tryPush(std::move(event));
+        const bool isEventUrgent = isUrgent(kindOf(event)); // A leader whose acknowledgements wait behind calls loses its lease.
+        m_nodeMailbox.tryPush(std::move(event), isEventUrgent);
     }
 }
 
--- a/src/io/frames.h
+++ b/src/io/frames.h
@@ -2,10 +2,14 @@
 
 #include "io/asio.h"
 
+#include "eelgrassloft/config.h"
+
 #include <boost/endian/conversion.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace eelgrassloft::io {
 
@@ -18,21 +22,57 @@
     return frame += payload;
 }
 
-/// Reads the payload of one frame. Returns nothing if the connection ended or the payload is larger
-/// than `maxBytes`.
-inline awaitable<std::optional<std::string>> readFrame(tcp::socket& socket, size_t maxBytes)
-{
-    uint32_t length = 0;
-    error_code error;
-    co_await asio::async_read(socket, asio::buffer(&length, sizeof(length)), asio::redirect_error(use_awaitable, error));
-    length = boost::endian::big_to_native(length);
-    if (error || length > maxBytes)
-        co_return std::nullopt;
-    std::string payload(length, '\0');
-    co_await asio::async_read(socket, asio::buffer(payload), asio::redirect_error(use_awaitable, error));
-    if (error)
-        co_return std::nullopt;
-    co_return payload;
-}
+/// Reads the frames of a connection. Takes all that has arrived with one read, so that the backlog of
+/// a busy host stands where it can be ordered by urgency, and not in the socket.
+class FrameReader {
+public:
+    explicit FrameReader(tcp::socket& socket)
+        : m_socket(socket)
+        , m_buffer(config::frameReadBytes, '\0')
+    {
+    }
+
+    /// Returns the payload of the next frame, or nothing if the connection ended or the payload is
+    /// larger than `maxBytes`.
+    awaitable<std::optional<std::string>> read(size_t maxBytes)
+    {
+        while (true) {
+            if (m_end - m_begin >= sizeof(uint32_t)) {
+                const size_t payloadBytes = boost::endian::load_big_u32(reinterpret_cast<const unsigned char*>(m_buffer.data() + m_begin));
+                if (payloadBytes > maxBytes)
+                    co_return std::nullopt;
+                if (m_end - m_begin >= sizeof(uint32_t) + payloadBytes) {
+                    std::string payload(m_buffer, m_begin + sizeof(uint32_t), payloadBytes);
+                    m_begin += sizeof(uint32_t) + payloadBytes;
+                    co_return payload;
+                }
+                makeRoom(sizeof(uint32_t) + payloadBytes);
+            } else {
+                makeRoom(sizeof(uint32_t));
+            }
+            error_code error;
+            m_end += co_await m_socket.async_read_some(asio::buffer(m_buffer.data() + m_end, m_buffer.size() - m_end), asio::redirect_error(use_awaitable, error));
+            if (error)
+                co_return std::nullopt;
+        }
+    }
+
+private:
+    /// Makes room for a frame of `frameBytes` that begins at `m_begin`.
+    void makeRoom(size_t frameBytes)
+    {
+        std::copy(m_buffer.begin() + static_cast<ptrdiff_t>(m_begin), m_buffer.begin() + static_cast<ptrdiff_t>(m_end), m_buffer.begin());
+        m_end -= std::exchange(m_begin, 0);
+        // A large frame takes its room only until the next one.
+        m_buffer.resize(std::max({ config::frameReadBytes, frameBytes, m_end }));
+        if (m_buffer.size() == config::frameReadBytes && m_buffer.capacity() > config::frameReadBytes)
+            m_buffer.shrink_to_fit();
+    }
+
+    tcp::socket& m_socket;
+    std::string m_buffer;
+    size_t m_begin = 0; ///< First byte that has not been returned.
+    size_t m_end = 0; ///< End of the bytes that have arrived.
+};
 
 } // namespace eelgrassloft::io
--- a/src/io/node_messages.h
+++ b/src/io/node_messages.h
@@ -82,7 +82,7 @@
     NodeMailbox& nodeMailbox;
     Mailbox<Error>& failures;
 
-    void didSync(uint64_t sequence) { nodeMailbox.tryPush(Event(LogWritten { log, sequence })); }
+    void didSync(uint64_t sequence) { nodeMailbox.tryPushUrgent(Event(LogWritten { log, sequence })); }
     void didFail(const Error& error) { failures.tryPush(error); }
 };
 
--- a/src/io/node_task.cpp
+++ b/src/io/node_task.cpp
@@ -11,7 +11,10 @@
 
 awaitable<void> NodeTask::run()
 {
-    while (!m_dependencies.mailbox.isClosed()) {
+    for (size_t messageCount = 1; !m_dependencies.mailbox.isClosed(); ++messageCount) {
+        // Yields, so that connections are read and urgent messages can overtake a long backlog.
+        if (messageCount % config::maxMessagesBeforeYield == 0)
+            co_await asio::post(co_await asio::this_coro::executor, use_awaitable);
         auto message = co_await m_dependencies.mailbox.pop(m_clock.steadyTime(m_node.nextDeadline()));
         if (message)
             receive(std::move(*message));
--- a/src/io/peer_network.cpp
+++ b/src/io/peer_network.cpp
@@ -32,12 +32,14 @@
 struct PeerNetwork::Connection {
     explicit Connection(tcp::socket socketValue)
         : socket(std::move(socketValue))
+        , reader(socket)
         , outgoing(socket.get_executor(), config::peerMailboxCapacity)
         , inactivityTimer(socket.get_executor())
     {
     }
 
     tcp::socket socket;
+    FrameReader reader;
     HostId host; ///< Known after the handshake.
     Mailbox<std::string> outgoing;
     asio::steady_timer inactivityTimer;
@@ -82,7 +84,7 @@
 void PeerNetwork::send(HostId to, const PeerMessage& message)
 {
     const auto found = m_connections.find(to);
-    if (found == m_connections.end() || !found->second->outgoing.tryPush(encodeFrame(encode(message))))
+    if (found == m_connections.end() || !found->second->outgoing.tryPush(encodeFrame(encode(message)), isUrgent(message)))
         ++m_droppedMessages;
 }
 
@@ -124,15 +126,15 @@
     return std::nullopt;
 }
 
-awaitable<std::optional<HostId>> PeerNetwork::exchangeHandshakes(tcp::socket& socket, std::optional<HostId> expected)
+awaitable<std::optional<HostId>> PeerNetwork::exchangeHandshakes(Connection& connection, std::optional<HostId> expected)
 {
     PeerHandshake own;
     own.cluster = m_settings.cluster;
     own.host = m_settings.self;
     const std::string frame = encodeFrame(encode(own));
     error_code error;
-    co_await asio::async_write(socket, asio::buffer(frame), asio::redirect_error(use_awaitable, error));
-    const auto payload = co_await readFrame(socket, maxHandshakeBytes);
+    co_await asio::async_write(connection.socket, asio::buffer(frame), asio::redirect_error(use_awaitable, error));
+    const auto payload = co_await connection.reader.read(maxHandshakeBytes);
     if (error || !payload)
         co_return expected ? std::nullopt : std::optional<HostId>(reject("no handshake received"));
     RecordDecoder decoder;
@@ -157,7 +159,7 @@
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
     const auto connection = std::make_shared<Connection>(std::move(socket));
     asio::co_spawn(m_context, closeWhenInactive(connection), asio::detached); // Also closes a connection whose handshake does not arrive.
-    const auto host = co_await exchangeHandshakes(connection->socket, expected);
+    const auto host = co_await exchangeHandshakes(*connection, expected);
     if (!host || m_isStopping) {
         closeConnection(connection);
         co_return;
@@ -178,7 +180,7 @@
 {
     RecordDecoder decoder;
     while (connection->isOpen) {
-        const auto payload = co_await readFrame(connection->socket, config::maxFrameBytes);
+        const auto payload = co_await connection->reader.read(config::maxFrameBytes);
         if (!payload || !connection->isOpen)
             co_return;
         connection->lastReceivedAt = std::chrono::steady_clock::now();
@@ -187,7 +189,8 @@
             reject("unreadable message: " + decoder.lastError().message);
             co_return;
         }
-        if (!m_nodeMailbox.tryPush(Event(PeerMessageReceived { connection->host, std::move(*message) })))
+        const bool isMessageUrgent = isUrgent(*message);
+        if (!m_nodeMailbox.tryPush(Event(PeerMessageReceived { connection->host, std::move(*message) }), isMessageUrgent))
             ++m_droppedMessages;
     }
 }
--- a/src/io/peer_network.h
+++ b/src/io/peer_network.h
@@ -36,7 +36,7 @@
     awaitable<void> connectLoop(HostId peer);
     awaitable<void> serveAccepted(tcp::socket socket);
     awaitable<void> runConnection(tcp::socket socket, std::optional<HostId> expected);
-    awaitable<std::optional<HostId>> exchangeHandshakes(tcp::socket& socket, std::optional<HostId> expected);
+    awaitable<std::optional<HostId>> exchangeHandshakes(Connection& connection, std::optional<HostId> expected);
     awaitable<void> readLoop(std::shared_ptr<Connection> connection);
     awaitable<void> writeLoop(std::shared_ptr<Connection> connection);
     awaitable<void> closeWhenInactive(std::shared_ptr<Connection> connection);
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -59,6 +59,12 @@
     Proposal<CellStateMachine>, Proposal<DataCentreStateMachine>, ProposalReply<CellStateMachine>, ProposalReply<DataCentreStateMachine>,
     UpstreamAnnouncement, ShareReport, ShareGrants, ShareRecalls, ForwardedReport, ForwardedReply>;
 
+/// Whether a message overtakes others that wait: the logs' progress and their leaders' leases rest on it.
+inline bool isUrgent(const PeerMessage& message)
+{
+    return std::holds_alternative<ReplicaMessage<CellStateMachine>>(message) || std::holds_alternative<ReplicaMessage<DataCentreStateMachine>>(message);
+}
+
 enum class PeerMessageKind : uint8_t {
     Hello,
     Status,
