Keep no runs of ended jobs in the fleet's state

Callers ask for the state of an ended job for 120 s, so ended jobs outnumber the open ones many times, and each kept the records of its tasks and its payload.

A job that ends now drops both. What its log line tells of its runs is the result of the command that ended it. The encoding is the same: an ended job simply has no occurrences.

Also here: the targets of a host's connections are worked out when the membership changes, no longer in each step, and a plan's view of the workers reserves its room.

--- a/src/capacity_view.cpp
+++ b/src/capacity_view.cpp
@@ -18,6 +18,7 @@
 
 CapacityView::CapacityView(const std::map<WorkerNumber, WorkerView>& workerViews, Time now)
 {
+    m_workers.reserve(workerViews.size());
     for (const auto& [number, workerView] : workerViews) {
         if (workerView.acceptsPlacements(now))
             m_workers.push_back({ &workerView, workerView.freeCapacity(), {}, workerView.isOnProbation });
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -125,6 +125,7 @@
     {
         m_settings.seeds = event.seeds;
         m_connectTargets.clear();
+        m_connectMembership.reset();
         updateConnectTargets(step);
     }
 
@@ -154,6 +155,9 @@
 
     void updateConnectTargets(FleetStep& step)
     {
+        if (m_connectMembership == m_replica.membership())
+            return;
+        m_connectMembership = m_replica.membership();
         std::set<HostId> hosts(m_settings.seeds.begin(), m_settings.seeds.end());
         for (const auto* list : { &m_replica.membership().voters, &m_replica.membership().learners }) {
             for (const Member& member : *list)
@@ -565,20 +569,15 @@
 
     void didApply(FleetStep&, const PlaceRuns&, const Applied&) { requestPlan(); }
     void didApply(FleetStep&, const RequeueLostRuns&, const Applied&) { requestPlan(); }
-    void didApply(FleetStep& step, const CancelWork& command, const Applied&) { jobEnded(step, command.key); }
+    void didApply(FleetStep& step, const CancelWork&, const Applied& applied) { jobsEnded(step, applied.result.ended); }
     void didApply(FleetStep& step, const SetFleetWorker&, const Applied&) { updateWorkers(step); }
     void didApply(FleetStep& step, const RemoveFleetWorker&, const Applied&) { updateWorkers(step); }
 
-    void didApply(FleetStep& step, const RecordRunOutcomes& command, const Applied&)
+    void didApply(FleetStep& step, const RecordRunOutcomes& command, const Applied& applied)
     {
         m_dispatcher.didRecordEnds(command.worker, step.now);
         requestPlan();
-        std::set<JobKey> ended;
-        for (const EndedRun& end : command.ends) {
-            const WorkJob* job = table().job(end.run.task.job);
-            if (job && isEnded(job->state) && job->endedBy == end.run && ended.insert(job->key).second)
-                jobEnded(step, job->key);
-        }
+        jobsEnded(step, applied.result.ended);
     }
 
     void didApply(FleetStep& step, const SetFleetConfig&, const Applied&)
@@ -590,17 +589,19 @@
             sendConfig(step, entry);
     }
 
-    void jobEnded(FleetStep& step, JobKey key)
+    void jobsEnded(FleetStep& step, const std::vector<EndedJob>& ended)
     {
-        m_advice.forget(key);
-        m_dispatcher.forget(key);
-        const WorkJob* job = table().job(key);
-        if (!job)
-            return;
-        if (job->state != WorkState::Done)
-            m_dispatcher.stopJob(step.now, key);
-        step.log(LogEventKind::JobEnded, jobEndFields(table(), *job));
-        requestPlan();
+        for (const EndedJob& summary : ended) {
+            m_advice.forget(summary.key);
+            m_dispatcher.forget(summary.key);
+            requestPlan();
+            const WorkJob* job = table().job(summary.key);
+            if (!job)
+                continue;
+            if (job->state != WorkState::Done)
+                m_dispatcher.stopJob(step.now, summary.key);
+            step.log(LogEventKind::JobEnded, jobEndFields(table(), *job, summary));
+        }
     }
 
     void updateWorkers(FleetStep& step)
@@ -684,6 +685,7 @@
     std::set<HostId> m_connected;
     std::map<HostId, SentConfig> m_sentConfigs;
     std::set<HostId> m_connectTargets;
+    std::optional<Membership> m_connectMembership; ///< From which the targets were taken.
     bool m_isForming = false;
     std::map<HostId, uint64_t> m_emptyHosts; ///< Incarnations of the hosts that reported an empty log.
     std::map<HostId, std::string> m_regions; ///< Regions of the other control hosts, as in their hellos.
--- a/src/work_table.cpp
+++ b/src/work_table.cpp
@@ -3,12 +3,38 @@
 #include "eelgrassloft/config.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace eelgrassloft {
 
+namespace {
+
+EndedJob summaryOf(const WorkJob& job)
+{
+    EndedJob summary;
+    summary.key = job.key;
+    for (const OccurrenceRecord& occurrence : job.occurrences) {
+        for (const StepRecord& record : occurrence.steps) {
+            summary.failures += record.gangFailures;
+            for (const WorkTask& task : record.tasks) {
+                summary.attempts = std::max(summary.attempts, task.attempt);
+                summary.failures += task.failures;
+            }
+        }
+    }
+    const WorkTask* last = job.endedBy.attempt ? job.task(job.endedBy.task) : nullptr;
+    if (last)
+        summary.lastWorker = last->worker;
+    return summary;
+}
+
+} // namespace
+
 WorkTable::Result WorkTable::apply(Time at, const Command& command)
 {
-    return std::visit([&](const auto& body) { return handle(at, body); }, command);
+    Result result = std::visit([&](const auto& body) { return handle(at, body); }, command);
+    result.ended = std::exchange(m_endedByCommand, {});
+    return result;
 }
 
 void WorkTable::rebuild()
@@ -103,8 +129,13 @@
     return {};
 }
 
+/// Ends a job and drops what only its runs needed. Callers ask for the state of an ended job for
+/// minutes, so that the ended jobs outnumber the open ones by far in every copy of the table.
 void WorkTable::endJob(Time at, WorkJob& job, WorkState state)
 {
+    m_endedByCommand.push_back(summaryOf(job));
+    job.occurrences = {};
+    job.work.text = {};
     job.state = state;
     job.endedAt = at;
     m_openJobs.erase(job.key);
--- a/src/work_table.h
+++ b/src/work_table.h
@@ -63,7 +63,7 @@
     Time startedAt {}; ///< Time of the first placement.
     Time endedAt {};
     TaskRun endedBy; ///< The run that ended the job; attempt 0 if the job was cancelled.
-    std::vector<OccurrenceRecord> occurrences;
+    std::vector<OccurrenceRecord> occurrences; ///< Empty once the job has ended.
     uint32_t doneOccurrences = 0;
 
     static constexpr auto members()
@@ -191,10 +191,21 @@
     return table;
 }
 
+/// How the runs of a job went that has ended.
+struct EndedJob {
+    JobKey key;
+    uint32_t attempts = 0; ///< Highest attempt of any task.
+    uint32_t failures = 0; ///< Of all tasks.
+    WorkerNumber lastWorker; ///< Worker of the run that ended the job; invalid if none did.
+
+    static constexpr auto members() { return std::make_tuple(&EndedJob::key, &EndedJob::attempts, &EndedJob::failures, &EndedJob::lastWorker); }
+};
+
 struct WorkResult {
     WorkStatus status = WorkStatus::Applied;
+    std::vector<EndedJob> ended {}; ///< Jobs that the command ended.
 
-    static constexpr auto members() { return std::make_tuple(&WorkResult::status); }
+    static constexpr auto members() { return std::make_tuple(&WorkResult::status, &WorkResult::ended); }
 };
 
 /// State machine of the fleet's replicated log: configuration, workers, jobs and the placements of
@@ -257,6 +268,7 @@
     std::set<JobKey> m_openJobs;
     std::map<std::string, WorkerNumber> m_workerById;
     std::multimap<Time, JobKey> m_endedJobs;
+    std::vector<EndedJob> m_endedByCommand; ///< Jobs that the command being applied has ended.
 };
 
 } // namespace eelgrassloft
--- a/tests/fleet_cluster_test.cpp
+++ b/tests/fleet_cluster_test.cpp
@@ -66,6 +66,29 @@
     BOOST_TEST(fleet.startCount() == 3U);
 }
 
+/// Snapshots held all that the runs of ended jobs had needed, and each copy of them held up the leader.
+BOOST_AUTO_TEST_CASE(endedJobTakesNoRoomForRunsInSnapshots)
+{
+    Fleet fleet;
+    BOOST_REQUIRE(fleet.callUntilOk(jobOf(1)));
+    BOOST_TEST(fleet.table().job(JobKey { 1 })->occurrences.size() == 1U);
+    BOOST_REQUIRE(fleet.finishes(1, 5s));
+    const WorkJob& job = *fleet.table().job(JobKey { 1 });
+    BOOST_TEST((job.state == WorkState::Done));
+    BOOST_TEST(job.occurrences.empty());
+    BOOST_TEST(job.work.text.empty());
+    const auto isEnd = [](const LogEvent& event) { return event.kind == LogEventKind::JobEnded; };
+    const auto end = std::find_if(fleet.log().begin(), fleet.log().end(), isEnd);
+    BOOST_REQUIRE(end != fleet.log().end());
+    const auto valueOf = [&](std::string_view key) {
+        const auto field = std::find_if(end->fields.begin(), end->fields.end(), [&](const LogField& candidate) { return candidate.key == key; });
+        return field == end->fields.end() ? std::string() : field->value;
+    };
+    BOOST_TEST(valueOf("attempts") == "1");
+    BOOST_TEST(valueOf("failures") == "0");
+    BOOST_TEST(valueOf("lastWorker").starts_with("worker-"));
+}
+
 BOOST_AUTO_TEST_CASE(jobSubmittedTwiceRunsOnce)
 {
     Fleet fleet;
