Call a forwarded call refused only where no attempt can have run

A host that becomes the leader answers the calls that it had forwarded until then. If the proposal failed, the caller was told not-accepted, which says that the call has not run and never will, although an earlier attempt may still reach this host by way of the former leader. The forwarder knew of such attempts, and takeAll dropped it. The call now keeps it, and the answer is unavailable.

Test first: CallForwarderTests/forwardedCallMayHaveRunWhereItsHostBecomesTheLeader failed with the former takeAll.

--- a/src/call_forwarder.h
+++ b/src/call_forwarder.h
@@ -21,7 +21,7 @@
     {
         const uint64_t number = m_nextNumber++;
         PendingCall& pending = m_pending[number];
-        pending = { called.call, std::move(called.request), called.deadline, {}, step.now, 0, 0 };
+        pending = { called.call, std::move(called.request), called.deadline, {}, step.now, called.mayHaveRun ? 1U : 0U, 0 };
         sendAttempt(step, number, pending);
     }
 
@@ -70,12 +70,13 @@
         }
     }
 
-    /// Takes all calls out, for a host that has become the leader.
+    /// Takes all calls out, for a host that has become the leader. Attempts without a reply may still
+    /// reach this host by way of the former leader.
     std::vector<ControlCallReceived> takeAll()
     {
         std::vector<ControlCallReceived> calls;
         for (auto& [number, pending] : m_pending)
-            calls.push_back({ pending.call, std::move(pending.request), pending.deadline });
+            calls.push_back({ pending.call, std::move(pending.request), pending.deadline, pending.uncertainAttempts > 0 });
         m_pending.clear();
         return calls;
     }
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -99,6 +99,7 @@
         HostId host; ///< Host at which the call arrived; this host for its own calls.
         HostId via; ///< Host from which this host received the call.
         uint64_t number = 0;
+        bool mayHaveRun = false; ///< Whether an earlier attempt may have had an effect, so that it can't be refused.
     };
 
     /// Configuration last sent to an entry host over its current connection.
@@ -313,7 +314,7 @@
     {
         updateLeadership(step);
         if (m_isLeading)
-            process(step, { m_settings.self, m_settings.self, event.call.value }, event.request);
+            process(step, targetOf(event), event.request);
         else
             m_forwarder.add(step, event);
     }
@@ -342,8 +343,12 @@
             step.send(reply.origin, reply);
     }
 
+    ReplyTarget targetOf(const ControlCallReceived& call) const { return { m_settings.self, m_settings.self, call.call.value, call.mayHaveRun }; }
+
     void sendReply(FleetStep& step, const ReplyTarget& to, ControlReply reply)
     {
+        if (reply.status == ControlStatus::NotAccepted && to.mayHaveRun)
+            reply.status = ControlStatus::Unavailable;
         ++m_counters.replies[reply.status];
         if (to.host == m_settings.self)
             step.emit(SendControlReply { CallId { to.number }, std::move(reply) });
@@ -510,7 +515,7 @@
             step.log(LogEventKind::LeaderChanged, { { "log", "fleet" }, { "leading", isLeading ? "yes" : "no" }, { "term", std::to_string(term) }, { "index", std::to_string(m_replica.commitIndex()) }, { "contactMs", std::to_string(m_replica.quorumContactAge(step.now) / std::chrono::milliseconds(1)) } });
             if (isLeading) {
                 for (ControlCallReceived& call : m_forwarder.takeAll())
-                    process(step, { m_settings.self, m_settings.self, call.call.value }, call.request);
+                    process(step, targetOf(call), call.request);
             }
         }
     }
--- a/src/fleet_events.h
+++ b/src/fleet_events.h
@@ -39,6 +39,7 @@
     CallId call;
     ControlRequest request;
     Time deadline {};
+    bool mayHaveRun = false; ///< An earlier attempt may have had, or may still have, an effect.
 };
 
 struct OrderResponseReceived {
