Count the replies that a control host's own forwarder gave

replies_total of a control host that does not lead left out the replies to workers and operators that it had forwarded, so that the metrics of most control hosts showed no refusals at all. Test: FleetClusterTests/controlHostCountsTheRepliesToCallsThatItForwarded.

--- a/src/control_node.h
+++ b/src/control_node.h
@@ -72,7 +72,7 @@
         FleetCounters counters = m_dispatcher.counters();
         forEachValue<FleetCounter>([&](FleetCounter counter) { counters.events[counter] += m_counters.events[counter]; });
         counters.events[FleetCounter::CallsForwarded] = m_forwarder.forwardedCount();
-        counters.replies = m_counters.replies;
+        forEachValue<ControlStatus>([&](ControlStatus status) { counters.replies[status] = m_counters.replies[status] + m_forwarder.replies()[status]; });
         return counters;
     }
 
--- a/tests/fleet_cluster_test.cpp
+++ b/tests/fleet_cluster_test.cpp
@@ -310,4 +310,17 @@
     BOOST_TEST((fleet.stateOf(1) == WorkState::Done));
 }
 
+BOOST_AUTO_TEST_CASE(controlHostCountsTheRepliesToCallsThatItForwarded)
+{
+    Fleet fleet; // Its workers report to host 1.
+    if (fleet.leader() == 1U) {
+        fleet.kill(1);
+        BOOST_REQUIRE(fleet.runUntil(10s, [&] { return fleet.leader().has_value(); }));
+        fleet.restart(1);
+    }
+    fleet.run(3s);
+    BOOST_REQUIRE(fleet.leader() != 1U);
+    BOOST_TEST(fleet.control(1).counters().replies[ControlStatus::Ok] > 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
