--- a/src/control_node.h
+++ b/src/control_node.h
@@ -2,7 +2,9 @@
 
 #include "call_forwarder.h"
 #include "call_relay.h"
+#include "config_distributor.h"
 #include "job_report.h"
+#include "log_formation.h"
 #include "replica.h"
 #include "work_planner.h"
 #include "worker_dispatcher.h"
@@ -30,8 +32,8 @@
         , m_replica({ options.settings.self, options.log ? options.log->incarnation : options.incarnation }, replicaOptions(options), options.now)
         , m_dispatcher(options.settings)
         , m_planner(options.settings.remoteFactor)
+        , m_formation(options.settings.mayForm && !options.log)
     {
-        m_isForming = options.settings.mayForm && !options.log;
         if (options.log)
             m_replica.restore(options.now, std::move(*options.log));
     }
@@ -102,12 +104,6 @@
         bool mayHaveRun = false; ///< Whether an earlier attempt may have had an effect, so that it can't be refused.
     };
 
-    /// Configuration last sent to an entry host over its current connection.
-    struct SentConfig {
-        uint64_t version = 0;
-        Time at {};
-    };
-
     struct PendingProposal {
         uint64_t term = 0;
         std::optional<ReplyTarget> reply;
@@ -150,7 +146,7 @@
     void handle(FleetStep& step, const FleetPeerDown& event)
     {
         m_connected.erase(event.host);
-        m_sentConfigs.erase(event.host);
+        m_configs.removeHost(event.host);
         m_relay.dropRequester(event.host);
         m_dispatcher.hostDown(step, table(), event.host);
         m_advice.setHosts(adviceHosts());
@@ -203,11 +199,7 @@
         m_regions[from] = hello.region;
         m_dispatcher.hostUp(from, hello.dataCentre, hello.region);
         updateElectionHandicap();
-        if (!m_isForming)
-            return;
-        if (!hello.isEmpty)
-            m_isForming = false;
-        m_emptyHosts[from] = hello.incarnation;
+        m_formation.observe({ from, hello.incarnation }, hello.isEmpty);
         formIfComplete(step);
     }
 
@@ -222,29 +214,13 @@
         m_replica.setElectionDelay(isRegionMajority ? Duration {} : m_replica.electionTimeout() * 2);
     }
 
-    /// Bootstraps the log with the seeds as voters once each of them has reported that it holds no
-    /// state.
     void formIfComplete(FleetStep& step)
     {
-        if (!m_isForming)
+        const auto membership = m_formation.complete(m_settings.seeds, m_replica.self());
+        if (!membership)
             return;
-        Membership membership;
-        for (const HostId seed : m_settings.seeds) {
-            if (seed == m_settings.self) {
-                membership.voters.push_back(m_replica.self());
-                continue;
-            }
-            const auto emptyHost = m_emptyHosts.find(seed);
-            if (emptyHost == m_emptyHosts.end())
-                return;
-            membership.voters.push_back({ seed, emptyHost->second });
-        }
-        m_isForming = false;
-        if (!membership.hasVoter(m_replica.self()))
-            return; // Not a seed: joins as a learner.
-        std::sort(membership.voters.begin(), membership.voters.end());
-        m_replica.form(step.now, membership);
-        step.log(LogEventKind::LogFormed, { { "log", "fleet" }, { "voters", std::to_string(membership.voters.size()) } });
+        m_replica.form(step.now, *membership);
+        step.log(LogEventKind::LogFormed, { { "log", "fleet" }, { "voters", std::to_string(membership->voters.size()) } });
     }
 
     void receive(FleetStep&, HostId, const ControlStatusReport&) { }
@@ -260,22 +236,10 @@
 
     void receive(FleetStep& step, HostId from, const EntryStatusReport& report)
     {
-        m_sentConfigs.try_emplace(from);
+        m_configs.addEntry(from);
         // Only the leader is certain to hold the latest accepted configuration.
         if (m_isLeading && report.configVersion < table().config().version)
-            sendConfig(step, from);
-    }
-
-    /// Sends the configuration in force unless it was sent within `configResendInterval`: a large one
-    /// takes that long on a slow link.
-    void sendConfig(FleetStep& step, HostId entry)
-    {
-        SentConfig& sent = m_sentConfigs[entry];
-        const uint64_t version = table().config().version;
-        if (sent.version == version && step.now < sent.at + config::configResendInterval)
-            return;
-        sent = { version, step.now };
-        step.send(entry, ConfigUpdate { table().config() });
+            m_configs.send(step, from, table().config());
     }
 
     void receive(FleetStep& step, HostId, const ReplicaMessage<WorkTable>& message)
@@ -283,7 +247,8 @@
         if (const auto* reply = std::get_if<AppendReply>(&message.body); reply && m_isLeading)
             step.measure(FleetTimer::AcknowledgementAge, step.now - reply->sentAt);
         m_replica.receive(step.now, message);
-        m_isForming = m_isForming && m_replica.isEmpty();
+        if (!m_replica.isEmpty())
+            m_formation.cancel();
     }
 
     void receive(FleetStep& step, HostId, const AdviceReply& reply)
@@ -600,8 +565,7 @@
         requestPlan();
         const uint64_t version = table().config().version;
         step.log(LogEventKind::RevisionInForce, { { "version", std::to_string(version) } });
-        for (const auto& [entry, sent] : m_sentConfigs)
-            sendConfig(step, entry);
+        m_configs.sendToAll(step, table().config());
     }
 
     void jobsEnded(FleetStep& step, const std::vector<EndedJob>& ended)
@@ -700,11 +664,10 @@
     AdviceClient m_advice;
     WorkPlanner<Policy> m_planner;
     std::set<HostId> m_connected;
-    std::map<HostId, SentConfig> m_sentConfigs;
+    ConfigDistributor m_configs;
     std::set<HostId> m_connectTargets;
     std::optional<Membership> m_connectMembership; ///< From which the targets were taken.
-    bool m_isForming = false;
-    std::map<HostId, uint64_t> m_emptyHosts; ///< Incarnations of the hosts that reported an empty log.
+    LogFormation m_formation;
     std::map<HostId, std::string> m_regions; ///< Regions of the other control hosts, as in their hellos.
     std::map<uint64_t, PendingProposal> m_pending;
     std::set<TaskRef> m_inFlight; ///< Tasks whose placement is proposed but neither committed nor dropped.
