Keep a step's tickets in one array

Plans go through the tickets of every waiting step; as nodes of a map each cost a miss of the cache and its validity another search.

--- a/src/advice_client.h
+++ b/src/advice_client.h
@@ -2,26 +2,51 @@
 
 #include "fleet_events.h"
 
+#include <algorithm>
 #include <map>
 
 namespace eelgrassloft {
 
 /// Cached decisions of the advice service on the workers of one step.
 struct StepAdvice {
+    /// Leave to run the step on a worker.
     struct Ticket {
-        std::string text;
+        WorkerNumber worker;
         Time validUntil {};
+        std::string text;
+
+        bool isValid(Time now) const { return now + config::ticketMargin < validUntil; }
     };
 
-    std::map<WorkerNumber, Ticket> allowed;
+    std::vector<Ticket> tickets; ///< Of the allowed workers, by their number. Plans go through all of them.
     std::set<WorkerNumber> denied;
     bool isQueryPending = false;
 
+    /// The worker's ticket, expired or not; null if the worker is not known to be allowed.
+    const Ticket* ticketFor(WorkerNumber worker) const
+    {
+        const auto position = std::lower_bound(tickets.begin(), tickets.end(), worker, isBefore);
+        return position != tickets.end() && position->worker == worker ? &*position : nullptr;
+    }
+
     bool hasValidTicket(WorkerNumber worker, Time now) const
     {
-        const auto found = allowed.find(worker);
-        return found != allowed.end() && now + config::ticketMargin < found->second.validUntil;
+        const Ticket* ticket = ticketFor(worker);
+        return ticket && ticket->isValid(now);
     }
+
+    void allow(Ticket ticket)
+    {
+        denied.erase(ticket.worker);
+        const auto position = std::lower_bound(tickets.begin(), tickets.end(), ticket.worker, isBefore);
+        if (position != tickets.end() && position->worker == ticket.worker)
+            *position = std::move(ticket);
+        else
+            tickets.insert(position, std::move(ticket));
+    }
+
+private:
+    static bool isBefore(const Ticket& ticket, WorkerNumber worker) { return ticket.worker < worker; }
 };
 
 /// Queries the advice service for the leader and caches the tickets. The service serves one call of
@@ -104,10 +129,8 @@
         const Duration validity = reply.validity > Duration::zero() ? reply.validity : pendingQuery.query.timing.validity;
         for (const AdviceTicket& ticket : reply.allowed) {
             const WorkerNumber worker = table.findWorker(ticket.worker);
-            if (!worker.isValid())
-                continue;
-            advice.denied.erase(worker);
-            advice.allowed[worker] = { ticket.ticket, now + validity };
+            if (worker.isValid())
+                advice.allow({ worker, now + validity, ticket.ticket });
         }
         const double fraction = static_cast<double>(reply.allowed.size()) / static_cast<double>(std::max<size_t>(1, pendingQuery.query.workers.size()));
         double& average = m_allowedFraction.try_emplace(pendingQuery.query.timing.decisionTime, initialFraction).first->second;
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -101,23 +101,24 @@
         return info.pool == queue.service && (step.label.empty() || info.hasLabel(step.label));
     }
 
-    /// Workers that may run the step by pool, label and advice, even if their ticket has expired, and
-    /// for which `isWanted` holds. That is asked first, as it rules out most workers of a full fleet.
+    /// Workers that may run the step by pool, label and advice, and for which `isWanted` holds. It gets
+    /// the worker's ticket, which may have expired; null where the queue needs none. It is asked before
+    /// the labels, as it rules out most workers of a full fleet.
     template <typename Predicate>
     static std::vector<Worker*> allowedWorkers(CapacityView& capacityView, const QueueSpec& queue, const StepSpec& step, const StepAdvice* stepAdvice, Predicate isWanted)
     {
         std::vector<Worker*> allowed;
-        const auto add = [&](Worker& worker) {
-            if (isWanted(worker) && isEligible(worker, queue, step))
+        const auto add = [&](Worker& worker, const StepAdvice::Ticket* ticket) {
+            if (isWanted(worker, ticket) && isEligible(worker, queue, step))
                 allowed.push_back(&worker);
         };
         if (!queue.advice) {
             for (Worker& worker : capacityView.workers())
-                add(worker);
+                add(worker, nullptr);
         } else if (stepAdvice) {
-            for (const auto& [number, ticket] : stepAdvice->allowed) {
-                if (Worker* worker = capacityView.find(number))
-                    add(*worker);
+            for (const StepAdvice::Ticket& ticket : stepAdvice->tickets) {
+                if (Worker* worker = capacityView.find(ticket.worker))
+                    add(*worker, &ticket);
             }
         }
         return allowed;
@@ -130,8 +131,8 @@
         if (!spec.isGang && !capacityView.hasCapacityFor(spec))
             return;
         const StepAdvice* stepAdvice = queue.advice ? advice.find(step.step) : nullptr;
-        std::vector<Worker*> candidates = allowedWorkers(capacityView, queue, spec, stepAdvice, [&](const Worker& worker) {
-            return CapacityView::fits(worker, spec) && (!stepAdvice || stepAdvice->hasValidTicket(worker.view->number, now));
+        std::vector<Worker*> candidates = allowedWorkers(capacityView, queue, spec, stepAdvice, [&](const Worker& worker, const StepAdvice::Ticket* ticket) {
+            return CapacityView::fits(worker, spec) && (!ticket || ticket->isValid(now));
         });
         const size_t placedCount = spec.isGang ? placeGang(plan, capacityView, candidates, step, stepAdvice) : placeEach(plan, capacityView, candidates, step, stepAdvice);
         const size_t maxReserved = std::max(config::maxReservedGangs, capacityView.workers().size() / config::workersPerReservedGang);
@@ -244,7 +245,7 @@
         task.index = index;
         PlannedRun run { { { task, attempt }, worker.view->number }, {} };
         if (stepAdvice)
-            run.ticket = stepAdvice->allowed.at(worker.view->number).text;
+            run.ticket = stepAdvice->ticketFor(worker.view->number)->text;
         plan.runs.push_back(std::move(run));
     }
 
@@ -264,7 +265,7 @@
             const bool isAnswered = stepAdvice && (stepAdvice->denied.count(number) || stepAdvice->hasValidTicket(number, now));
             if (isAnswered)
                 continue;
-            const bool isAllowed = stepAdvice && stepAdvice->allowed.count(worker->view->number);
+            const bool isAllowed = stepAdvice && stepAdvice->ticketFor(worker->view->number);
             expected += static_cast<double>(GangReservation::taskCapacity(worker->freeCapacity, step.spec())) * (isAllowed ? 1 : advice.allowedFraction(*queue.advice));
             query.workers.push_back(number);
             if (query.workers.size() >= config::maxAdviceWorkers || expected >= static_cast<double>(missing) * queryMargin)
@@ -278,7 +279,7 @@
     /// preemptible runs there once all tickets are valid, and queries the missing tickets.
     void reserveForGang(WorkPlan& plan, CapacityView& capacityView, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* stepAdvice, Time now)
     {
-        const std::vector<Worker*> candidates = allowedWorkers(capacityView, queue, step.spec(), stepAdvice, [](const Worker&) { return true; });
+        const std::vector<Worker*> candidates = allowedWorkers(capacityView, queue, step.spec(), stepAdvice, [](const Worker&, const StepAdvice::Ticket*) { return true; });
         std::set<WorkerNumber> ready;
         for (const Worker* worker : candidates) {
             const WorkerNumber number = worker->view->number;
@@ -315,7 +316,7 @@
         AdviceClient::Query query { step.step, {}, *queue.advice, queue.priority };
         for (const Worker* worker : capacityView.byFreeCapacity()) {
             const WorkerNumber number = worker->view->number;
-            const bool isKnown = stepAdvice && (stepAdvice->denied.count(number) || stepAdvice->allowed.count(number));
+            const bool isKnown = stepAdvice && (stepAdvice->denied.count(number) || stepAdvice->ticketFor(number));
             if (isKnown || !isEligible(*worker, queue, step.spec()) || !GangReservation::taskCapacity(worker->view->info.capacity, step.spec()))
                 continue;
             query.workers.push_back(number);
