Count only what is not done as a job's remaining work

Among late jobs those with the least remaining work go first, and all tasks of a step counted as remaining until its last one ended, so that a wide job never came closer to its turn and what it had done was thrown away.

Test first: ReadyStepsTests/largeLateJobIsNotStarvedByWorkThatItHasDone, which fails with the former sum.

--- a/src/queue_policy.h
+++ b/src/queue_policy.h
@@ -14,7 +14,7 @@
     Time objective {}; ///< When the job should be done.
     Time lateLimit {}; ///< When the job's result loses its value to the caller.
     Duration remainingCriticalPath {}; ///< Critical path of the job from this step on.
-    double remainingWork = 0; ///< Estimated processor time of the job from this step on; only compared.
+    double remainingWork = 0; ///< Estimated processor time of the job's tasks from this step on that are not done; only compared.
 
     const StepSpec& spec() const { return job->work.steps[step.step]; }
 };
--- a/src/ready_steps.cpp
+++ b/src/ready_steps.cpp
@@ -112,7 +112,8 @@
         step.remainingCriticalPath = criticalPathLength(job.work, s);
         for (uint32_t later = s; later < job.work.steps.size(); ++later) {
             const StepSpec& other = job.work.steps[later];
-            step.remainingWork += static_cast<double>(other.count) * other.size.processorMillis * static_cast<double>(other.estimate.count());
+            const uint32_t openTasks = other.count - std::min(other.count, occurrence.steps[later].doneCount);
+            step.remainingWork += static_cast<double>(openTasks) * other.size.processorMillis * static_cast<double>(other.estimate.count());
         }
         entry.steps.push_back(std::move(step));
     }
--- a/tests/ready_steps_test.cpp
+++ b/tests/ready_steps_test.cpp
@@ -33,6 +33,7 @@
     {
         StepSpec step;
         step.count = 3;
+        step.size = { 1000, 100, 0 };
         step.estimate = 100ms;
         WorkSpec work { "text", { step, step }, occurrences, {}, period };
         work.steps[1].deps = { 0 };
@@ -96,6 +97,19 @@
     BOOST_TEST(kept.update(table, now + 3s) == 0U);
 }
 
+/// The largest jobs of a class were hardly ever finished once they were late: those with the least
+/// remaining work went first, and what had been done of a job still counted as remaining.
+BOOST_AUTO_TEST_CASE(largeLateJobIsNotStarvedByWorkThatItHasDone)
+{
+    submit(1);
+    kept.update(table, now);
+    const double before = std::get<double>(listOf(kept).front());
+    apply(PlaceRuns { { { { { JobKey { 1 }, 0, 0, 0 }, 1 }, worker } } });
+    apply(RecordRunOutcomes { worker, { { 1, { { JobKey { 1 }, 0, 0, 0 }, 1 }, RunOutcome::Done, {} } } });
+    kept.update(table, now);
+    BOOST_TEST(std::get<double>(listOf(kept).front()) == before * 5 / 6, boost::test_tools::tolerance(1e-9));
+}
+
 BOOST_AUTO_TEST_CASE(copyDoesNotReferToTheOriginalsTable)
 {
     submit(1);
