Let a returned host vote again while commits go on

A control host in the other region had lost its disk 5.2 s before and was back for 4.2 s when the leader's disk was lost and all others lost power: what has to be borne. The returned host had no vote yet, so the two that held everything were no quorum.

Cause: a learner got its vote only at a moment at which it had acknowledged everything committed. While commits go on every few milliseconds, a host 12 ms away never does.

Now a learner has caught up if it completed a round, what was committed when the round began, in less than an election timeout, by the leader's own term (rounds of Ongaro's thesis, 4.2.1). Whoever holds the entry that gives the vote holds all before it. The model has the new condition; model/run holds in the whole state space at its bounds.

Test first: ReplicaTests/returnedHostVotesAgainUnderConstantLoad failed before (no vote within 4 s of a commit every 4 ms).

--- a/model/replica.pml
+++ b/model/replica.pml
@@ -15,7 +15,7 @@
  *
  * Each of these macros removes one guard; model/run checks that a violation is then found:
  *   NO_INCARNATION  a host that lost its state keeps its incarnation and its vote
- *   NO_CATCHUP      a learner becomes a voter before it holds everything committed
+ *   NO_CATCHUP      a learner becomes a voter before it holds what its leader has committed
  *   NO_LEASE_ORDER  a follower may vote for another host before the leader's lease ends
  *   NO_OWN_TERM     an entry of an earlier term is committed by counting replicas
  *   NO_UP_TO_DATE   votes are granted without comparing the logs
@@ -46,7 +46,9 @@
 #ifdef NO_CATCHUP
 #define IS_CAUGHT_UP true
 #else
-#define IS_CAUGHT_UP (MATCH(i, j, incarnation[j]) >= commitLength[i])
+/* The learner holds an entry that the leader has committed in its own term, and so all before it. */
+#define IS_CAUGHT_UP ((MATCH(i, j, incarnation[j]) > 0 && MATCH(i, j, incarnation[j]) <= commitLength[i] && TERM_OF(AT(i, MATCH(i, j, incarnation[j]) - 1)) == term[i]) \
+    || (MATCH(i, j, incarnation[j]) > commitLength[i] && commitLength[i] > 0 && TERM_OF(AT(i, commitLength[i] - 1)) == term[i]))
 #endif
 #ifdef NO_OWN_TERM
 #define IS_OWN_TERM true
--- a/src/replica.h
+++ b/src/replica.h
@@ -630,10 +630,22 @@
         follower.match = std::max(follower.match, reply.index);
         follower.next = std::max(follower.next, follower.match + 1);
         advanceCommit();
+        finishRound(now, follower);
         if (follower.next <= lastIndex() && !m_hasUnsentEntries) // `takeOutput` sends new entries to all members at once.
             sendEntries(now, from);
     }
 
+    /// Ends a member's catch-up round once it holds what was committed when the round began, and begins
+    /// the next (Ongaro's thesis, 4.2.1). Rounds begin after the first commit of the term.
+    void finishRound(Time now, Progress& member)
+    {
+        if (!hasCommittedInTerm() || (member.roundTarget && member.match < member.roundTarget))
+            return;
+        member.isCaughtUp = member.roundTarget && now < member.roundStartedAt + electionTimeout();
+        member.roundTarget = m_commitIndex;
+        member.roundStartedAt = now;
+    }
+
     void advanceCommit()
     {
         std::vector<uint64_t> matches;
@@ -668,7 +680,7 @@
     {
         if (!hasCommittedInTerm() || m_log.membershipIndex() > m_commitIndex)
             return;
-        const MembershipView view { membership(), m_self, m_announced, m_progress, m_commitIndex, m_becameLeaderAt };
+        const MembershipView view { membership(), m_self, m_announced, m_progress, m_commitIndex, m_becameLeaderAt, electionTimeout() };
         if (auto next = nextMembership(view, m_options, now))
             append(now, std::move(*next));
     }
--- a/src/replica_membership.cpp
+++ b/src/replica_membership.cpp
@@ -49,6 +49,14 @@
     return voters < options.targetVoters || (voters == options.targetVoters && unresponsiveVoter(view, now));
 }
 
+/// Whether the learner follows the log by less than an election timeout. While commits go on it never
+/// holds all of them at once: its last acknowledgement is as old as its link and its disk are slow.
+bool hasCaughtUp(const MembershipView& view, Time now, const Member& learner)
+{
+    const MemberProgress progress = view.progressOf(learner);
+    return progress.isCaughtUp && now < progress.roundStartedAt + view.electionTimeout;
+}
+
 /// Promotes the first learner that may vote. It replaces its host's earlier incarnation, which never
 /// votes again.
 bool promoteLearner(const MembershipView& view, const ReplicaOptions& options, Time now, Membership& next)
@@ -56,7 +64,7 @@
     for (auto learner = next.learners.begin(); learner != next.learners.end(); ++learner) {
         const Member member = *learner;
         const bool hasVote = std::any_of(next.voters.begin(), next.voters.end(), [&](const Member& voter) { return voter.host == member.host; });
-        if (view.progressOf(member).match < view.commitIndex || !(hasVote || canBecomeVoter(view, options, now, member.host)))
+        if (!hasCaughtUp(view, now, member) || !(hasVote || canBecomeVoter(view, options, now, member.host)))
             continue;
         next.learners.erase(learner);
         for (Member& voter : next.voters) {
--- a/src/replica_membership.h
+++ b/src/replica_membership.h
@@ -28,6 +28,9 @@
     Time lastAck {}; ///< `sentAt` of the latest acknowledged message.
     Time snapshotSentAt {};
     Time rewoundAt {}; ///< When `next` was last moved back after a rejection.
+    uint64_t roundTarget = 0; ///< Last entry of the current catch-up round: committed when the round began. 0 before the first.
+    Time roundStartedAt {};
+    bool isCaughtUp = false; ///< Whether the last round took less than an election timeout.
 };
 
 /// What a leader's decision on a membership change depends on.
@@ -38,6 +41,7 @@
     const std::map<Member, MemberProgress>& progress;
     uint64_t commitIndex = 0;
     Time becameLeaderAt {};
+    Duration electionTimeout {};
 
     MemberProgress progressOf(const Member& member) const
     {
@@ -47,8 +51,8 @@
 };
 
 /// Returns the membership with one member changed, or nothing where no change is due. A host that
-/// announced a new incarnation becomes a learner. A learner that holds everything committed replaces
-/// its host's earlier incarnation as a voter or becomes an additional voter. An unresponsive voter is
+/// announced a new incarnation becomes a learner. A learner that has caught up replaces its host's
+/// earlier incarnation as a voter or becomes an additional voter. An unresponsive voter is
 /// removed once a learner of another host has been promoted in its place.
 std::optional<Membership> nextMembership(const MembershipView& view, const ReplicaOptions& options, Time now);
 
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -439,6 +439,29 @@
     BOOST_TEST(replica.term() == 0U);
 }
 
+/// A returned host got no vote while commits went on, as it never held all of them at once; with the
+/// next host the log was lost.
+BOOST_AUTO_TEST_CASE(returnedHostVotesAgainUnderConstantLoad)
+{
+    ClusterOptions options = threeHosts({ 0, 1 });
+    options.maxDelay = options.maxSync = 1ms;
+    options.farHosts = { 2 };
+    options.farDelay = 12ms;
+    ReplicaCluster cluster(options);
+    cluster.run(3s);
+    const uint32_t leader = requireLeader(cluster);
+    const uint32_t returned = 2;
+    BOOST_REQUIRE(leader != returned);
+    BOOST_REQUIRE(cluster.crash(returned));
+    uint64_t id = 0;
+    const auto hasVote = [&] { return cluster.replica(leader).membership().hasVoter(cluster.memberOf(returned)); };
+    for (int i = 0; i < 1000 && !hasVote(); ++i) {
+        cluster.propose(++id);
+        cluster.run(4ms);
+    }
+    BOOST_TEST(hasVote());
+}
+
 /// A leader lost its lease while all voters wrote snapshots, although every one of them heard it.
 BOOST_AUTO_TEST_CASE(leaseIsNotLostWhileTheVotersWriteSnapshots)
 {
