Count a host as voting once its membership is committed, in the fake that loses hosts

The fake loses a host only while every host votes under its present incarnation, but read that from a membership that was appended and not committed.

--- a/src/replica.h
+++ b/src/replica.h
@@ -195,6 +195,8 @@
     uint64_t snapshotIndex() const { return m_snapshotIndex; }
     const M& stateMachine() const { return m_stateMachine; }
     const Membership& membership() const { return m_log.membership(); }
+    /// Whether the membership in force is committed: until then a change to it may be lost.
+    bool isMembershipCommitted() const { return m_log.membershipIndex() <= m_commitIndex; }
     bool isEmpty() const { return lastIndex() == 0 && m_state.term == 0; }
     uint64_t electionsStarted() const { return m_electionsStarted; }
     uint64_t electionsWon() const { return m_electionsWon; }
@@ -678,7 +680,7 @@
     /// Appends at most one single-member change, and only once the previous change is committed.
     void changeMembership(Time now)
     {
-        if (!hasCommittedInTerm() || m_log.membershipIndex() > m_commitIndex)
+        if (!hasCommittedInTerm() || !isMembershipCommitted())
             return;
         const MembershipView view { membership(), m_self, m_announced, m_progress, m_commitIndex, m_becameLeaderAt, electionTimeout() };
         if (auto next = nextMembership(view, m_options, now))
--- a/tests/support/replica_cluster.h
+++ b/tests/support/replica_cluster.h
@@ -196,13 +196,16 @@
         return true;
     }
 
-    /// Whether all hosts are up, vote under their present incarnations and lag by at most 64 entries.
+    /// Whether all hosts are up, vote under their present incarnations and lag by at most 64 entries. A
+    /// host votes under a new incarnation once the membership with it is committed.
     bool isFullyReplicated() const
     {
         const auto host = leader();
         if (!host)
             return false;
         const ListReplica& leading = *m_hosts[*host].replica;
+        if (!leading.isMembershipCommitted())
+            return false;
         for (uint32_t i = 0; i < m_hosts.size(); ++i) {
             if (!m_hosts[i].replica || !leading.membership().hasVoter(memberOf(i)))
                 return false;
