--- a/src/io/fleet_task.h
+++ b/src/io/fleet_task.h
@@ -175,8 +175,6 @@
             m_dependencies.log.write("core-delayed", load);
     }
 
-    static std::string millisText(SteadyClock::duration duration) { return std::to_string(duration / std::chrono::milliseconds(1)); }
-
     /// Measures the writes up to `sequence`, which are durable.
     void measureWrites(uint64_t sequence, SteadyClock::time_point now)
     {
--- a/src/io/load_window.h
+++ b/src/io/load_window.h
@@ -7,6 +7,9 @@
 
 namespace eelgrassloft::io {
 
+/// A duration in whole milliseconds, for log lines.
+inline std::string millisText(std::chrono::steady_clock::duration duration) { return std::to_string(duration / std::chrono::milliseconds(1)); }
+
 /// Summarises the load of the core's task over windows of one second. Yields the fields of a log
 /// line for each window in which a duration reached `config::delayToLog`.
 class LoadWindow {
@@ -70,8 +73,6 @@
         return fields;
     }
 
-    static std::string millisText(TimeSpan duration) { return std::to_string(duration / std::chrono::milliseconds(1)); }
-
     TimePoint m_start {};
     EnumArray<FleetTimer, TimeSpan> m_longest;
     EnumArray<FleetEventKind, StepLoad> m_steps;
--- a/src/io/mailbox.h
+++ b/src/io/mailbox.h
@@ -27,6 +27,7 @@
     /// Like `tryPush`, but the message is taken before all that are not urgent.
     bool tryPushUrgent(T message) { return push(m_urgent, std::move(message)); }
 
+    /// Like one of the two above, by the message's urgency.
     bool tryPush(T message, bool isMessageUrgent) { return isMessageUrgent ? tryPushUrgent(std::move(message)) : tryPush(std::move(message)); }
 
     /// Refuses new messages and wakes waiting tasks; queued messages can still be taken.
--- a/src/replica.h
+++ b/src/replica.h
@@ -682,7 +682,7 @@
     {
         if (!hasCommittedInTerm() || !isMembershipCommitted())
             return;
-        const MembershipView view { membership(), m_self, m_announced, m_progress, m_commitIndex, m_becameLeaderAt, electionTimeout() };
+        const MembershipView view { membership(), m_self, m_announced, m_progress, m_becameLeaderAt, electionTimeout() };
         if (auto next = nextMembership(view, m_options, now))
             append(now, std::move(*next));
     }
--- a/src/replica_membership.h
+++ b/src/replica_membership.h
@@ -39,7 +39,6 @@
     Member self;
     const std::map<HostId, uint64_t>& announced; ///< Latest incarnation that each host announced.
     const std::map<Member, MemberProgress>& progress;
-    uint64_t commitIndex = 0;
     Time becameLeaderAt {};
     Duration electionTimeout {};
 
