--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -69,6 +69,7 @@
 // Connections and calls between hosts.
 inline constexpr uint32_t peerProtocolVersion = 1;
 inline constexpr size_t maxFrameBytes = 16UL * 1024 * 1024;
+inline constexpr size_t largeMessageBytes = 256UL * 1024; ///< A message between hosts of at least this size gets a line in the log.
 inline constexpr size_t frameReadBytes = 16UL * 1024; ///< Read at once from a connection between hosts; larger frames take more.
 inline constexpr size_t peerMailboxCapacity = 8192; ///< Messages.
 inline constexpr Duration peerReconnectDelay = 200ms;
--- a/include/eelgrassloft/effects.h
+++ b/include/eelgrassloft/effects.h
@@ -38,6 +38,7 @@
     TimeLeap,
     Draining,
     LogFormed,
+    MembershipChanged,
     IncarnationChanged,
     JobEnded,
     JobAccepted,
@@ -56,7 +57,7 @@
     constexpr NameTable<LogEventKind> table { "leader-changed", "revision-in-force", "change-accepted",
         "change-refused", "upstream-announced", "upstream-leaving", "upstream-set-aside", "worker-joined",
         "worker-lost", "worker-set-aside", "time-leap", "draining",
-        "log-formed", "incarnation-changed", "job-ended", "job-accepted", "call-unanswered", "order-refused",
+        "log-formed", "membership-changed", "incarnation-changed", "job-ended", "job-accepted", "call-unanswered", "order-refused",
         "run-failed", "run-lost", "worker-silent", "worker-back", "advice-unanswered" };
     static_assert(detail::isComplete<LogEventKind>(table));
     return table;
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -164,6 +164,7 @@
         if (m_connectMembership == m_replica.membership())
             return;
         m_connectMembership = m_replica.membership();
+        step.log(LogEventKind::MembershipChanged, { { "log", "fleet" }, { "voters", hostsText(m_connectMembership->voters) }, { "learners", hostsText(m_connectMembership->learners) }, { "lastIndex", std::to_string(m_replica.lastIndex()) } });
         std::set<HostId> hosts(m_settings.seeds.begin(), m_settings.seeds.end());
         for (const auto* list : { &m_replica.membership().voters, &m_replica.membership().learners }) {
             for (const Member& member : *list)
@@ -176,6 +177,14 @@
         step.emit(ConnectHosts { { hosts.begin(), hosts.end() } });
     }
 
+    static std::string hostsText(const std::vector<Member>& members)
+    {
+        std::string text;
+        for (const Member& member : members)
+            text += (text.empty() ? "" : ",") + std::to_string(member.host.value);
+        return text.empty() ? "none" : text;
+    }
+
     ControlStatusReport status() const
     {
         ControlStatusReport report;
--- a/src/io/fleet_peer_network.cpp
+++ b/src/io/fleet_peer_network.cpp
@@ -86,8 +86,18 @@
 void FleetPeerNetwork::send(HostId to, const FleetMessage& message)
 {
     const auto found = m_connections.find(to);
-    if (found != m_connections.end())
-        found->second->outgoing.tryPush(encodeFrame(encode(message)), isUrgent(kindOf(message)));
+    if (found == m_connections.end())
+        return;
+    const std::string payload = encode(message);
+    logIfLarge("large-message-sent", to, payload.size());
+    found->second->outgoing.tryPush(encodeFrame(payload), isUrgent(kindOf(message)));
+}
+
+/// Other messages to the host wait behind a large one.
+void FleetPeerNetwork::logIfLarge(const char* event, HostId host, size_t bytes)
+{
+    if (bytes >= config::largeMessageBytes)
+        m_log.write(event, { { "host", addressText(host) }, { "bytes", std::to_string(bytes) } });
 }
 
 awaitable<void> FleetPeerNetwork::acceptLoop()
@@ -199,6 +209,7 @@
         if (!payload || !connection->isOpen)
             co_return;
         connection->lastReceivedAt = std::chrono::steady_clock::now();
+        logIfLarge("large-message-received", connection->host, payload->size());
         auto message = decoder.decode<FleetMessage>(*payload);
         if (!message) {
             m_log.writeError("link-message-unreadable", decoder.lastError());
--- a/src/io/fleet_peer_network.h
+++ b/src/io/fleet_peer_network.h
@@ -39,6 +39,7 @@
     awaitable<void> closeWhenInactive(std::shared_ptr<Connection> connection);
     bool registerConnection(const std::shared_ptr<Connection>& connection);
     void closeConnection(std::shared_ptr<Connection> connection);
+    void logIfLarge(const char* event, HostId host, size_t bytes);
 
     asio::io_context& m_context;
     HostId m_self;
