--- a/src/replica.h
+++ b/src/replica.h
@@ -587,15 +587,10 @@
     {
         Progress& follower = ensureProgress(member);
         if (follower.next < m_log.firstIndex()) {
-            sendSnapshot(now, member, follower);
+            sendSnapshotOrProbe(now, member, follower);
             return;
         }
-        AppendRequest<M> request;
-        request.term = m_state.term;
-        request.previousIndex = follower.next - 1;
-        request.previousTerm = m_log.termAt(follower.next - 1);
-        request.commitIndex = m_commitIndex;
-        request.sentAt = now;
+        AppendRequest<M> request = requestAfter(now, follower.next - 1);
         const uint64_t window = follower.match + 1 + config::maxInFlightEntries;
         const uint64_t end = std::max(follower.next, std::min({ lastIndex() + 1, follower.next + config::maxEntriesPerAppend, window }));
         for (uint64_t i = follower.next; i < end; ++i)
@@ -604,13 +599,29 @@
         send(member, std::move(request));
     }
 
-    void sendSnapshot(Time now, const Member& member, Progress& follower)
+    AppendRequest<M> requestAfter(Time now, uint64_t previousIndex) const
     {
-        if (now < follower.snapshotSentAt + electionTimeout())
-            return;
-        follower.snapshotSentAt = now;
-        ++m_snapshotsSent;
-        send(member, SnapshotRequest<M> { m_state.term, now, currentSnapshot() });
+        AppendRequest<M> request;
+        request.term = m_state.term;
+        request.previousIndex = previousIndex;
+        request.previousTerm = m_log.termAt(previousIndex);
+        request.commitIndex = m_commitIndex;
+        request.sentAt = now;
+        return request;
+    }
+
+    /// Sends a snapshot, which is a copy of the whole state, to a member that has rejected a message
+    /// sent after the last snapshot. Others may be gone, or the last one may still be on its way.
+    void sendSnapshotOrProbe(Time now, const Member& member, Progress& follower)
+    {
+        if (follower.rejectedAt > follower.snapshotSentAt) {
+            follower.snapshotSentAt = now;
+            ++m_snapshotsSent;
+            send(member, SnapshotRequest<M> { m_state.term, now, currentSnapshot() });
+        } else if (now >= follower.probedAt + m_options.heartbeat) {
+            follower.probedAt = now;
+            send(member, requestAfter(now, lastIndex()));
+        }
     }
 
     void handle(Time now, Member from, const AppendReply& reply)
@@ -620,6 +631,7 @@
         Progress& follower = ensureProgress(from);
         follower.lastAck = std::max(follower.lastAck, reply.sentAt);
         if (!reply.isAccepted) {
+            follower.rejectedAt = std::max(follower.rejectedAt, reply.sentAt);
             // One lost message makes the follower reject all pipelined after it; resend only once for them.
             if (reply.sentAt < follower.rewoundAt)
                 return;
@@ -629,6 +641,8 @@
             return;
         }
         requireInvariant(reply.index <= lastIndex(), "a follower holds no entry that its leader lacks");
+        if (reply.sentAt >= follower.rejectedAt)
+            follower.rejectedAt = {};
         follower.match = std::max(follower.match, reply.index);
         follower.next = std::max(follower.next, follower.match + 1);
         advanceCommit();
--- a/src/replica_membership.h
+++ b/src/replica_membership.h
@@ -27,6 +27,8 @@
     uint64_t next = 1; ///< Next entry to send.
     Time lastAck {}; ///< `sentAt` of the latest acknowledged message.
     Time snapshotSentAt {};
+    Time probedAt {}; ///< When a message without entries last asked what the member lacks.
+    Time rejectedAt {}; ///< `sentAt` of the latest message that the member rejected, unless it has accepted a later one.
     Time rewoundAt {}; ///< When `next` was last moved back after a rejection.
     uint64_t roundTarget = 0; ///< Last entry of the current catch-up round: committed when the round began. 0 before the first.
     Time roundStartedAt {};
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -462,6 +462,42 @@
     BOOST_TEST(hasVote());
 }
 
+/// A leader copied its whole state for a member that is gone at every election timeout.
+BOOST_AUTO_TEST_CASE(leaderCopiesNoStateForAMemberThatIsGone)
+{
+    ReplicaCluster cluster(threeHosts({ 0, 1, 2 }));
+    cluster.run(3s);
+    const uint32_t leader = requireLeader(cluster);
+    const uint32_t gone = (leader + 1) % 3;
+    cluster.apply({ FaultKind::Isolate, gone, 0, 0 });
+    const uint64_t count = config::maxInFlightEntries + 500;
+    proposeMany(cluster, 1, count);
+    cluster.run(20s);
+    BOOST_TEST(cluster.replica(leader).snapshotsSent() == 0U);
+    cluster.heal();
+    cluster.run(3s);
+    BOOST_TEST(cluster.replica(gone).stateMachine().ids.size() == count);
+}
+
+/// Further snapshots followed one that was still on its way, and held up all that came after them.
+BOOST_AUTO_TEST_CASE(snapshotIsNotSentAgainWhileItIsOnItsWay)
+{
+    ClusterOptions options = threeHosts({ 0, 1 });
+    options.maxDelay = options.maxSync = 1ms;
+    options.farHosts = { 2 };
+    ReplicaCluster cluster(options);
+    cluster.run(3s);
+    const uint32_t leader = requireLeader(cluster);
+    const uint32_t returned = 2;
+    BOOST_REQUIRE(leader != returned);
+    proposeMany(cluster, 1, 500);
+    cluster.setFarDelay(cluster.replica(leader).electionTimeout() * 3);
+    BOOST_REQUIRE(cluster.crash(returned));
+    cluster.run(10s);
+    BOOST_TEST(cluster.replica(returned).stateMachine().ids.size() == 500U);
+    BOOST_TEST(cluster.replica(leader).snapshotsSent() == 1U);
+}
+
 /// A leader lost its lease while all voters wrote snapshots, although every one of them heard it.
 BOOST_AUTO_TEST_CASE(leaseIsNotLostWhileTheVotersWriteSnapshots)
 {
--- a/tests/support/replica_cluster.h
+++ b/tests/support/replica_cluster.h
@@ -221,6 +221,7 @@
     uint64_t steps() const { return m_steps; }
     uint64_t messages() const { return m_messages; }
     void setLoss(uint32_t percent) { m_options.lossPercent = percent; }
+    void setFarDelay(Duration delay) { m_options.farDelay = delay; }
     Member memberOf(uint32_t i) const { return { HostId { i }, m_hosts[i].incarnation }; }
 
 private:
