--- a/src/replica.h
+++ b/src/replica.h
@@ -508,19 +508,27 @@
     {
         if (!followLeader(now, from, request.term, request.sentAt))
             return;
-        if (request.snapshot.index > m_commitIndex) {
-            installSnapshot(request.snapshot);
-            m_newSnapshot = request.snapshot;
-            m_firstUnwrittenIndex = noIndex;
-            m_durableIndex = 0;
-            m_pendingWrites.clear();
-            m_truncateFrom = 1;
-            m_output.wasRestored = true;
+        if (m_log.termAt(request.snapshot.index) == request.snapshot.term) {
+            m_commitIndex = std::max(m_commitIndex, request.snapshot.index); // The log holds all of it, and maybe acknowledged entries after it.
+            applyCommitted();
+        } else if (request.snapshot.index > m_commitIndex) {
+            replaceLog(request.snapshot);
         }
         acknowledgeContact(now, from, m_commitIndex, request.sentAt);
         send(from, AppendReply { m_state.term, true, m_commitIndex, request.sentAt }, true);
     }
 
+    void replaceLog(const Snapshot<M>& snapshot)
+    {
+        installSnapshot(snapshot);
+        m_newSnapshot = snapshot;
+        m_firstUnwrittenIndex = noIndex;
+        m_durableIndex = 0;
+        m_pendingWrites.clear();
+        m_truncateFrom = 1;
+        m_output.wasRestored = true;
+    }
+
     // Leader side of replication.
 
     void tickLeader(Time now)
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -462,6 +462,42 @@
     BOOST_TEST(hasVote());
 }
 
+/// A late snapshot took entries away that the member had acknowledged.
+BOOST_AUTO_TEST_CASE(lateSnapshotTakesNoAcknowledgedEntriesAway)
+{
+    const Member self { HostId { 0 }, 1 };
+    const Member leader { HostId { 1 }, 1 };
+    const Member other { HostId { 2 }, 1 };
+    const Membership members { { self, leader, other }, {} };
+    const Time now(1h);
+    Replica<ListMachine> replica(self, {}, now);
+    replica.form(now, members);
+    AppendRequest<ListMachine> request;
+    request.term = 1;
+    request.sentAt = now;
+    for (uint64_t index = 1; index <= 10; ++index)
+        request.entries.push_back({ index, 1, now, ListMachine::Append { index } });
+    replica.receive(now, { leader, self, request });
+    auto output = replica.takeOutput(now);
+    BOOST_REQUIRE(output.write);
+    replica.completeWrites(now, output.write->sequence);
+    BOOST_TEST(std::get<AppendReply>(output.messages.back().message.body).index == 10U);
+
+    Snapshot<ListMachine> snapshot;
+    snapshot.index = 5;
+    snapshot.term = 1;
+    snapshot.at = now;
+    snapshot.membership = members;
+    for (uint64_t id = 1; id <= snapshot.index; ++id)
+        snapshot.stateMachine.ids.push_back(id);
+    replica.receive(now, { leader, self, SnapshotRequest<ListMachine> { 1, now, snapshot } });
+    output = replica.takeOutput(now);
+    BOOST_TEST(replica.lastIndex() == 10U);
+    BOOST_TEST(replica.commitIndex() == 5U);
+    BOOST_TEST(replica.stateMachine().ids.size() == 5U);
+    BOOST_TEST((!output.write || !output.write->truncateFrom));
+}
+
 /// A leader copied its whole state for a member that is gone at every election timeout.
 BOOST_AUTO_TEST_CASE(leaderCopiesNoStateForAMemberThatIsGone)
 {
