Elect first in the region that holds most voters

Callers saw late starts for as long as a leader sat away from most of the voters: each commit waits for the link between regions.

Cause: a host delayed its elections unless its region held a majority of all control hosts it had heard of, with a vote or without. Where these are spread evenly every host delayed them alike: a leader could come from the region with the minority of the voters, and nobody led for two election timeouts more.

Now a host delays them only while another region holds a quorum of the voters, and looks again at each change of the members.

ControlNodeTests/hostInTheRegionOfMostVotersIsElectedFirst and electionIsNotDelayedWhereNoRegionHasAMajority failed before (all three checks).

--- a/src/control_node.h
+++ b/src/control_node.h
@@ -164,6 +164,7 @@
         if (m_connectMembership == m_replica.membership())
             return;
         m_connectMembership = m_replica.membership();
+        updateElectionDelay();
         step.log(LogEventKind::MembershipChanged, { { "log", "fleet" }, { "voters", hostsText(m_connectMembership->voters) }, { "learners", hostsText(m_connectMembership->learners) }, { "lastIndex", std::to_string(m_replica.lastIndex()) } });
         std::set<HostId> hosts(m_settings.seeds.begin(), m_settings.seeds.end());
         for (const auto* list : { &m_replica.membership().voters, &m_replica.membership().learners }) {
@@ -207,20 +208,24 @@
         m_replica.observeMember({ from, hello.incarnation });
         m_regions[from] = hello.region;
         m_dispatcher.hostUp(from, hello.dataCentre, hello.region);
-        updateElectionHandicap();
+        updateElectionDelay();
         m_formation.observe({ from, hello.incarnation }, hello.isEmpty);
         formIfComplete(step);
     }
 
-    /// Delays elections of a host whose region holds no majority: as leader it would wait for the
-    /// link between regions at every commit.
-    void updateElectionHandicap()
+    /// Delays elections of this host while another region holds a majority of the voters: as leader it
+    /// would wait for the link between regions at every commit.
+    void updateElectionDelay()
     {
-        size_t hostsInRegion = 1;
-        for (const auto& [host, region] : m_regions)
-            hostsInRegion += region == m_settings.region;
-        const bool isRegionMajority = hostsInRegion * 2 > m_regions.size() + 1;
-        m_replica.setElectionDelay(isRegionMajority ? Duration {} : m_replica.electionTimeout() * 2);
+        std::map<std::string, size_t> otherRegions; ///< Number of voters by region, as far as these are known.
+        for (const Member& voter : m_replica.membership().voters) {
+            const auto known = m_regions.find(voter.host);
+            if (known != m_regions.end() && known->second != m_settings.region)
+                ++otherRegions[known->second];
+        }
+        const auto hasMajority = [&](const auto& entry) { return entry.second >= m_replica.membership().quorum(); };
+        const bool isMajorityElsewhere = std::any_of(otherRegions.begin(), otherRegions.end(), hasMajority);
+        m_replica.setElectionDelay(isMajorityElsewhere ? m_replica.electionTimeout() * 2 : Duration {});
     }
 
     void formIfComplete(FleetStep& step)
