Let a new leader know how long a voter has been silent

What callers saw: none of their calls was answered any more, for good. A control host was lost and replaced, the leader changed before the replacement had the vote (a delayed leader is enough, no host was lost), and after the time for which the first loss counts the next tolerated loss left the log without a quorum.

Cause: a leader takes a voter for unresponsive 3 s after the start of its own leadership at the earliest. Each change of the leader starts the wait again, so the vote is handed over later than the time after which the loss no longer counts.

Evidence: a simulated log in which losses stop counting by time alone, under constant load, with leaders that are delayed for two election timeouts.

Why this works: each host remembers when it last heard from each member, by the log's messages and by the status messages of the hosts, whoever leads. A new leader counts silence from there, and lets the voters acknowledge for one election timeout first. Of several silent voters the one that has been silent for longest goes.

--- a/src/control_node.h
+++ b/src/control_node.h
@@ -223,7 +223,7 @@
         step.log(LogEventKind::LogFormed, { { "log", "fleet" }, { "voters", std::to_string(membership->voters.size()) } });
     }
 
-    void receive(FleetStep&, HostId, const ControlStatusReport&) { }
+    void receive(FleetStep& step, HostId from, const ControlStatusReport&) { m_replica.observeContact(step.now, from); }
     void receive(FleetStep&, HostId, const ConfigUpdate&) { }
     void receive(FleetStep& step, HostId from, const AdviceRequest& request) { m_relay.call(step, from, request); }
     void receive(FleetStep& step, HostId from, const WorkerCallRequest& request) { m_relay.call(step, from, request); }
--- a/src/replica.h
+++ b/src/replica.h
@@ -67,6 +67,7 @@
         , m_options(std::move(options))
         , m_random(m_options.seed)
         , m_leaderContactTime(now)
+        , m_contacts(now)
     {
         resetElectionDeadline(now);
     }
@@ -109,6 +110,7 @@
     {
         if (message.to != m_self)
             return;
+        m_contacts.hear(now, message.from);
         std::visit([&](const auto& body) { handle(now, message.from, body); }, message.body);
     }
 
@@ -136,11 +138,10 @@
 
     /// Records the incarnation that a host announced. A leader admits new incarnations to the
     /// membership, one change at a time.
-    void observeMember(Member member)
-    {
-        uint64_t& incarnation = m_announced[member.host];
-        incarnation = std::max(incarnation, member.incarnation);
-    }
+    void observeMember(Member member) { m_contacts.announce(member); }
+
+    /// Records that a message other than the log's arrived from a host.
+    void observeContact(Time now, HostId host) { m_contacts.hear(now, host); }
 
     void tick(Time now)
     {
@@ -682,7 +683,7 @@
     {
         if (!hasCommittedInTerm() || !isMembershipCommitted())
             return;
-        const MembershipView view { membership(), m_self, m_announced, m_progress, m_becameLeaderAt, electionTimeout() };
+        const MembershipView view { membership(), m_self, m_contacts, m_progress, m_becameLeaderAt, electionTimeout() };
         if (auto next = nextMembership(view, m_options, now))
             append(now, std::move(*next));
     }
@@ -724,7 +725,7 @@
     bool m_hasUnsentEntries = false;
     std::vector<Member> m_votes;
     std::map<Member, Progress> m_progress;
-    std::map<HostId, uint64_t> m_announced; ///< Latest incarnation that each host announced.
+    HostContacts m_contacts;
     uint64_t m_electionsStarted = 0;
     uint64_t m_electionsWon = 0;
     uint64_t m_snapshotsSent = 0;
--- a/src/replica_membership.cpp
+++ b/src/replica_membership.cpp
@@ -8,7 +8,7 @@
 
 bool admitAnnounced(const MembershipView& view, Membership& next)
 {
-    for (const auto& [host, incarnation] : view.announced) {
+    for (const auto& [host, incarnation] : view.contacts.announced()) {
         const Member announced { host, incarnation };
         if (next.hasVoter(announced) || host == view.self.host)
             continue;
@@ -28,17 +28,27 @@
     return false;
 }
 
-/// A voter that has acknowledged nothing for `config::voterTimeout`, or null. A new leader treats no
-/// voter as unresponsive until it has led for that long.
+/// When the voter last gave a sign of life: an acknowledgement, or before this leadership any message.
+Time silentSince(const MembershipView& view, const Member& voter)
+{
+    return std::max(view.progressOf(voter).lastAck, std::min(view.contacts.lastHeard(voter), view.becameLeaderAt));
+}
+
+/// The voter that has been silent for longest, if that is `config::voterTimeout` or more, or null. A new
+/// leader first gives all voters an election timeout to acknowledge.
 const Member* unresponsiveVoter(const MembershipView& view, Time now)
 {
-    if (now < view.becameLeaderAt + config::voterTimeout)
+    if (now < view.becameLeaderAt + view.electionTimeout)
         return nullptr;
+    const Member* unresponsive = nullptr;
+    Time since = now - config::voterTimeout;
     for (const Member& voter : view.current.voters) {
-        if (voter != view.self && view.progressOf(voter).lastAck + config::voterTimeout < now)
-            return &voter;
+        if (voter == view.self || silentSince(view, voter) >= since)
+            continue;
+        unresponsive = &voter;
+        since = silentSince(view, voter);
     }
-    return nullptr;
+    return unresponsive;
 }
 
 bool canBecomeVoter(const MembershipView& view, const ReplicaOptions& options, Time now, HostId host)
--- a/src/replica_membership.h
+++ b/src/replica_membership.h
@@ -4,6 +4,7 @@
 
 #include "eelgrassloft/config.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 
@@ -33,11 +34,51 @@
     bool isCaughtUp = false; ///< Whether the last round took less than an election timeout.
 };
 
+/// What a member knows of the other hosts apart from the log. It is kept whoever leads, so that a new
+/// leader knows how long a voter has been silent.
+class HostContacts {
+public:
+    explicit HostContacts(Time now)
+        : m_startedAt(now)
+    {
+    }
+
+    void announce(Member member)
+    {
+        uint64_t& incarnation = m_announced[member.host];
+        incarnation = std::max(incarnation, member.incarnation);
+    }
+
+    void hear(Time now, const Member& member) { m_heardAt[member] = now; }
+
+    /// Records contact with the incarnation that the host announced last.
+    void hear(Time now, HostId host)
+    {
+        if (const auto found = m_announced.find(host); found != m_announced.end())
+            hear(now, Member { host, found->second });
+    }
+
+    /// When something was last heard of the member; the start of this process if nothing was.
+    Time lastHeard(const Member& member) const
+    {
+        const auto found = m_heardAt.find(member);
+        return found == m_heardAt.end() ? m_startedAt : found->second;
+    }
+
+    /// Latest incarnation that each host announced.
+    const std::map<HostId, uint64_t>& announced() const { return m_announced; }
+
+private:
+    Time m_startedAt {};
+    std::map<HostId, uint64_t> m_announced;
+    std::map<Member, Time> m_heardAt;
+};
+
 /// What a leader's decision on a membership change depends on.
 struct MembershipView {
     const Membership& current;
     Member self;
-    const std::map<HostId, uint64_t>& announced; ///< Latest incarnation that each host announced.
+    const HostContacts& contacts;
     const std::map<Member, MemberProgress>& progress;
     Time becameLeaderAt {};
     Duration electionTimeout {};
--- a/tests/support/replica_cluster.h
+++ b/tests/support/replica_cluster.h
@@ -54,9 +54,15 @@
     Duration maxDelay = std::chrono::milliseconds(5);
     Duration maxSync = std::chrono::milliseconds(3);
     size_t snapshotThreshold = 64;
+    Duration heartbeat = config::heartbeatPeriod;
     Duration minAppendInterval {};
     std::set<uint32_t> farHosts; ///< Hosts whose messages take `farDelay` longer, both ways.
     Duration farDelay {};
+    uint32_t targetVoters = 0; ///< As in `ReplicaOptions`; 0 where the initial hosts are the voters.
+    bool isOrdered = false; ///< Whether the messages of two hosts arrive in the order in which they were sent.
+    Duration snapshotTransfer {}; ///< Time for which a snapshot occupies the link, with `isOrdered`.
+    Duration snapshotEncoding {}; ///< Time for which the sender of a snapshot does nothing else.
+    Duration snapshotSync {}; ///< Added to the sync of a write with a snapshot.
 };
 
 /// Simulates the replicas of one log in virtual time, with message delays and losses, disks and
@@ -93,6 +99,8 @@
         while (m_now < end) {
             m_now = std::min(end, nextTime());
             deliverDue();
+            if (m_now >= m_nextStatus)
+                exchangeStatus();
             for (uint32_t i = 0; i < m_hosts.size(); ++i) {
                 Host& host = m_hosts[i];
                 if (host.replica && !isPaused(i) && m_now >= host.replica->nextDeadline()) {
@@ -196,6 +204,46 @@
         return true;
     }
 
+    /// Ends a host's process; unsynced writes are lost, as with the host's power.
+    void stop(uint32_t i)
+    {
+        Host& host = m_hosts[i];
+        host.replica.reset();
+        host.heldMessages.clear();
+        host.unsyncedWrites.clear();
+        host.pausedUntil = {};
+        std::erase_if(m_inFlight, [&](const auto& delivery) { return delivery.second.to == i || delivery.second.message.from.host.value == i; });
+        std::erase_if(m_linkFreeAt, [&](const auto& link) { return link.first.first == i || link.first.second == i; });
+    }
+
+    /// Starts a stopped host, with an empty disk and a new incarnation unless `keepsDisk`.
+    void start(uint32_t i, bool keepsDisk)
+    {
+        Host& host = m_hosts[i];
+        if (!keepsDisk || !host.disk.incarnation) {
+            host.disk = {};
+            host.incarnation = ++m_nextIncarnation;
+        }
+        ++host.restarts;
+        host.replica.emplace(memberOf(i), replicaOptions(i), m_now);
+        if (host.disk.incarnation)
+            host.replica->restore(m_now, host.disk);
+        for (uint32_t other = 0; other < m_hosts.size(); ++other)
+            announceIncarnations(other);
+    }
+
+    /// Adds a stopped host with an empty disk and returns its number.
+    uint32_t addHost()
+    {
+        m_hosts.emplace_back();
+        return static_cast<uint32_t>(m_hosts.size() - 1);
+    }
+
+    /// Lets a host do nothing for `duration`, as with a full processor.
+    void pause(uint32_t i, Duration duration) { m_hosts[i].pausedUntil = std::max(m_hosts[i].pausedUntil, m_now + duration); }
+
+    size_t hostCount() const { return m_hosts.size(); }
+
     /// Whether all hosts are up, vote under their present incarnations and lag by at most 64 entries. A
     /// host votes under a new incarnation once the membership with it is committed.
     bool isFullyReplicated() const
@@ -254,7 +302,9 @@
     {
         ReplicaOptions options;
         options.snapshotThreshold = m_options.snapshotThreshold;
+        options.heartbeat = m_options.heartbeat;
         options.minAppendInterval = m_options.minAppendInterval;
+        options.targetVoters = m_options.targetVoters;
         options.seed = m_options.seed * 31 + i + m_hosts[i].restarts * 1000;
         for (uint32_t host = 0; host < m_options.hosts; ++host)
             options.voterHosts.push_back(HostId { host });
@@ -272,6 +322,19 @@
         }
     }
 
+    /// Lets all hosts in contact hear of each other, as their status messages do.
+    void exchangeStatus()
+    {
+        m_nextStatus = m_now + config::fleetStatusPeriod;
+        for (uint32_t i = 0; i < m_hosts.size(); ++i) {
+            for (uint32_t other = 0; other < m_hosts.size(); ++other) {
+                const bool isInContact = m_hosts[i].replica && m_hosts[other].replica && !isPaused(i) && !isPaused(other) && !isPartitioned(i, other);
+                if (i != other && isInContact)
+                    m_hosts[i].replica->observeContact(m_now, HostId { other });
+            }
+        }
+    }
+
     Time nextTime() const
     {
         Time next = m_inFlight.empty() ? never : m_inFlight.begin()->first;
@@ -349,7 +412,8 @@
         auto output = host.replica->takeOutput(m_now);
         if (output.write) {
             const Time earliest = std::max(m_disksStalledUntil, host.unsyncedWrites.empty() ? m_now : host.unsyncedWrites.back().syncedAt);
-            host.unsyncedWrites.push_back({ earliest + randomUpTo(m_options.maxSync), std::move(*output.write) });
+            const Duration extra = output.write->snapshot ? m_options.snapshotSync : Duration {};
+            host.unsyncedWrites.push_back({ earliest + extra + randomUpTo(m_options.maxSync), std::move(*output.write) });
         }
         for (auto& outgoing : output.messages) {
             const bool isHeld = !host.unsyncedWrites.empty() && outgoing.afterWrite >= host.unsyncedWrites.front().write.sequence;
@@ -369,7 +433,17 @@
         if (isPartitioned(from, to) || m_random.below(100) < m_options.lossPercent)
             return;
         const Duration distance = m_options.farHosts.contains(from) || m_options.farHosts.contains(to) ? m_options.farDelay : Duration {};
-        m_inFlight.emplace(m_now + distance + randomUpTo(m_options.maxDelay), InFlight { to, message });
+        Time arrival = m_now + distance + randomUpTo(m_options.maxDelay);
+        if (m_options.isOrdered) {
+            Time& linkFreeAt = m_linkFreeAt[{ from, to }];
+            arrival = std::max(arrival, linkFreeAt);
+            if (std::holds_alternative<SnapshotRequest<Machine>>(message.body)) {
+                pause(from, m_options.snapshotEncoding);
+                arrival += m_options.snapshotTransfer;
+            }
+            linkFreeAt = arrival;
+        }
+        m_inFlight.emplace(arrival, InFlight { to, message });
         if (m_random.below(100) < m_options.duplicatePercent)
             m_inFlight.emplace(m_now + randomUpTo(m_options.maxDelay * 4), InFlight { to, message });
     }
@@ -398,10 +472,12 @@
     ClusterOptions m_options;
     Random m_random;
     Time m_disksStalledUntil {};
+    Time m_nextStatus {};
     Time m_now { std::chrono::hours(1) };
     std::vector<Host> m_hosts;
     uint64_t m_nextIncarnation = 0;
     std::multimap<Time, InFlight> m_inFlight;
+    std::map<std::pair<uint32_t, uint32_t>, Time> m_linkFreeAt; ///< Latest arrival on a link.
     std::set<std::pair<uint32_t, uint32_t>> m_partitions;
     std::map<std::pair<uint64_t, uint64_t>, uint64_t> m_proposed;
     std::map<uint64_t, uint64_t> m_applied;
