--- a/src/replica.h
+++ b/src/replica.h
@@ -587,16 +587,21 @@
     void sendEntries(Time now, const Member& member)
     {
         Progress& follower = ensureProgress(member);
-        if (follower.next < m_log.firstIndex()) {
+        const bool needsSnapshot = follower.next < m_log.firstIndex();
+        if (needsSnapshot && follower.lastAck > follower.snapshotSentAt) {
             sendSnapshot(now, member, follower);
             return;
         }
         AppendRequest<M> request;
         request.term = m_state.term;
-        request.previousIndex = follower.next - 1;
-        request.previousTerm = m_log.termAt(follower.next - 1);
+        request.previousIndex = std::max(follower.next, m_log.firstIndex()) - 1;
+        request.previousTerm = m_log.termAt(request.previousIndex);
         request.commitIndex = m_commitIndex;
         request.sentAt = now;
+        if (needsSnapshot) { // Asks for a sign of life; the member rejects it, as it lacks the entries before.
+            send(member, std::move(request));
+            return;
+        }
         const uint64_t window = follower.match + 1 + config::maxInFlightEntries;
         const uint64_t end = std::max(follower.next, std::min({ lastIndex() + 1, follower.next + config::maxEntriesPerAppend, window }));
         for (uint64_t i = follower.next; i < end; ++i)
@@ -605,13 +610,15 @@
         send(member, std::move(request));
     }
 
+    /// Sends the state, with the entries after it to follow. Messages arrive in order, so the next copy is
+    /// due only to a member that has replied to a message after this one.
     void sendSnapshot(Time now, const Member& member, Progress& follower)
     {
-        if (now < follower.snapshotSentAt + electionTimeout())
-            return;
         follower.snapshotSentAt = now;
         ++m_snapshotsSent;
-        send(member, SnapshotRequest<M> { m_state.term, now, currentSnapshot() });
+        Snapshot<M> snapshot = currentSnapshot();
+        follower.next = snapshot.index + 1;
+        send(member, SnapshotRequest<M> { m_state.term, now, std::move(snapshot) });
     }
 
     void handle(Time now, Member from, const AppendReply& reply)
--- a/tests/replica_losses_test.cpp
+++ b/tests/replica_losses_test.cpp
@@ -225,6 +225,26 @@
     return options;
 }
 
+/// With hosts in two regions, disks under load and a large state.
+ClusterOptions withSlowSnapshots(ClusterOptions options)
+{
+    options.farHosts = { 1, 3 };
+    options.farDelay = 12ms;
+    options.maxSync = 30ms;
+    options.snapshotThreshold = 1000;
+    options.snapshotTransfer = 600ms;
+    options.snapshotEncoding = 100ms;
+    options.snapshotSync = 100ms;
+    return options;
+}
+
+void proposeFor(ReplicaCluster& cluster, Duration duration)
+{
+    uint64_t id = 0;
+    for (const Time end = cluster.now() + duration; cluster.now() < end; cluster.run(5ms))
+        cluster.propose(++id);
+}
+
 void checkLosses(const LossBounds& bounds, ClusterOptions options)
 {
     LossScenario scenario(bounds, std::move(options));
@@ -259,6 +279,43 @@
     BOOST_TEST(membership.voters.size() == 3U);
 }
 
+/// For each host that was gone the leader copied the whole state in every election timeout.
+BOOST_AUTO_TEST_CASE(stateIsNotCopiedForAHostThatIsGone)
+{
+    ReplicaCluster cluster(fleetOptions(smallFleet, 1));
+    cluster.run(3s);
+    const uint32_t leader = cluster.leader().value();
+    const uint32_t gone = (leader + 1) % smallFleet.hosts;
+    cluster.stop(gone);
+    proposeFor(cluster, 20s);
+    BOOST_TEST(cluster.replica(leader).snapshotIndex() > 0U);
+    BOOST_TEST(cluster.replica(leader).snapshotsSent() <= 1U);
+    cluster.start(gone, true);
+    proposeFor(cluster, 1s);
+    BOOST_TEST(cluster.replica(leader).snapshotsSent() <= 2U);
+    BOOST_TEST(cluster.replica(gone).commitIndex() + 64 > cluster.replica(leader).commitIndex());
+}
+
+/// A snapshot that was longer under way than an election timeout was sent again and again, and the
+/// entries after it waited behind all of the copies.
+BOOST_AUTO_TEST_CASE(hostWithoutItsDiskVotesAgainThoughASnapshotTakesLong)
+{
+    ClusterOptions options = fleetOptions(smallFleet, 1);
+    options.snapshotTransfer = 1s;
+    options.snapshotThreshold = 1000;
+    ReplicaCluster cluster(options);
+    cluster.run(3s);
+    proposeFor(cluster, 6s);
+    const uint32_t leader = cluster.leader().value();
+    const uint32_t wiped = (leader + 1) % smallFleet.hosts;
+    cluster.stop(wiped);
+    proposeFor(cluster, 1s);
+    cluster.start(wiped, false);
+    proposeFor(cluster, smallFleet.catchUp);
+    BOOST_TEST(cluster.replica(leader).snapshotsSent() == 1U);
+    BOOST_TEST(cluster.replica(leader).membership().hasVoter(cluster.memberOf(wiped)));
+}
+
 RC_BOOST_PROP(smallFleetRecoversFromToleratedLosses, ())
 {
     checkLosses(smallFleet, fleetOptions(smallFleet, *rc::gen::resize(100, rc::gen::arbitrary<uint32_t>())));
@@ -269,4 +326,14 @@
     checkLosses(largeFleet, fleetOptions(largeFleet, *rc::gen::resize(100, rc::gen::arbitrary<uint32_t>())));
 }
 
+RC_BOOST_PROP(smallFleetRecoversThoughSnapshotsTakeLong, ())
+{
+    checkLosses(smallFleet, withSlowSnapshots(fleetOptions(smallFleet, *rc::gen::resize(100, rc::gen::arbitrary<uint32_t>()))));
+}
+
+RC_BOOST_PROP(largeFleetRecoversThoughSnapshotsTakeLong, ())
+{
+    checkLosses(largeFleet, withSlowSnapshots(fleetOptions(largeFleet, *rc::gen::resize(100, rc::gen::arbitrary<uint32_t>()))));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/replica_cluster.h
+++ b/tests/support/replica_cluster.h
@@ -279,6 +279,7 @@
     };
 
     struct UnsyncedWrite {
+        Time startsAt {};
         Time syncedAt {};
         LogWrite<Machine> write;
     };
@@ -411,9 +412,7 @@
         Host& host = m_hosts[i];
         auto output = host.replica->takeOutput(m_now);
         if (output.write) {
-            const Time earliest = std::max(m_disksStalledUntil, host.unsyncedWrites.empty() ? m_now : host.unsyncedWrites.back().syncedAt);
-            const Duration extra = output.write->snapshot ? m_options.snapshotSync : Duration {};
-            host.unsyncedWrites.push_back({ earliest + extra + randomUpTo(m_options.maxSync), std::move(*output.write) });
+            addWrite(host, std::move(*output.write));
         }
         for (auto& outgoing : output.messages) {
             const bool isHeld = !host.unsyncedWrites.empty() && outgoing.afterWrite >= host.unsyncedWrites.front().write.sequence;
@@ -426,6 +425,17 @@
             recordApplied(*host.replica, applied);
     }
 
+    /// Writes that arrive during a sync share the next one.
+    void addWrite(Host& host, LogWrite<Machine> write)
+    {
+        const Duration sync = randomUpTo(m_options.maxSync) + (write.snapshot ? m_options.snapshotSync : Duration {});
+        const UnsyncedWrite* last = host.unsyncedWrites.empty() ? nullptr : &host.unsyncedWrites.back();
+        const Time startsAt = last ? std::max(m_now, last->startsAt > m_now ? last->startsAt : last->syncedAt) : m_now;
+        const bool isShared = last && last->startsAt > m_now;
+        const Time syncedAt = std::max(m_disksStalledUntil, startsAt + sync);
+        host.unsyncedWrites.push_back({ startsAt, isShared ? std::max(last->syncedAt, syncedAt) : syncedAt, std::move(write) });
+    }
+
     void transmit(uint32_t from, const ReplicaMessage<Machine>& message)
     {
         const uint32_t to = message.to.host.value;
