--- a/tests/file_log_test.cpp
+++ b/tests/file_log_test.cpp
@@ -14,8 +14,8 @@
 namespace {
 
 struct TemporaryFolder {
-    TemporaryFolder()
-        : path(fs::temp_directory_path() / ("eelgrassloft-test-" + std::to_string(::getpid())))
+    explicit TemporaryFolder(const std::string& suffix = "")
+        : path(fs::temp_directory_path() / ("eelgrassloft-test-" + std::to_string(::getpid()) + suffix))
     {
         fs::remove_all(path);
     }
@@ -193,6 +193,40 @@
     BOOST_TEST((indexesOf(*restored) == Indexes { 3, 4, 5 }));
 }
 
+/// Until the folder is synced again, a power loss may bring back each removed segment by itself.
+BOOST_AUTO_TEST_CASE(removedSegmentsThatComeBackChangeNothing)
+{
+    const auto writeTwice = [&](LogWrite<ListMachine> first, LogWrite<ListMachine> second, uint64_t term) {
+        FileLog<ListMachine> log(path);
+        log.restore();
+        first.state = HardState { term, { HostId { 2 }, 7 } };
+        BOOST_REQUIRE(log.write(42, { std::move(first) }));
+        BOOST_REQUIRE(log.write(42, { std::move(second) }));
+    };
+    writeTwice(writeOf(1, { 1, 2, 3, 4, 5, 6 }), writeOf(2, { 4, 5 }, 4), 1);
+    writeTwice(writeOf(1, { 5, 6, 7 }, 5), writeOf(2, { 8, 9 }), 2);
+    writeTwice(writeOf(1, { 7, 8 }, 7), writeOf(2, { 9 }), 3);
+    const TemporaryFolder removed("removed");
+    fs::copy(path, removed.path);
+    auto last = writeOf(2, { 10, 11 }, 10);
+    last.snapshot = Snapshot<ListMachine> { 9, 3, Time {}, {}, { { 10, 20, 30, 40, 50, 60, 70, 80, 90 } } };
+    writeTwice(writeOf(1, {}), std::move(last), 4);
+    constexpr int removedCount = 3;
+    for (int kept = 0; kept < 1 << removedCount; ++kept) {
+        for (int number = 1; number <= removedCount; ++number) {
+            fs::remove(segment(number));
+            if (kept >> (number - 1) & 1)
+                fs::copy(removed.segment(number), segment(number));
+        }
+        FileLog<ListMachine> reopened(path);
+        const auto restored = reopened.restore();
+        BOOST_REQUIRE_MESSAGE(restored.has_value(), reopened.lastError().text());
+        BOOST_TEST((indexesOf(*restored) == Indexes { 10, 11 }));
+        BOOST_TEST(restored->snapshot->index == 9U);
+        BOOST_TEST(restored->state.term == 4U);
+    }
+}
+
 /// A batch with entries, a snapshot that does not cover them and more entries goes to two segments.
 /// A power loss leaves a gap if the first is not synced before the second is started.
 BOOST_AUTO_TEST_CASE(aPowerLossAfterASnapshotLeavesNoGap)
--- a/tests/replica_losses_test.cpp
+++ b/tests/replica_losses_test.cpp
@@ -40,7 +40,7 @@
     {
         for (const Time end = m_cluster.now() + duration; m_cluster.now() < end;) {
             run(std::chrono::milliseconds(m_random.below(2500)));
-            switch (m_random.below(6)) {
+            switch (m_random.below(7)) {
             case 0:
             case 1:
                 changeLeader();
@@ -51,6 +51,9 @@
             case 3:
                 loseHost(false);
                 break;
+            case 4:
+                splitHosts();
+                break;
             default:
                 replaceHost();
             }
@@ -157,6 +160,23 @@
         return host;
     }
 
+    /// Splits the hosts into halves for a while in which none is lost. A split alone counts as no loss.
+    void splitHosts()
+    {
+        if (lostCount())
+            return;
+        note("split", m_inUse.front());
+        const size_t half = m_inUse.size() / 2;
+        for (size_t i = 0; i < half; ++i) {
+            for (size_t other = half; other < m_inUse.size(); ++other)
+                m_cluster.partition(m_inUse[i], m_inUse[other]);
+        }
+        run(500ms + std::chrono::milliseconds(m_random.below(5000)));
+        m_cluster.heal();
+        note("heal", m_inUse.front());
+        run(std::chrono::milliseconds(m_random.below(2) * 1000));
+    }
+
     void loseHost(bool keepsDisk)
     {
         if (const auto host = stopHost()) {
--- a/tests/support/replica_cluster.h
+++ b/tests/support/replica_cluster.h
@@ -170,6 +170,8 @@
         }
     }
 
+    void partition(uint32_t a, uint32_t b) { m_partitions.insert({ a, b }); }
+
     void heal()
     {
         m_partitions.clear();
