Write a line each second on what the leader does and where work waits

The log said which workers were unresponsive and which steps were slow, but not what work waited for: nothing told calls that are sent again, plans, advice, capacity and responses of workers apart. The leader now writes one line a second (leader-summary) with the calls it handled and how many of them were repeated, its plans and placements, the advice calls in progress, the waiting tasks by priority and lateness, and the states of workers and runs. It decides nothing.

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -157,6 +157,7 @@
 inline constexpr size_t fleetMailboxCapacity = 65536; ///< Messages.
 inline constexpr size_t maxMessagesBeforeYield = 16; ///< Handled by the core's task before it lets connections be read.
 inline constexpr Duration delayToLog = 50ms; ///< A second in which something of the core's task took this long gets a line in the log.
+inline constexpr Duration leaderSummaryPeriod = 1s; ///< Between two lines of the log that summarise what the leader does.
 inline constexpr Duration slowStepThreshold = 20ms; ///< A longer step of the core's task is logged.
 inline constexpr size_t fleetSnapshotThresholdEntries = 4096; ///< Entries between snapshots, each of which copies the whole state.
 
--- a/src/advice_client.h
+++ b/src/advice_client.h
@@ -144,6 +144,9 @@
         return std::max(minFraction, found == m_allowedFraction.end() ? initialFraction : found->second);
     }
 
+    size_t pendingCount() const { return m_pendingQueries.size(); }
+    size_t hostCount() const { return m_hosts.size(); }
+
     /// Drops calls past their deadline. Returns their number.
     size_t tick(Time now)
     {
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -4,6 +4,7 @@
 #include "call_relay.h"
 #include "config_distributor.h"
 #include "job_report.h"
+#include "leader_summary.h"
 #include "log_formation.h"
 #include "replica.h"
 #include "work_planner.h"
@@ -290,6 +291,7 @@
         const ReplyTarget reply { call.origin, from, call.number };
         const HostId leader = m_replica.leader().host;
         if (m_isLeading) {
+            m_summary.countCall(call.origin, call.number);
             process(step, reply, call.request);
         } else if (call.hops == 0 && leader.isValid() && m_connected.count(leader)) {
             ForwardedCall next = call;
@@ -472,6 +474,7 @@
             m_advice.clear();
             m_planner.clear();
             m_inFlight.clear();
+            m_summary.clear();
             requestPlan();
         }
         if (isLeading != m_isLeading) {
@@ -635,6 +638,9 @@
             }
         }
         m_counters.add(FleetCounter::RunsPreempted, plan.preemptions.size());
+        m_summary.countPlan(plan.examinedJobs, plan.runs.size(), plan.preemptions.size());
+        if (m_summary.isDue(step.now))
+            m_summary.write(step, table(), m_dispatcher, m_planner.readySteps(), m_advice);
         for (const RunPlacement& victim : plan.preemptions)
             m_dispatcher.stopRun(step.now, victim.worker, victim.run);
         for (const AdviceClient::Query& query : plan.queries) {
@@ -679,6 +685,7 @@
     uint64_t m_dispatcherTerm = 0; ///< Term in which the dispatcher runs; 0 while this host is not the leader.
     bool m_isLeading = false; ///< Whether this host is the leader and holds a valid lease.
     FleetCounters m_counters;
+    LeaderSummary m_summary;
 };
 
 extern template class ControlNode<>;
--- /dev/null
+++ b/src/leader_summary.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "advice_client.h"
+#include "ready_steps.h"
+#include "worker_dispatcher.h"
+
+namespace eelgrassloft {
+
+/// Counts what the leader does, and writes a line with the counts and the state of the fleet once a
+/// second. It shows where work waits: for the commit of calls, advice, workers or their responses.
+class LeaderSummary {
+public:
+    void countCall(HostId origin, uint64_t number)
+    {
+        ++m_calls;
+        const std::pair<HostId, uint64_t> call { origin, number };
+        if (m_previousCalls.count(call) || !m_currentCalls.insert(call).second)
+            ++m_repeatedCalls;
+    }
+
+    void countPlan(size_t examinedJobs, size_t placements, size_t preemptions)
+    {
+        ++m_plans;
+        m_examinedJobs += examinedJobs;
+        m_placements += placements;
+        m_preemptions += preemptions;
+    }
+
+    /// Starts anew, for a new term of leadership.
+    void clear() { *this = {}; }
+
+    bool isDue(Time now) const { return now >= m_next; }
+
+    /// Writes the line and starts the next second.
+    void write(FleetStep& step, const WorkTable& table, const WorkerDispatcher& dispatcher, const ReadySteps& ready, const AdviceClient& advice)
+    {
+        std::vector<LogField> fields { { "calls", std::to_string(m_calls) }, { "repeated", std::to_string(m_repeatedCalls) }, { "plans", std::to_string(m_plans) },
+            { "examined", std::to_string(m_examinedJobs) }, { "placed", std::to_string(m_placements) }, { "preempted", std::to_string(m_preemptions) },
+            { "openJobs", std::to_string(table.openJobs().size()) }, { "adviceCalls", std::to_string(advice.pendingCount()) }, { "adviceHosts", std::to_string(advice.hostCount()) } };
+        addWaiting(fields, ready, step.now);
+        addWorkers(fields, dispatcher, step.now);
+        step.log(LogEventKind::LeaderSummary, std::move(fields));
+        m_previousCalls = std::exchange(m_currentCalls, {});
+        m_calls = m_repeatedCalls = m_plans = m_examinedJobs = m_placements = m_preemptions = 0;
+        m_next = step.now + config::leaderSummaryPeriod;
+    }
+
+private:
+    static constexpr size_t shownPriorities = 4; // The last one includes all that follow.
+
+    /// Number of waiting tasks, by priority, as in-time/late/past-limit.
+    static void addWaiting(std::vector<LogField>& fields, const ReadySteps& ready, Time now)
+    {
+        std::array<std::array<size_t, 3>, shownPriorities> waiting {};
+        ready.forEach([&](const ReadyStep& step) {
+            const Time earliest = now + step.remainingCriticalPath;
+            const size_t lateness = earliest > step.lateLimit ? 2 : earliest > step.objective ? 1
+                                                                                              : 0;
+            waiting[std::min<size_t>(step.job->queue.priority, shownPriorities - 1)][lateness] += step.waiting.size();
+        });
+        constexpr std::array<std::string_view, shownPriorities> keys { "waiting0", "waiting1", "waiting2", "waiting3" };
+        for (size_t i = 0; i < shownPriorities; ++i)
+            fields.push_back({ keys[i], std::to_string(waiting[i][0]) + "/" + std::to_string(waiting[i][1]) + "/" + std::to_string(waiting[i][2]) });
+    }
+
+    static void addWorkers(std::vector<LogField>& fields, const WorkerDispatcher& dispatcher, Time now)
+    {
+        EnumArray<RunPhase, size_t> runs;
+        size_t accepting = 0, unsynced = 0, unresponsive = 0, unansweredStart = 0, quarantined = 0, onProbation = 0, stopping = 0;
+        uint64_t capacity = 0, used = 0, capacityMiB = 0, usedMiB = 0;
+        for (const auto& [number, view] : dispatcher.workerViews()) {
+            unsynced += !view.isSynced;
+            unresponsive += view.isUnresponsive;
+            unansweredStart += view.hasUnansweredStart;
+            quarantined += now < view.quarantinedUntil;
+            onProbation += view.isOnProbation;
+            for (const auto& [run, runView] : view.runs) {
+                ++runs[runView.phase];
+                stopping += runView.isStopRequested;
+            }
+            if (!view.acceptsPlacements(now))
+                continue;
+            ++accepting;
+            capacity += view.info.capacity.processorMillis;
+            used += view.used.processorMillis;
+            capacityMiB += view.info.capacity.memoryMiB;
+            usedMiB += view.used.memoryMiB;
+        }
+        const auto add = [&](std::string_view key, uint64_t value) { fields.push_back({ key, std::to_string(value) }); };
+        add("workers", dispatcher.workerViews().size());
+        add("accepting", accepting);
+        add("unsynced", unsynced);
+        add("silent", unresponsive);
+        add("unansweredStart", unansweredStart);
+        add("quarantined", quarantined);
+        add("onProbation", onProbation);
+        add("usedPercent", capacity ? used * 100 / capacity : 0);
+        add("usedMemoryPercent", capacityMiB ? usedMiB * 100 / capacityMiB : 0);
+        add("reserved", runs[RunPhase::Reserved]);
+        add("starting", runs[RunPhase::Starting]);
+        add("running", runs[RunPhase::Running]);
+        add("stopping", stopping);
+    }
+
+    Time m_next {};
+    std::set<std::pair<HostId, uint64_t>> m_currentCalls; ///< Forwarded calls of this second.
+    std::set<std::pair<HostId, uint64_t>> m_previousCalls;
+    uint64_t m_calls = 0;
+    uint64_t m_repeatedCalls = 0; ///< Sent more than once by the same host, in this second and the one before.
+    uint64_t m_plans = 0;
+    uint64_t m_examinedJobs = 0;
+    uint64_t m_placements = 0;
+    uint64_t m_preemptions = 0;
+};
+
+} // namespace eelgrassloft
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -60,6 +60,8 @@
     /// Forgets what it knows of the jobs, for a new term of leadership.
     void clear() { m_ready.clear(); }
 
+    const ReadySteps& readySteps() const { return m_ready; }
+
 private:
     using Worker = CapacityView::Worker;
 
