Ask for different workers in the advice queries of one plan

What callers saw: during and long after a burst 4 to 20 of 100 requests were in aim, although the workers were 15 to 50 percent used and the control hosts used less than half of their share.

Cause: all queries of a plan went through the workers in the same order of free capacity, so that each waiting step asked for the same two or three. Of the steps that then held tickets for the same workers the first took all the room, and the others had to ask again in the next plan. With a plan every few milliseconds that hardly shows, as each makes one or two queries. But plans are rarer the more work waits: with 1,500 waiting steps there are ten a second, with 48 queries each. So a backlog itself reduced the rate at which it was served, to 400 tasks a second where the same workers had been served 1,200 before, and the overload outlived its cause.

A query now leaves out the capacity that earlier queries of the plan are expected to use.

--- a/src/capacity_view.cpp
+++ b/src/capacity_view.cpp
@@ -51,6 +51,13 @@
     worker.promised += wanted - taken;
 }
 
+void CapacityView::ask(Worker& worker, const StepSpec& step, double tasks)
+{
+    const Resources size = chargedSize(step);
+    const auto expected = [&](uint32_t amount) { return static_cast<uint32_t>(amount * tasks); };
+    worker.asked += { expected(size.processorMillis), expected(size.memoryMiB), expected(size.accelerators) };
+}
+
 void CapacityView::markReserved(const ReservedWorkers& reserved)
 {
     std::set<WorkerNumber> all;
@@ -79,10 +86,10 @@
     return found != m_numbers.end() && *found == number ? &m_workers[static_cast<size_t>(found - m_numbers.begin())] : nullptr;
 }
 
-const std::vector<const CapacityView::Worker*>& CapacityView::byFreeCapacity()
+const std::vector<CapacityView::Worker*>& CapacityView::byFreeCapacity()
 {
     if (m_byFreeCapacity.empty()) {
-        for (const Worker& worker : m_workers)
+        for (Worker& worker : m_workers)
             m_byFreeCapacity.push_back(&worker);
         std::sort(m_byFreeCapacity.begin(), m_byFreeCapacity.end(), [](const Worker* a, const Worker* b) {
             return a->freeCapacity.processorMillis > b->freeCapacity.processorMillis;
--- a/src/capacity_view.h
+++ b/src/capacity_view.h
@@ -19,6 +19,7 @@
         const WorkerView* view = nullptr;
         Resources freeCapacity;
         Resources promised; ///< Capacity in use that gangs have reserved for when it becomes free.
+        Resources asked; ///< Free capacity that steps are expected to use once their queries of this plan are answered.
         bool isOnProbation = false;
         bool isReserved = false; ///< Whether a gang has a reservation on the worker.
     };
@@ -27,12 +28,16 @@
     /// Returns the worker, or null if nothing may be placed there.
     Worker* find(WorkerNumber number);
     /// Workers by decreasing free capacity, as it was at the first call.
-    const std::vector<const Worker*>& byFreeCapacity();
+    const std::vector<Worker*>& byFreeCapacity();
     /// Takes the capacity of one task. A worker on probation gets no further task in this plan.
     static void allocate(Worker& worker, const StepSpec& step);
     /// Reserves capacity for `tasks` tasks: takes what is free and adds the rest to `promised`.
     static void reserveTasks(Worker& worker, const StepSpec& step, uint32_t tasks);
     static bool fits(const Worker& worker, const StepSpec& step);
+    /// Free capacity that no query of this plan has asked for.
+    static Resources unaskedCapacity(const Worker& worker) { return worker.freeCapacity - componentwiseMin(worker.freeCapacity, worker.asked); }
+    /// Notes that a query asks for the worker, on which `tasks` tasks of the step are expected to start.
+    static void ask(Worker& worker, const StepSpec& step, double tasks);
     /// Whether one task of the step fits on any worker. Remembers sizes that did not fit, as free
     /// capacity only shrinks within a plan.
     bool hasCapacityFor(const StepSpec& step);
@@ -41,7 +46,7 @@
 private:
     std::vector<Worker> m_workers; ///< Sorted by number.
     std::vector<WorkerNumber> m_numbers; ///< Of `m_workers`; a search through these alone stays in the cache.
-    std::vector<const Worker*> m_byFreeCapacity;
+    std::vector<Worker*> m_byFreeCapacity;
     std::vector<Resources> m_rejectedSizes;
 };
 
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -638,7 +638,7 @@
             }
         }
         m_counters.add(FleetCounter::RunsPreempted, plan.preemptions.size());
-        m_summary.countPlan(plan.examinedJobs, plan.runs.size(), plan.preemptions.size());
+        m_summary.countPlan(plan);
         if (m_summary.isDue(step.now))
             m_summary.write(step, table(), m_dispatcher, m_planner.readySteps(), m_advice);
         for (const RunPlacement& victim : plan.preemptions)
--- a/src/leader_summary.h
+++ b/src/leader_summary.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include "advice_client.h"
-#include "ready_steps.h"
-#include "worker_dispatcher.h"
+#include "work_planner.h"
 
 namespace eelgrassloft {
 
@@ -18,12 +16,13 @@
             ++m_repeatedCalls;
     }
 
-    void countPlan(size_t examinedJobs, size_t placements, size_t preemptions)
+    void countPlan(const WorkPlan& plan)
     {
         ++m_plans;
-        m_examinedJobs += examinedJobs;
-        m_placements += placements;
-        m_preemptions += preemptions;
+        m_examinedJobs += plan.examinedJobs;
+        m_queries += plan.queries.size();
+        m_placements += plan.runs.size();
+        m_preemptions += plan.preemptions.size();
     }
 
     /// Starts anew, for a new term of leadership.
@@ -35,13 +34,13 @@
     void write(FleetStep& step, const WorkTable& table, const WorkerDispatcher& dispatcher, const ReadySteps& ready, const AdviceClient& advice)
     {
         std::vector<LogField> fields { { "calls", std::to_string(m_calls) }, { "repeated", std::to_string(m_repeatedCalls) }, { "plans", std::to_string(m_plans) },
-            { "examined", std::to_string(m_examinedJobs) }, { "placed", std::to_string(m_placements) }, { "preempted", std::to_string(m_preemptions) },
+            { "examinedJobs", std::to_string(m_examinedJobs) }, { "queries", std::to_string(m_queries) }, { "placed", std::to_string(m_placements) }, { "preempted", std::to_string(m_preemptions) },
             { "openJobs", std::to_string(table.openJobs().size()) }, { "adviceCalls", std::to_string(advice.pendingCount()) }, { "adviceHosts", std::to_string(advice.hostCount()) } };
         addWaiting(fields, ready, step.now);
         addWorkers(fields, dispatcher, step.now);
         step.log(LogEventKind::LeaderSummary, std::move(fields));
         m_previousCalls = std::exchange(m_currentCalls, {});
-        m_calls = m_repeatedCalls = m_plans = m_examinedJobs = m_placements = m_preemptions = 0;
+        m_calls = m_repeatedCalls = m_plans = m_examinedJobs = m_queries = m_placements = m_preemptions = 0;
         m_next = step.now + config::leaderSummaryPeriod;
     }
 
@@ -109,6 +108,7 @@
     uint64_t m_repeatedCalls = 0; ///< Sent more than once by the same host, in this second and the one before.
     uint64_t m_plans = 0;
     uint64_t m_examinedJobs = 0;
+    uint64_t m_queries = 0;
     uint64_t m_placements = 0;
     uint64_t m_preemptions = 0;
 };
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -252,7 +252,8 @@
     }
 
     /// Queries workers in the order of decreasing free capacity, as many as are expected to yield
-    /// enough allowed ones for the `missing` tasks.
+    /// enough allowed ones for the `missing` tasks. Leaves out capacity that earlier queries of the plan
+    /// asked for: steps that all held tickets for the same workers would not fit there together.
     void planQuery(WorkPlan& plan, CapacityView& capacityView, const AdviceClient& advice, const QueueSpec& queue, const ReadyStep& step,
         const StepAdvice* stepAdvice, size_t missing, Time now) const
     {
@@ -260,15 +261,18 @@
             return;
         AdviceClient::Query query { step.step, {}, *queue.advice, queue.priority };
         double expected = 0;
-        for (const Worker* worker : capacityView.byFreeCapacity()) {
+        for (Worker* worker : capacityView.byFreeCapacity()) {
             const WorkerNumber number = worker->view->number;
-            if (!CapacityView::fits(*worker, step.spec()) || !isEligible(*worker, queue, step.spec()))
+            const uint32_t tasks = GangReservation::taskCapacity(CapacityView::unaskedCapacity(*worker), step.spec());
+            if (!tasks || !isEligible(*worker, queue, step.spec()))
                 continue;
             const bool isAnswered = stepAdvice && (stepAdvice->denied.count(number) || stepAdvice->hasValidTicket(number, now));
             if (isAnswered)
                 continue;
             const bool isAllowed = stepAdvice && stepAdvice->ticketFor(worker->view->number);
-            expected += static_cast<double>(GangReservation::taskCapacity(worker->freeCapacity, step.spec())) * (isAllowed ? 1 : advice.allowedFraction(*queue.advice));
+            const double fraction = isAllowed ? 1 : advice.allowedFraction(*queue.advice);
+            expected += tasks * fraction;
+            CapacityView::ask(*worker, step.spec(), std::min<double>(tasks, static_cast<double>(missing)) * fraction);
             query.workers.push_back(number);
             if (query.workers.size() >= config::maxAdviceWorkers || expected >= static_cast<double>(missing) * queryMargin)
                 break;
--- /dev/null
+++ b/tests/work_planner_test.cpp
@@ -0,0 +1,110 @@
+#include "work_planner.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrassloft;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Time start { 1h };
+constexpr uint32_t tasksPerJob = 3;
+
+/// Idle workers and a queue whose steps need advice, which the test gives.
+struct Fixture {
+    Fixture()
+    {
+        FleetConfig config;
+        config.version = 1;
+        config.queues.push_back({ "queue", "host", "/jobs/", "pool", 0, 4, 2, 400ms, AdviceTiming { 20ms, 1ms, 2500ms } });
+        config.pools.push_back({ "pool" });
+        table.apply(start, SetFleetConfig { config });
+    }
+
+    void addWorkers(uint32_t count)
+    {
+        for (uint32_t i = 0; i < count; ++i) {
+            WorkerInfo info;
+            info.id = "worker-" + std::to_string(i);
+            info.startedAtMs = 1;
+            info.address = "10.0.0." + std::to_string(i) + ":80";
+            info.pool = "pool";
+            info.capacity = { 16000, 32768, 0 };
+            table.apply(start, SetFleetWorker { info });
+        }
+        for (const auto& [number, record] : table.workers()) {
+            WorkerView& view = workerViews[number];
+            view.number = number;
+            view.info = record.info;
+            view.isSynced = true;
+        }
+    }
+
+    void setAdviceHosts(uint32_t count)
+    {
+        std::set<HostId> hosts;
+        for (uint32_t i = 1; i <= count; ++i)
+            hosts.insert(HostId { i });
+        advice.setHosts(hosts);
+    }
+
+    void submit(uint64_t key, bool isGang = false)
+    {
+        StepSpec step;
+        step.count = tasksPerJob;
+        step.size = { 2500, 2000, 0 };
+        step.estimate = 600ms;
+        step.isGang = isGang;
+        table.apply(start, SubmitWork { JobKey { key }, "queue", { "text", { step }, 0, {}, {} } });
+    }
+
+    WorkPlan plan() { return planner.plan(table, workerViews, advice, {}, start); }
+
+    /// Sends the plan's queries and allows every worker that they name.
+    void allowAll(const WorkPlan& plan)
+    {
+        for (const AdviceClient::Query& query : plan.queries) {
+            FleetStep step;
+            step.now = start;
+            advice.sendQuery(step, table, HostId { 1 }, query);
+            const AdviceRequest request = requestOf(step);
+            AdviceReply reply { request.number, true, {}, 2500ms };
+            for (const std::string& worker : request.workers)
+                reply.allowed.push_back({ worker, "ticket" });
+            advice.handleReply(start, table, reply);
+        }
+    }
+
+    static AdviceRequest requestOf(const FleetStep& step)
+    {
+        BOOST_REQUIRE(step.effects.size() == 1U);
+        if (const auto* own = std::get_if<CallAdvice>(&step.effects.front()))
+            return own->request;
+        return std::get<AdviceRequest>(std::get<SendFleetMessage>(step.effects.front()).message);
+    }
+
+    WorkTable table;
+    std::map<WorkerNumber, WorkerView> workerViews;
+    AdviceClient advice;
+    WorkPlanner<DeadlinePolicy> planner { 1 };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(WorkPlannerTests, Fixture)
+
+/// All steps of a plan asked for the same few workers, of which the first steps took all the room.
+BOOST_AUTO_TEST_CASE(idleWorkersStayIdleWhileWaitingStepsAllAskForTheSameOnes)
+{
+    constexpr uint32_t jobs = 20;
+    addWorkers(40);
+    setAdviceHosts(jobs);
+    for (uint64_t key = 1; key <= jobs; ++key)
+        submit(key);
+    const WorkPlan queries = plan();
+    BOOST_TEST(queries.queries.size() == jobs);
+    allowAll(queries);
+    BOOST_TEST(plan().runs.size() == jobs * tasksPerJob);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
