Plan no queries of gangs that no host is free to make

The steps that run at once named 30 workers each in a query, in each plan and for each of them, and the queries beyond the number of free hosts were dropped after they had been put together.

Such a step now waits for a later plan while no host is free.

The test failed before: 100 queries were planned for 5 hosts.

--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -139,7 +139,7 @@
         const size_t placedCount = spec.isGang ? placeGang(plan, capacityView, candidates, step, stepAdvice) : placeEach(plan, capacityView, candidates, step, stepAdvice);
         const size_t maxReserved = std::max(config::maxReservedGangs, capacityView.workers().size() / config::workersPerReservedGang);
         if (spec.isGang && !placedCount && m_reservedGangs[queue.priority] < maxReserved) {
-            reserveForGang(plan, capacityView, queue, step, stepAdvice, now);
+            reserveForGang(plan, capacityView, advice, queue, step, stepAdvice, now);
             return;
         }
         if (queue.advice && placedCount < step.waiting.size() && !(stepAdvice && stepAdvice->isQueryPending))
@@ -283,8 +283,12 @@
 
     /// Reserves workers for a gang that does not fit now, so that later steps don't use them. Stops
     /// preemptible runs there once all tickets are valid, and queries the missing tickets.
-    void reserveForGang(WorkPlan& plan, CapacityView& capacityView, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* stepAdvice, Time now)
+    void reserveForGang(WorkPlan& plan, CapacityView& capacityView, const AdviceClient& advice, const QueueSpec& queue, const ReadyStep& step,
+        const StepAdvice* stepAdvice, Time now)
     {
+        const bool hasFreeHost = queue.advice && advice.canQuery(*queue.advice, config::gangAdviceWorkers, plan.queries.size());
+        if (queue.advice && !hasFreeHost && !stepAdvice)
+            return;
         const std::vector<Worker*> candidates = allowedWorkers(capacityView, queue, step.spec(), stepAdvice, [](const Worker&, const StepAdvice::Ticket*) { return true; });
         std::set<WorkerNumber> ready;
         for (const Worker* worker : candidates) {
@@ -294,7 +298,7 @@
         }
         const bool canQuery = queue.advice && !(stepAdvice && stepAdvice->isQueryPending);
         const GangReservation reservation(candidates, step.spec(), step.job->queue.priority, m_previouslyReserved[step.step], ready);
-        if (!reservation.isPossibleByPreemption() && canQuery && planQueryByCapacity(plan, capacityView, queue, step, stepAdvice))
+        if (!reservation.isPossibleByPreemption() && canQuery && planQueryByCapacity(plan, capacityView, queue, step, stepAdvice, hasFreeHost))
             return;
         if (!reservation.isPossible())
             return;
@@ -310,14 +314,14 @@
             return;
         if (query.workers.empty())
             plan.preemptions.insert(plan.preemptions.end(), reservation.victims().begin(), reservation.victims().end());
-        else if (canQuery)
+        else if (canQuery && hasFreeHost)
             plan.queries.push_back(std::move(query));
     }
 
     /// Queries workers that could run tasks of the gang when empty, in the order of decreasing free
     /// capacity. The more workers are allowed, the sooner all members fit. Returns false if no worker
-    /// is left to query.
-    bool planQueryByCapacity(WorkPlan& plan, CapacityView& capacityView, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* stepAdvice) const
+    /// is left to query. The query waits for a later plan while no host is free for it.
+    bool planQueryByCapacity(WorkPlan& plan, CapacityView& capacityView, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* stepAdvice, bool hasFreeHost) const
     {
         AdviceClient::Query query { step.step, {}, *queue.advice, queue.priority };
         for (const Worker* worker : capacityView.byFreeCapacity()) {
@@ -325,6 +329,8 @@
             const bool isKnown = stepAdvice && (stepAdvice->denied.count(number) || stepAdvice->ticketFor(number));
             if (isKnown || !isEligible(*worker, queue, step.spec()) || !GangReservation::taskCapacity(worker->view->info.capacity, step.spec()))
                 continue;
+            if (!hasFreeHost)
+                return true;
             query.workers.push_back(number);
             if (query.workers.size() >= config::gangAdviceWorkers)
                 break;
--- a/tests/work_planner_test.cpp
+++ b/tests/work_planner_test.cpp
@@ -107,4 +107,15 @@
     BOOST_TEST(plan().runs.size() == jobs * tasksPerJob);
 }
 
+/// The leader's time went to queries of waiting gangs that no host was free to make.
+BOOST_AUTO_TEST_CASE(leaderPlansQueriesOfGangsThatNoHostIsFreeFor)
+{
+    constexpr uint32_t hosts = 5;
+    addWorkers(40);
+    setAdviceHosts(hosts);
+    for (uint64_t key = 1; key <= 100; ++key)
+        submit(key, true);
+    BOOST_TEST(plan().queries.size() == hosts);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
