Space plans by the time that they take, not by the amount of waiting work

Cause: the interval between plans grew with the number of waiting steps times the number of workers, 110 ms for 1,500 steps and 350 workers, while such a plan took 8 ms, as most of its steps are passed over at once. An estimate can be wrong in either direction.

The runtime now tells the core how long it took to do what follows from events, and the next plan waits for three times as long as the last one took. Plans thus take at most a third of the leader's time, however much work waits and however slow the host is.

Both tests failed before: 24 plans a second where 60 are due, and 100 where 9 may be made.

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -131,7 +131,7 @@
 
 // Intervals between the fleet's plans.
 inline constexpr Duration minPlanInterval = 5ms; ///< Between two plans.
-inline constexpr Duration planIntervalPerThousandPairs = 200us; ///< Added to `minPlanInterval` for every 1,000 pairs of a waiting step and a worker.
+inline constexpr int planIntervalFactor = 3; ///< Of the time that a plan takes: plans take at most a third of the leader's time.
 
 // Gangs that wait for capacity.
 inline constexpr size_t maxReservedGangs = 3; ///< Of one priority, for which workers are reserved at a time.
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -6,6 +6,7 @@
 #include "job_report.h"
 #include "leader_summary.h"
 #include "log_formation.h"
+#include "plan_pacer.h"
 #include "replica.h"
 #include "work_planner.h"
 #include "worker_dispatcher.h"
@@ -57,11 +58,14 @@
         return std::move(step.effects);
     }
 
+    /// Notes how long the last `finish` took with its effects.
+    void didFinish(Duration took) { m_planPacer.didFinish(m_lastStep, took); }
+
     Time nextDeadline() const
     {
         Time next = std::min({ m_replica.nextDeadline(), m_forwarder.nextDeadline(), m_nextStatus });
         if (m_isLeading)
-            next = std::min({ next, m_dispatcher.nextDeadline(), m_advice.nextDeadline(), m_nextPlan });
+            next = std::min({ next, m_dispatcher.nextDeadline(), m_advice.nextDeadline(), m_planPacer.nextDeadline() });
         return std::max(next, m_lastStep);
     }
 
@@ -255,7 +259,7 @@
     void receive(FleetStep& step, HostId, const AdviceReply& reply)
     {
         m_advice.handleReply(step.now, table(), reply);
-        requestPlan();
+        m_planPacer.request();
     }
 
     void handle(FleetStep& step, const AdviceReplyReceived& event)
@@ -271,7 +275,7 @@
         if (m_relay.handleResponse(step, event.call, event.response))
             return;
         m_dispatcher.handleResponse(step, table(), event.call, event.response);
-        requestPlan();
+        m_planPacer.request();
     }
 
     // Calls.
@@ -475,7 +479,7 @@
             m_planner.clear();
             m_inFlight.clear();
             m_summary.clear();
-            requestPlan();
+            m_planPacer.request();
         }
         if (isLeading != m_isLeading) {
             m_isLeading = isLeading;
@@ -540,7 +544,7 @@
 
     void didApply(FleetStep& step, const SubmitWork& command, const Applied& applied)
     {
-        requestPlan();
+        m_planPacer.request();
         if (applied.result.status != WorkStatus::Applied)
             return;
         m_counters.add(FleetCounter::JobsAccepted);
@@ -550,8 +554,8 @@
             step.measure(FleetTimer::SubmitToCommit, step.now - pending->second.proposedAt);
     }
 
-    void didApply(FleetStep&, const PlaceRuns&, const Applied&) { requestPlan(); }
-    void didApply(FleetStep&, const RequeueLostRuns&, const Applied&) { requestPlan(); }
+    void didApply(FleetStep&, const PlaceRuns&, const Applied&) { m_planPacer.request(); }
+    void didApply(FleetStep&, const RequeueLostRuns&, const Applied&) { m_planPacer.request(); }
     void didApply(FleetStep& step, const CancelWork&, const Applied& applied) { jobsEnded(step, applied.result.ended); }
     void didApply(FleetStep& step, const SetFleetWorker&, const Applied&) { updateWorkers(step); }
     void didApply(FleetStep& step, const RemoveFleetWorker&, const Applied&) { updateWorkers(step); }
@@ -559,13 +563,13 @@
     void didApply(FleetStep& step, const RecordRunOutcomes& command, const Applied& applied)
     {
         m_dispatcher.didRecordEnds(command.worker, step.now);
-        requestPlan();
+        m_planPacer.request();
         jobsEnded(step, applied.result.ended);
     }
 
     void didApply(FleetStep& step, const SetFleetConfig&, const Applied&)
     {
-        requestPlan();
+        m_planPacer.request();
         const uint64_t version = table().config().version;
         step.log(LogEventKind::RevisionInForce, { { "version", std::to_string(version) } });
         m_configs.sendToAll(step, table().config());
@@ -576,7 +580,7 @@
         for (const EndedJob& summary : ended) {
             m_advice.forget(summary.key);
             m_dispatcher.forget(summary.key);
-            requestPlan();
+            m_planPacer.request();
             const WorkJob* job = table().job(summary.key);
             if (!job)
                 continue;
@@ -589,7 +593,7 @@
     void updateWorkers(FleetStep& step)
     {
         m_dispatcher.updateWorkers(table(), step.now);
-        requestPlan();
+        m_planPacer.request();
     }
 
     // Leading.
@@ -602,7 +606,7 @@
         }
         m_dispatcher.tick(step, table());
         proposeDispatcherCommands(step);
-        if (step.now >= m_nextPlan)
+        if (m_planPacer.isDue(step.now))
             plan(step);
         flush(step);
     }
@@ -621,13 +625,11 @@
 
     void plan(FleetStep& step)
     {
-        m_lastPlan = step.now;
-        m_nextPlan = step.now + config::idlePlanPeriod / 5;
+        m_planPacer.begin(step.now);
         WorkPlan plan = m_planner.plan(table(), m_dispatcher.workerViews(), m_advice, m_inFlight, step.now);
         m_counters.add(FleetCounter::Plans);
         m_counters.add(FleetCounter::JobsExamined, plan.examinedJobs);
-        m_planInterval = config::minPlanInterval + config::planIntervalPerThousandPairs * static_cast<Duration::rep>(plan.waitingSteps * m_dispatcher.workerViews().size() / 1000);
-        m_nextPlan = std::min(m_nextPlan, plan.nextDue);
+        m_planPacer.planBy(plan.nextDue);
         PlaceRuns command;
         for (const PlannedRun& run : plan.runs)
             command.placements.push_back(run.placement);
@@ -651,8 +653,6 @@
         }
     }
 
-    void requestPlan() { m_nextPlan = std::min(m_nextPlan, m_lastPlan + m_planInterval); }
-
     void tickStatus(FleetStep& step)
     {
         if (step.now < m_nextStatus)
@@ -679,9 +679,7 @@
     std::set<TaskRef> m_inFlight; ///< Tasks whose placement is proposed but neither committed nor dropped.
     Time m_lastStep {};
     Time m_nextStatus {};
-    Time m_nextPlan = never;
-    Time m_lastPlan {};
-    Duration m_planInterval = config::minPlanInterval; ///< Minimum time between plans; grows with the cost of a plan.
+    PlanPacer m_planPacer;
     uint64_t m_dispatcherTerm = 0; ///< Term in which the dispatcher runs; 0 while this host is not the leader.
     bool m_isLeading = false; ///< Whether this host is the leader and holds a valid lease.
     FleetCounters m_counters;
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -17,6 +17,7 @@
 
     std::vector<FleetEffect> receive(Time now, const FleetEvent& event);
     std::vector<FleetEffect> finish(Time now);
+    void didFinish(Duration) { }
     Time nextDeadline() const { return std::min(m_forwarder.nextDeadline(), m_nextStatus); }
 
     FleetCounters counters() const
--- a/src/io/fleet_task.h
+++ b/src/io/fleet_task.h
@@ -14,7 +14,7 @@
 namespace eelgrassloft::io {
 
 /// Core of a fleet host: turns events into effects, without input or output of its own. It takes in
-/// events one by one; `finish` then does what follows from all of them.
+/// events one by one; `finish` then does what follows from all of them. It is told how long that took.
 template <typename T>
 concept FleetNode = requires(T node, const T constNode, Time now, const FleetEvent& event)
 {
@@ -24,6 +24,7 @@
     {
         node.finish(now)
         } -> std::same_as<std::vector<FleetEffect>>;
+    node.didFinish(Duration {});
     {
         constNode.nextDeadline()
         } -> std::same_as<Time>;
@@ -147,6 +148,7 @@
     {
         const auto startedAt = SteadyClock::now();
         perform(FleetEventKind::Tick, startedAt, m_node.finish(m_clock.now()));
+        m_node.didFinish(std::chrono::duration_cast<Duration>(SteadyClock::now() - startedAt));
     }
 
     /// Carries out the effects of a step that began at `startedAt`.
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -21,7 +21,6 @@
     std::vector<PlannedRun> runs;
     std::vector<RunPlacement> preemptions; ///< Runs to stop in favour of a gang.
     std::vector<AdviceClient::Query> queries;
-    size_t waitingSteps = 0;
     size_t examinedJobs = 0; ///< Jobs whose tasks were gone through.
     Time nextDue = never; ///< When the next occurrence of a job becomes due.
 };
@@ -44,7 +43,6 @@
         plan.nextDue = m_ready.nextDue();
         std::deque<ReadyStep> partlyInFlight;
         const auto steps = sortedSteps(inFlight, partlyInFlight, now);
-        plan.waitingSteps = steps.size();
         CapacityView capacityView(workerViews, now);
         capacityView.markReserved(m_reserved);
         m_previouslyReserved = std::exchange(m_reserved, {});
--- a/tests/fleet_cluster_test.cpp
+++ b/tests/fleet_cluster_test.cpp
@@ -53,6 +53,27 @@
     }
 };
 
+/// Plans per second while `waiting` jobs that fit nowhere wait and another one arrives every 10 ms.
+uint64_t plansPerSecond(Fleet& fleet, uint64_t waiting)
+{
+    const auto submit = [&](uint64_t key) {
+        SubmitJob job = jobOf(key, 1);
+        job.work.work.steps.front().size.processorMillis = 20000;
+        fleet.call(job);
+    };
+    for (uint64_t key = 1; key <= waiting; ++key)
+        submit(key);
+    fleet.run(2s);
+    BOOST_TEST(fleet.table().openJobs().size() == waiting);
+    const auto plans = [&] { return fleet.control(*fleet.leader()).counters().events[FleetCounter::Plans]; };
+    const uint64_t before = plans();
+    for (uint64_t i = 1; i <= 100; ++i) {
+        submit(waiting + i);
+        fleet.run(10ms);
+    }
+    return plans() - before;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(FleetClusterTests)
@@ -323,4 +344,23 @@
     BOOST_TEST(fleet.control(1).counters().replies[ControlStatus::Ok] > 0U);
 }
 
+/// The more work waited the fewer plans were made, though most of it cost a plan hardly any time, so
+/// that a backlog reduced the rate at which it was served.
+BOOST_AUTO_TEST_CASE(backlogMakesPlansRareThoughTheyTakeNoTime)
+{
+    Fleet::Options options;
+    options.workers = 120;
+    Fleet fleet(options);
+    BOOST_TEST(plansPerSecond(fleet, 1500) >= 60U);
+}
+
+/// Calls waited in the leader's mailbox for seconds, as plans took nearly all of its time.
+BOOST_AUTO_TEST_CASE(callsWaitWhilePlansTakeAllOfTheLeadersTime)
+{
+    Fleet::Options options;
+    options.stepDuration = 40ms;
+    Fleet fleet(options);
+    BOOST_TEST(plansPerSecond(fleet, 10) <= 1s / (options.stepDuration * config::planIntervalFactor) + 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/fleet_cluster.h
+++ b/tests/support/fleet_cluster.h
@@ -23,6 +23,7 @@
         bool hasAdvice = false;
         uint32_t noResponsePercent = 0; ///< Percentage of the orders that get no response and are carried out late.
         Duration maxOrderDelay {}; ///< Maximum delay of such orders.
+        Duration stepDuration {}; ///< How long a control host takes to do what follows from events, as it is told; time does not pass.
         uint32_t dataCentres = 1; ///< Number of data centres, over which workers and control hosts are spread.
     };
 
@@ -259,7 +260,7 @@
             if (host.value == entryId)
                 perform(host, m_entry.finish(m_now));
             else if (m_controls.at(host.value).node)
-                perform(host, m_controls.at(host.value).node->finish(m_now));
+                finishControl(host.value);
         }
     }
 
@@ -267,8 +268,18 @@
 
     void stepControl(uint32_t id, const FleetEvent& event)
     {
-        if (m_controls.at(id).node)
-            perform(HostId { id }, stepNode(*m_controls.at(id).node, m_now, event));
+        if (!m_controls.at(id).node)
+            return;
+        perform(HostId { id }, m_controls.at(id).node->receive(m_now, event));
+        finishControl(id);
+    }
+
+    void finishControl(uint32_t id)
+    {
+        ControlNode<>& node = *m_controls.at(id).node;
+        std::vector<FleetEffect> effects = node.finish(m_now);
+        node.didFinish(m_options.stepDuration);
+        perform(HostId { id }, std::move(effects));
     }
 
     void perform(HostId from, std::vector<FleetEffect> effects)
