--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -132,7 +132,7 @@
 
 // Intervals between the fleet's plans.
 inline constexpr Duration minPlanInterval = 5ms; ///< Between two plans.
-inline constexpr Duration planIntervalPerThousandPairs = 200us; ///< Added to `minPlanInterval` for every 1,000 pairs of a waiting step and a worker.
+inline constexpr int planIntervalFactor = 3; ///< Of the time that a plan takes: plans take at most a third of the leader's time.
 
 // Gangs that wait for capacity.
 inline constexpr size_t maxReservedGangs = 3; ///< Of one priority, for which workers are reserved at a time.
@@ -158,6 +158,7 @@
 inline constexpr size_t fleetMailboxCapacity = 65536; ///< Messages.
 inline constexpr size_t maxMessagesBeforeYield = 16; ///< Handled by the core's task before it lets connections be read.
 inline constexpr Duration delayToLog = 50ms; ///< A second in which something of the core's task took this long gets a line in the log.
+inline constexpr Duration leaderSummaryPeriod = 1s; ///< Between two lines of the log that summarise what the leader does.
 inline constexpr Duration slowStepThreshold = 20ms; ///< A longer step of the core's task is logged.
 inline constexpr size_t fleetSnapshotThresholdEntries = 4096; ///< Entries between snapshots, each of which copies the whole state.
 
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -4,7 +4,9 @@
 #include "call_relay.h"
 #include "config_distributor.h"
 #include "job_report.h"
+#include "leader_summary.h"
 #include "log_formation.h"
+#include "plan_pacer.h"
 #include "replica.h"
 #include "work_planner.h"
 #include "worker_dispatcher.h"
@@ -56,11 +58,14 @@
         return std::move(step.effects);
     }
 
+    /// Notes how long the last `finish` took with its effects.
+    void didFinish(Duration took) { m_planPacer.didFinish(m_lastStep, took); }
+
     Time nextDeadline() const
     {
         Time next = std::min({ m_replica.nextDeadline(), m_forwarder.nextDeadline(), m_nextStatus });
         if (m_isLeading)
-            next = std::min({ next, m_dispatcher.nextDeadline(), m_advice.nextDeadline(), m_nextPlan });
+            next = std::min({ next, m_dispatcher.nextDeadline(), m_advice.nextDeadline(), m_planPacer.nextDeadline() });
         return std::max(next, m_lastStep);
     }
 
@@ -268,7 +273,7 @@
     void receive(FleetStep& step, HostId, const AdviceReply& reply)
     {
         m_advice.handleReply(step.now, table(), reply);
-        requestPlan();
+        m_planPacer.request();
     }
 
     void handle(FleetStep& step, const AdviceReplyReceived& event)
@@ -284,7 +289,7 @@
         if (m_relay.handleResponse(step, event.call, event.response))
             return;
         m_dispatcher.handleResponse(step, table(), event.call, event.response);
-        requestPlan();
+        m_planPacer.request();
     }
 
     // Calls.
@@ -304,6 +309,7 @@
         const ReplyTarget reply { call.origin, from, call.number };
         const HostId leader = m_replica.leader().host;
         if (m_isLeading) {
+            m_summary.countCall(call.origin, call.number);
             process(step, reply, call.request);
         } else if (call.hops == 0 && leader.isValid() && m_connected.count(leader)) {
             ForwardedCall next = call;
@@ -486,7 +492,8 @@
             m_advice.clear();
             m_planner.clear();
             m_inFlight.clear();
-            requestPlan();
+            m_summary.clear();
+            m_planPacer.request();
         }
         if (isLeading != m_isLeading) {
             m_isLeading = isLeading;
@@ -551,7 +558,7 @@
 
     void didApply(FleetStep& step, const SubmitWork& command, const Applied& applied)
     {
-        requestPlan();
+        m_planPacer.request();
         if (applied.result.status != WorkStatus::Applied)
             return;
         m_counters.add(FleetCounter::JobsAccepted);
@@ -561,8 +568,8 @@
             step.measure(FleetTimer::SubmitToCommit, step.now - pending->second.proposedAt);
     }
 
-    void didApply(FleetStep&, const PlaceRuns&, const Applied&) { requestPlan(); }
-    void didApply(FleetStep&, const RequeueLostRuns&, const Applied&) { requestPlan(); }
+    void didApply(FleetStep&, const PlaceRuns&, const Applied&) { m_planPacer.request(); }
+    void didApply(FleetStep&, const RequeueLostRuns&, const Applied&) { m_planPacer.request(); }
     void didApply(FleetStep& step, const CancelWork&, const Applied& applied) { jobsEnded(step, applied.result.ended); }
     void didApply(FleetStep& step, const SetFleetWorker&, const Applied&) { updateWorkers(step); }
     void didApply(FleetStep& step, const RemoveFleetWorker&, const Applied&) { updateWorkers(step); }
@@ -570,13 +577,13 @@
     void didApply(FleetStep& step, const RecordRunOutcomes& command, const Applied& applied)
     {
         m_dispatcher.didRecordEnds(command.worker, step.now);
-        requestPlan();
+        m_planPacer.request();
         jobsEnded(step, applied.result.ended);
     }
 
     void didApply(FleetStep& step, const SetFleetConfig&, const Applied&)
     {
-        requestPlan();
+        m_planPacer.request();
         const uint64_t version = table().config().version;
         step.log(LogEventKind::RevisionInForce, { { "version", std::to_string(version) } });
         m_configs.sendToAll(step, table().config());
@@ -587,7 +594,7 @@
         for (const EndedJob& summary : ended) {
             m_advice.forget(summary.key);
             m_dispatcher.forget(summary.key);
-            requestPlan();
+            m_planPacer.request();
             const WorkJob* job = table().job(summary.key);
             if (!job)
                 continue;
@@ -600,7 +607,7 @@
     void updateWorkers(FleetStep& step)
     {
         m_dispatcher.updateWorkers(table(), step.now);
-        requestPlan();
+        m_planPacer.request();
     }
 
     // Leading.
@@ -613,7 +620,7 @@
         }
         m_dispatcher.tick(step, table());
         proposeDispatcherCommands(step);
-        if (step.now >= m_nextPlan)
+        if (m_planPacer.isDue(step.now))
             plan(step);
         flush(step);
     }
@@ -632,13 +639,11 @@
 
     void plan(FleetStep& step)
     {
-        m_lastPlan = step.now;
-        m_nextPlan = step.now + config::idlePlanPeriod / 5;
+        m_planPacer.begin(step.now);
         WorkPlan plan = m_planner.plan(table(), m_dispatcher.workerViews(), m_advice, m_inFlight, step.now);
         m_counters.add(FleetCounter::Plans);
         m_counters.add(FleetCounter::JobsExamined, plan.examinedJobs);
-        m_planInterval = config::minPlanInterval + config::planIntervalPerThousandPairs * static_cast<Duration::rep>(plan.waitingSteps * m_dispatcher.workerViews().size() / 1000);
-        m_nextPlan = std::min(m_nextPlan, plan.nextDue);
+        m_planPacer.planBy(plan.nextDue);
         PlaceRuns command;
         for (const PlannedRun& run : plan.runs)
             command.placements.push_back(run.placement);
@@ -649,6 +654,9 @@
             }
         }
         m_counters.add(FleetCounter::RunsPreempted, plan.preemptions.size());
+        m_summary.countPlan(plan);
+        if (m_summary.isDue(step.now))
+            m_summary.write(step, table(), m_dispatcher, m_planner.readySteps(), m_advice);
         for (const RunPlacement& victim : plan.preemptions)
             m_dispatcher.stopRun(step.now, victim.worker, victim.run);
         for (const AdviceClient::Query& query : plan.queries) {
@@ -659,8 +667,6 @@
         }
     }
 
-    void requestPlan() { m_nextPlan = std::min(m_nextPlan, m_lastPlan + m_planInterval); }
-
     void tickStatus(FleetStep& step)
     {
         if (step.now < m_nextStatus)
@@ -687,12 +693,11 @@
     std::set<TaskRef> m_inFlight; ///< Tasks whose placement is proposed but neither committed nor dropped.
     Time m_lastStep {};
     Time m_nextStatus {};
-    Time m_nextPlan = never;
-    Time m_lastPlan {};
-    Duration m_planInterval = config::minPlanInterval; ///< Minimum time between plans; grows with the cost of a plan.
+    PlanPacer m_planPacer;
     uint64_t m_dispatcherTerm = 0; ///< Term in which the dispatcher runs; 0 while this host is not the leader.
     bool m_isLeading = false; ///< Whether this host is the leader and holds a valid lease.
     FleetCounters m_counters;
+    LeaderSummary m_summary;
 };
 
 extern template class ControlNode<>;
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -21,7 +21,6 @@
     std::vector<PlannedRun> runs;
     std::vector<RunPlacement> preemptions; ///< Runs to stop in favour of a gang.
     std::vector<AdviceClient::Query> queries;
-    size_t waitingSteps = 0;
     size_t examinedJobs = 0; ///< Jobs whose tasks were gone through.
     Time nextDue = never; ///< When the next occurrence of a job becomes due.
 };
@@ -44,7 +43,6 @@
         plan.nextDue = m_ready.nextDue();
         std::deque<ReadyStep> partlyInFlight;
         const auto steps = sortedSteps(inFlight, partlyInFlight, now);
-        plan.waitingSteps = steps.size();
         CapacityView capacityView(workerViews, now);
         capacityView.markReserved(m_reserved);
         m_previouslyReserved = std::exchange(m_reserved, {});
@@ -60,6 +58,8 @@
     /// Forgets what it knows of the jobs, for a new term of leadership.
     void clear() { m_ready.clear(); }
 
+    const ReadySteps& readySteps() const { return m_ready; }
+
 private:
     using Worker = CapacityView::Worker;
 
@@ -137,7 +137,7 @@
         const size_t placedCount = spec.isGang ? placeGang(plan, capacityView, candidates, step, stepAdvice) : placeEach(plan, capacityView, candidates, step, stepAdvice);
         const size_t maxReserved = std::max(config::maxReservedGangs, capacityView.workers().size() / config::workersPerReservedGang);
         if (spec.isGang && !placedCount && m_reservedGangs[queue.priority] < maxReserved) {
-            reserveForGang(plan, capacityView, queue, step, stepAdvice, now);
+            reserveForGang(plan, capacityView, advice, queue, step, stepAdvice, now);
             return;
         }
         if (queue.advice && placedCount < step.waiting.size() && !(stepAdvice && stepAdvice->isQueryPending))
@@ -250,7 +250,8 @@
     }
 
     /// Queries workers in the order of decreasing free capacity, as many as are expected to yield
-    /// enough allowed ones for the `missing` tasks.
+    /// enough allowed ones for the `missing` tasks. Leaves out capacity that earlier queries of the plan
+    /// asked for: steps that all held tickets for the same workers would not fit there together.
     void planQuery(WorkPlan& plan, CapacityView& capacityView, const AdviceClient& advice, const QueueSpec& queue, const ReadyStep& step,
         const StepAdvice* stepAdvice, size_t missing, Time now) const
     {
@@ -258,15 +259,18 @@
             return;
         AdviceClient::Query query { step.step, {}, *queue.advice, queue.priority };
         double expected = 0;
-        for (const Worker* worker : capacityView.byFreeCapacity()) {
+        for (Worker* worker : capacityView.byFreeCapacity()) {
             const WorkerNumber number = worker->view->number;
-            if (!CapacityView::fits(*worker, step.spec()) || !isEligible(*worker, queue, step.spec()))
+            const uint32_t tasks = GangReservation::taskCapacity(CapacityView::unaskedCapacity(*worker), step.spec());
+            if (!tasks || !isEligible(*worker, queue, step.spec()))
                 continue;
             const bool isAnswered = stepAdvice && (stepAdvice->denied.count(number) || stepAdvice->hasValidTicket(number, now));
             if (isAnswered)
                 continue;
             const bool isAllowed = stepAdvice && stepAdvice->ticketFor(worker->view->number);
-            expected += static_cast<double>(GangReservation::taskCapacity(worker->freeCapacity, step.spec())) * (isAllowed ? 1 : advice.allowedFraction(*queue.advice));
+            const double fraction = isAllowed ? 1 : advice.allowedFraction(*queue.advice);
+            expected += tasks * fraction;
+            CapacityView::ask(*worker, step.spec(), std::min<double>(tasks, static_cast<double>(missing)) * fraction);
             query.workers.push_back(number);
             if (query.workers.size() >= config::maxAdviceWorkers || expected >= static_cast<double>(missing) * queryMargin)
                 break;
@@ -277,8 +281,12 @@
 
     /// Reserves workers for a gang that does not fit now, so that later steps don't use them. Stops
     /// preemptible runs there once all tickets are valid, and queries the missing tickets.
-    void reserveForGang(WorkPlan& plan, CapacityView& capacityView, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* stepAdvice, Time now)
+    void reserveForGang(WorkPlan& plan, CapacityView& capacityView, const AdviceClient& advice, const QueueSpec& queue, const ReadyStep& step,
+        const StepAdvice* stepAdvice, Time now)
     {
+        const bool hasFreeHost = queue.advice && advice.canQuery(*queue.advice, config::gangAdviceWorkers, plan.queries.size());
+        if (queue.advice && !hasFreeHost && !stepAdvice)
+            return;
         const std::vector<Worker*> candidates = allowedWorkers(capacityView, queue, step.spec(), stepAdvice, [](const Worker&, const StepAdvice::Ticket*) { return true; });
         std::set<WorkerNumber> ready;
         for (const Worker* worker : candidates) {
@@ -288,7 +296,7 @@
         }
         const bool canQuery = queue.advice && !(stepAdvice && stepAdvice->isQueryPending);
         const GangReservation reservation(candidates, step.spec(), step.job->queue.priority, m_previouslyReserved[step.step], ready);
-        if (!reservation.isPossibleByPreemption() && canQuery && planQueryByCapacity(plan, capacityView, queue, step, stepAdvice))
+        if (!reservation.isPossibleByPreemption() && canQuery && planQueryByCapacity(plan, capacityView, queue, step, stepAdvice, hasFreeHost))
             return;
         if (!reservation.isPossible())
             return;
@@ -304,14 +312,14 @@
             return;
         if (query.workers.empty())
             plan.preemptions.insert(plan.preemptions.end(), reservation.victims().begin(), reservation.victims().end());
-        else if (canQuery)
+        else if (canQuery && hasFreeHost)
             plan.queries.push_back(std::move(query));
     }
 
     /// Queries workers that could run tasks of the gang when empty, in the order of decreasing free
     /// capacity. The more workers are allowed, the sooner all members fit. Returns false if no worker
-    /// is left to query.
-    bool planQueryByCapacity(WorkPlan& plan, CapacityView& capacityView, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* stepAdvice) const
+    /// is left to query. The query waits for a later plan while no host is free for it.
+    bool planQueryByCapacity(WorkPlan& plan, CapacityView& capacityView, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* stepAdvice, bool hasFreeHost) const
     {
         AdviceClient::Query query { step.step, {}, *queue.advice, queue.priority };
         for (const Worker* worker : capacityView.byFreeCapacity()) {
@@ -319,6 +327,8 @@
             const bool isKnown = stepAdvice && (stepAdvice->denied.count(number) || stepAdvice->ticketFor(number));
             if (isKnown || !isEligible(*worker, queue, step.spec()) || !GangReservation::taskCapacity(worker->view->info.capacity, step.spec()))
                 continue;
+            if (!hasFreeHost)
+                return true;
             query.workers.push_back(number);
             if (query.workers.size() >= config::gangAdviceWorkers)
                 break;
