Answer requests whose error message quotes unreadable or very long input

What callers saw: a report, a configuration or any other body with bytes that are no UTF-8 got no answer: the connection ended. The host then counted the request as in flight for ever, so that a stopping host waited for it to the end of its grace, and eelgrassd counted the connection as open, until 1024 of them would have shut out everyone. An unknown field named like a position in a list ("[", "[x") did the same at eelgrassd. A body of 1 MiB came back in full in the answer and in one log line each, and error lines had no limit of rate.

Cause: the error message quotes the text that it could not read, and printing it as JSON throws for such bytes. Paths of fields were parsed with stoul. Tasks of connections are detached, so the exception was dropped and the counters were not counted down.

Why this works: `jsonText` replaces such bytes, `boundedText` shortens what is quoted to 300 bytes in answers and log lines, the scanner takes a component for a position only within a list, errors share the limit of 100 lines a second of a kind, and both counters are counted down when their scope ends, however it ends.

The tests were seen failing before: no answer (status 0) to 8 of 8 bodies and 8 requests in flight afterwards; type_error 316 and invalid_argument from stoul; answers of 1,048,696 and 2,097,284 bytes; 1000 log lines with 1,048,700,000 bytes for 1000 errors, now 100 lines a second of at most 1000 bytes. The two tests of nesting passed before: 100,000 levels end no process here.

--- a/src/io/event_log.h
+++ b/src/io/event_log.h
@@ -20,6 +20,7 @@
     void writeError(std::string_view eventName, const Error& error);
 
 private:
+    bool mayWrite(std::string_view eventName);
     void writeLine(std::string_view eventName, const std::vector<LogField>& fields);
 
     log4cxx::LoggerPtr m_logger;
--- a/src/io/http_listener.h
+++ b/src/io/http_listener.h
@@ -2,6 +2,7 @@
 
 #include "io/http_types.h"
 #include "io/listen.h"
+#include "io/scoped_count.h"
 
 #include "eelgrassloft/config.h"
 
@@ -48,6 +49,13 @@
         return std::nullopt;
     }
 
+    /// Port on which it listens; with port 0 in `start`, the one that the system has chosen.
+    uint16_t port() const
+    {
+        error_code ignored;
+        return m_acceptor.local_endpoint(ignored).port();
+    }
+
     /// Closes each connection after its next response.
     void closeConnections() { m_isClosing = true; }
 
@@ -96,7 +104,7 @@
             || (error.category() == http::make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream && error != http::error::partial_message);
         if (error && !isUnreadable)
             co_return false;
-        ++m_inFlight;
+        const ScopedCount inFlight(m_inFlight);
         bool isPersistent = false;
         HttpResponse response;
         if (error) {
@@ -112,7 +120,6 @@
         response.prepare_payload();
         stream.expires_after(config::callerReadTimeout);
         co_await http::async_write(stream, response, asio::redirect_error(use_awaitable, error));
-        --m_inFlight;
         co_return isPersistent && !error;
     }
 
--- a/src/io/http_messages.cpp
+++ b/src/io/http_messages.cpp
@@ -124,16 +124,16 @@
 
 HttpResponse errorResponse(http::status status, const Error& error)
 {
-    const Json body { { "error", name(error.kind) }, { "message", error.message }, { "remedy", error.remedy } };
-    return textResponse(status, body.dump() + "\n", jsonType);
+    const Json body { { "error", name(error.kind) }, { "message", boundedText(error.message) }, { "remedy", error.remedy } };
+    return textResponse(status, jsonText(body) + "\n", jsonType);
 }
 
 HttpResponse refusalResponse(RefusalReason reason, const std::string& detail)
 {
     Json body { { "outcome", name(Outcome::NotRun) }, { "reason", name(reason) }, { "remedy", remedy(reason) } };
     if (!detail.empty())
-        body["message"] = detail;
-    HttpResponse response = textResponse(statusOf(reason), body.dump() + "\n", jsonType);
+        body["message"] = boundedText(detail);
+    HttpResponse response = textResponse(statusOf(reason), jsonText(body) + "\n", jsonType);
     response.set(header::outcome, beastView(name(Outcome::NotRun)));
     response.set(header::reason, beastView(name(reason)));
     return response;
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -4,6 +4,7 @@
 #include "io/http_messages.h"
 #include "io/listen.h"
 #include "io/manifest_json.h"
+#include "io/scoped_count.h"
 
 #include <algorithm>
 #include <charconv>
@@ -117,7 +118,7 @@
 
 awaitable<void> HttpServer::serveConnection(tcp::socket socket)
 {
-    ++m_connectionCount;
+    const ScopedCount connection(m_connectionCount);
     beast::tcp_stream stream(std::move(socket));
     error_code error;
     stream.socket().set_option(tcp::no_delay(true), error);
@@ -131,7 +132,6 @@
         while (co_await serveRequest(stream, buffer)) { }
     }
     stream.socket().shutdown(tcp::socket::shutdown_send, error);
-    --m_connectionCount;
 }
 
 /// Serves one request of a connection. Returns false if the connection is to be closed.
--- a/src/io/json_fields.cpp
+++ b/src/io/json_fields.cpp
@@ -1,12 +1,15 @@
 #include "io/json_fields.h"
 
 #include <algorithm>
+#include <charconv>
 #include <vector>
 
 namespace eelgrassloft::io {
 
 namespace {
 
+constexpr size_t maxQuotedBytes = 300; ///< Enough for a position, a path and the reason.
+
 /// Scans a JSON text that is known to be valid, without building values.
 class JsonScanner {
 public:
@@ -25,11 +28,13 @@
     bool enter(std::string_view component)
     {
         skipWhitespaceAndComments();
-        const bool isIndex = component.front() == '[';
-        size_t remaining = isIndex ? std::stoul(std::string(component.substr(1))) : 0;
-        ++m_offset; // The bracket or brace.
-        while (m_offset < m_text.size()) {
-            skipWhitespaceAndComments();
+        if (m_offset == m_text.size() || (m_text[m_offset] != '[' && m_text[m_offset] != '{'))
+            return false;
+        const bool isIndex = m_text[m_offset++] == '[';
+        size_t remaining = 0;
+        if (isIndex && !parseIndex(component, remaining))
+            return false;
+        while (offset() < m_text.size()) {
             if (m_text[m_offset] == ']' || m_text[m_offset] == '}')
                 return false;
             if (m_text[m_offset] == ',') {
@@ -52,6 +57,13 @@
     }
 
 private:
+    /// Reads the number of a component like `[3`. Names come from the text and may look like anything.
+    static bool parseIndex(std::string_view component, size_t& index)
+    {
+        const auto [end, error] = std::from_chars(component.data() + 1, component.data() + component.size(), index);
+        return component.front() == '[' && error == std::errc() && end == component.data() + component.size();
+    }
+
     void skipWhitespaceAndComments()
     {
         while (m_offset < m_text.size()) {
@@ -119,6 +131,15 @@
 
 } // namespace
 
+std::string jsonText(const Json& json) { return json.dump(-1, ' ', false, Json::error_handler_t::replace); }
+
+std::string boundedText(std::string_view text)
+{
+    if (text.size() <= maxQuotedBytes)
+        return std::string(text);
+    return std::string(text.substr(0, maxQuotedBytes)) + "... (" + std::to_string(text.size()) + " bytes)";
+}
+
 std::string linePosition(std::string_view text, size_t offset)
 {
     const std::string_view before = text.substr(0, std::min(offset, text.size()));
--- a/src/io/json_fields.h
+++ b/src/io/json_fields.h
@@ -16,6 +16,13 @@
 
 using Json = nlohmann::json;
 
+/// Prints a JSON value as one line. Bytes that are no valid UTF-8, as an error message may quote them
+/// from a request, become replacement characters.
+std::string jsonText(const Json& json);
+
+/// Shortens what an error message or a log line quotes from a request, which may be megabytes long.
+std::string boundedText(std::string_view text);
+
 /// Error in a JSON text, with the path of the value. The readers throw it and catch it themselves:
 /// their callers see an `Error`.
 struct JsonError {
