Check the capacity again each time a start is sent

A worker that doesn't guard its capacity was brought over it by starts that were placed before its capacity shrank: placements whose proposal was not committed yet, and starts that were sent again because the first order had no response.

Cause: the capacity was looked at when a task was placed and never again; `Starting` runs were sent whatever the worker had reported since.

Why this works: before each start the resources of all runs that may be active on the worker (running, being stopped, ordered without a response) and of this run must fit its capacity as last reported. If not, a run that was never sent goes back to its queue; one that an earlier order may have started is stopped first, as after a refusal. A run without a size always fits, as the planner finds too, so that no task goes to and fro. While everything fits, which is the usual case, nothing changes. What runs goes on, and what is being stopped counts until its end is listed.

The tests failed before: 3 starts instead of 2 after the shrink; one start sent again and no stop; one start beside a run that was being stopped. `activeRunsGoOnWhenTheCapacityShrinksBelowThem` passed before.

--- a/src/worker_dispatcher.cpp
+++ b/src/worker_dispatcher.cpp
@@ -506,6 +506,8 @@
 void WorkerDispatcher::sendOrders(FleetStep& step, const WorkTable& table, WorkerView& workerView)
 {
     std::vector<TaskRun> lateMembers;
+    std::vector<TaskRun> withoutCapacity;
+    Resources occupied = workerView.occupied();
     const Duration memberStartTimeout = m_settings.gangTimeout - config::orderTimeout;
     for (auto& [run, runView] : workerView.runs) {
         const bool isLateMember = runView.isGang && runView.phase == RunPhase::Starting && !runView.isStopRequested && step.now >= runView.placedAt + memberStartTimeout;
@@ -525,6 +527,11 @@
             runView.isStopRequested = true;
             order.kind = OrderKind::Stop;
         } else {
+            // The worker's capacity may have shrunk since the run was placed.
+            if (!workerView.admitStart(occupied, runView)) {
+                withoutCapacity.push_back(run);
+                continue;
+            }
             const WorkJob& job = *table.job(run.task.job);
             order.kind = OrderKind::Start;
             order.text = job.work.text;
@@ -538,6 +545,12 @@
     }
     for (const TaskRun& run : lateMembers)
         stopGang(table, step.now, run);
+    for (const TaskRun& run : withoutCapacity) {
+        logRun(step, LogEventKind::OrderRefused, workerView, run, "capacity-shrunk");
+        m_counters.add(FleetCounter::StartsWithdrawn);
+        handleRefusedStart(table, workerView, step.now, run);
+        schedule(step.now, workerView.number);
+    }
 }
 
 /// Doesn't extend the lease of an unresponsive worker, as its runs could then never be requeued.
--- a/src/worker_view.h
+++ b/src/worker_view.h
@@ -41,6 +41,9 @@
     bool isGang = false;
     Time nextOrder {};
     Time placedAt {};
+
+    /// Whether the worker may be running it: it was not only placed, but ordered to start.
+    bool mayBeActive() const { return phase == RunPhase::Running || phase == RunPhase::Stopping || isOrderPending || mayStartLate; }
 };
 
 /// Lease of a worker in terms of the worker's and the leader's clock. The worker's steady clock may
@@ -124,6 +127,31 @@
 
     Resources freeCapacity() const { return used.fitsIn(info.capacity) ? info.capacity - used : Resources {}; }
 
+    /// Resources taken by the runs that may be active on the worker.
+    Resources occupied() const
+    {
+        Resources sum;
+        for (const auto& [run, runView] : runs) {
+            if (runView.mayBeActive())
+                sum += chargedSize(runView);
+        }
+        return sum;
+    }
+
+    /// Adds a run to `occupied` if its start keeps that within the capacity that the worker reported
+    /// last. An order sent again must fit as well, as it may be the one that starts the run.
+    bool admitStart(Resources& occupied, const RunView& runView) const
+    {
+        const Resources size = chargedSize(runView);
+        Resources sum = occupied;
+        if (!runView.mayBeActive())
+            sum += size;
+        if (size != Resources {} && !sum.fitsIn(info.capacity))
+            return false;
+        occupied = sum;
+        return true;
+    }
+
     void addRun(const TaskRun& run, RunView runView)
     {
         used += chargedSize(runView);
--- a/tests/support/worker_dispatcher_fixture.h
+++ b/tests/support/worker_dispatcher_fixture.h
@@ -63,6 +63,15 @@
         tick();
     }
 
+    /// The worker reports another capacity.
+    void setCapacity(Resources capacity)
+    {
+        WorkerInfo info = m_table.workers().begin()->second.info;
+        info.capacity = capacity;
+        m_table.apply(m_now, SetFleetWorker { info });
+        m_dispatcher.updateWorkers(m_table, m_now);
+    }
+
     void cancel(uint64_t key)
     {
         m_table.apply(m_now, CancelWork { JobKey { key } });
--- /dev/null
+++ b/tests/worker_capacity_test.cpp
@@ -0,0 +1,86 @@
+#include "support/worker_dispatcher_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrassloft;
+using namespace eelgrassloft::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Number of the starts in flight.
+size_t startsOf(const WorkerDispatcherFixture& fixture) { return fixture.ordersOf(OrderKind::Start).size(); }
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(WorkerCapacityTests)
+
+/// The capacity shrank between the proposal of the placements and their commit.
+BOOST_AUTO_TEST_CASE(placementsThatNoLongerFitAreNotStarted)
+{
+    WorkerDispatcherFixture fixture(3);
+    std::vector<TaskRun> runs;
+    for (uint64_t key = 1; key <= 3; ++key)
+        runs.push_back(fixture.place(key));
+    fixture.setCapacity({ 4000, 32000, 0 }); // Two of the three tasks.
+    fixture.commit();
+    BOOST_TEST(startsOf(fixture) == 2U);
+    BOOST_TEST(fixture.isRequeued(runs[2]));
+    fixture.advance(1ms);
+    BOOST_TEST(startsOf(fixture) == 2U);
+}
+
+/// The order without a response may not have reached the worker, so the next one may start the run.
+BOOST_AUTO_TEST_CASE(startIsNotSentAgainOnceTheCapacityShrank)
+{
+    WorkerDispatcherFixture fixture(2);
+    const TaskRun first = fixture.place(1);
+    const TaskRun second = fixture.place(2);
+    fixture.commit();
+    BOOST_REQUIRE(startsOf(fixture) == 2U);
+    fixture.respond(OrderKind::Start, OrderOutcome::Accepted);
+    fixture.respond(OrderKind::Start, OrderOutcome::NoResponse);
+    fixture.setCapacity({ 3000, 32000, 0 });
+    fixture.advance(config::orderRetryInterval);
+    BOOST_TEST(startsOf(fixture) == 0U);
+    fixture.advance(1ms);
+    BOOST_REQUIRE(fixture.ordersOf(OrderKind::Stop).size() == 1U);
+    BOOST_TEST((fixture.ordersOf(OrderKind::Stop).front().order.run == second));
+    BOOST_TEST(fixture.workerView().runs.count(first) == 1U);
+}
+
+/// What is being stopped takes its room until its end is listed.
+BOOST_AUTO_TEST_CASE(stoppingRunsCountAgainstAShrunkCapacity)
+{
+    WorkerDispatcherFixture fixture(2);
+    fixture.place(1);
+    fixture.commit();
+    fixture.respond(OrderKind::Start, OrderOutcome::Accepted);
+    fixture.cancel(1);
+    fixture.advance(1ms);
+    fixture.respond(OrderKind::Stop, OrderOutcome::Accepted);
+    const TaskRun next = fixture.place(2);
+    fixture.setCapacity({ 2000, 32000, 0 });
+    fixture.commit();
+    BOOST_TEST(startsOf(fixture) == 0U);
+    BOOST_TEST(fixture.isRequeued(next));
+}
+
+BOOST_AUTO_TEST_CASE(activeRunsGoOnWhenTheCapacityShrinksBelowThem)
+{
+    WorkerDispatcherFixture fixture(2);
+    const TaskRun first = fixture.place(1);
+    const TaskRun second = fixture.place(2);
+    fixture.commit();
+    fixture.respond(OrderKind::Start, OrderOutcome::Accepted);
+    fixture.respond(OrderKind::Start, OrderOutcome::Accepted);
+    fixture.setCapacity({ 1000, 1000, 0 });
+    BOOST_TEST((fixture.workerView().freeCapacity() == Resources {}));
+    fixture.advance(1ms);
+    BOOST_TEST(fixture.ordersOf(OrderKind::Stop).empty());
+    BOOST_TEST(fixture.workerView().runs.count(first) + fixture.workerView().runs.count(second) == 2U);
+    fixture.setCapacity({ 16000, 32000, 0 });
+    BOOST_TEST((fixture.workerView().freeCapacity() == Resources { 12000, 30000, 0 }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
