Ignore a worker's report that a later one has overtaken

What callers would see: LIMIT and DRAIN. A report that was held up on its way and arrived after a newer one restored the capacity from before a shrink, or made a worker that is leaving take tasks again, until its next report.

Cause: reports carry a number that rises so that a late one can be told, and the adapter did not read it.

Why this works: the leader keeps the highest number of each incarnation and acknowledges lower ones without using them. The log stores the number with each change, so that a new leader, which knows the capacity from the log only, still tells reports from before that change. A lower number counts again 30 s after the last report in order: a huge number of another writer must not silence a worker for good.

The fleet's log and the messages between hosts have one more member here: as before, all hosts run the same version.

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -125,6 +125,7 @@
 inline constexpr Duration relayBackoff = 3s; ///< Pause before a host that did not answer is asked to relay calls again.
 inline constexpr int minClockRatePercent = 98; ///< Slowest rate of a worker's clock against the leader's.
 inline constexpr Duration ticketMargin = 150ms; ///< A ticket is not used within this time of its expiry.
+inline constexpr Duration maxReportDelay = 30s; ///< A report of a lower number that arrives within this time was overtaken on its way.
 inline constexpr uint32_t failuresToQuarantine = 2; ///< Distinct jobs that failed in a row on a worker.
 inline constexpr Duration quarantineDuration = 5s; ///< Afterwards the worker is on probation: one failure quarantines it again.
 inline constexpr Duration stuckRunTimeout = 1200ms; ///< Time without progress of a stuck run; even the longest runs gain one percent in less.
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -386,12 +386,13 @@
     {
         const WorkerNumber number = table().findWorker(request.info.id);
         const FleetWorker* record = number.isValid() ? table().worker(number) : nullptr;
-        if (record && record->info == request.info) {
-            m_dispatcher.noteWorkerReport(number, step.now);
+        const bool isOutdated = record && record->info.startedAtMs == request.info.startedAtMs && !m_dispatcher.noteWorkerReport(number, request.sequence, step.now);
+        if (isOutdated || (record && record->info == request.info)) {
+            m_counters.add(FleetCounter::ReportsOutdated, isOutdated);
             sendReply(step, to, {});
             return;
         }
-        propose(step, SetFleetWorker { request.info }, to);
+        propose(step, SetFleetWorker { request.info, request.sequence }, to);
     }
 
     /// Stops placing tasks on the worker. The message may be delayed and belong to an earlier
@@ -406,7 +407,7 @@
         }
         WorkerInfo info = record->info;
         info.isLeaving = true;
-        propose(step, SetFleetWorker { std::move(info) }, to);
+        propose(step, SetFleetWorker { std::move(info), record->reportSequence }, to);
     }
 
     bool propose(FleetStep& step, WorkCommand command, std::optional<ReplyTarget> reply, std::vector<RunPlacement> placements = {})
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -44,8 +44,9 @@
 
 struct ReportWorker {
     WorkerInfo info;
+    uint64_t sequence = 0; ///< Rises with each report of an incarnation; 0 if the worker doesn't number them.
 
-    static constexpr auto members() { return std::make_tuple(&ReportWorker::info); }
+    static constexpr auto members() { return std::make_tuple(&ReportWorker::info, &ReportWorker::sequence); }
 };
 
 /// Reports that an incarnation of a worker is ending.
--- a/src/work_table.cpp
+++ b/src/work_table.cpp
@@ -175,6 +175,7 @@
             return { WorkStatus::Unchanged }; // Report of an earlier incarnation.
         if (record.info.startedAtMs == info.startedAtMs && record.info.id == info.id) {
             record.info = info;
+            record.reportSequence = command.reportSequence;
             return {};
         }
         former.push_back(number);
@@ -183,6 +184,7 @@
         removeWorker(number);
     const WorkerNumber number { m_nextWorker++ };
     m_workers[number].info = info;
+    m_workers[number].reportSequence = command.reportSequence;
     m_workerById[info.id] = number;
     return {};
 }
--- a/src/work_table.h
+++ b/src/work_table.h
@@ -91,8 +91,9 @@
     WorkerInfo info;
     uint64_t lastEndNumber = 0; ///< Number of the last recorded end; the worker may forget ends up to it.
     std::vector<TaskRun> runs; ///< Runs placed on the worker and not known to have ended.
+    uint64_t reportSequence = 0; ///< Number of the report that `info` is from.
 
-    static constexpr auto members() { return std::make_tuple(&FleetWorker::info, &FleetWorker::lastEndNumber, &FleetWorker::runs); }
+    static constexpr auto members() { return std::make_tuple(&FleetWorker::info, &FleetWorker::lastEndNumber, &FleetWorker::runs, &FleetWorker::reportSequence); }
 };
 
 // Commands.
@@ -119,8 +120,9 @@
 
 struct SetFleetWorker {
     WorkerInfo info;
+    uint64_t reportSequence = 0;
 
-    static constexpr auto members() { return std::make_tuple(&SetFleetWorker::info); }
+    static constexpr auto members() { return std::make_tuple(&SetFleetWorker::info, &SetFleetWorker::reportSequence); }
 };
 
 /// Removes an incarnation of a worker that has ended, so that nothing runs on it any more.
--- a/src/worker_dispatcher.cpp
+++ b/src/worker_dispatcher.cpp
@@ -57,6 +57,7 @@
     workerView.number = number;
     workerView.info = record.info;
     workerView.lastReport = now;
+    workerView.reportSequence = record.reportSequence;
     if (!isNew)
         workerView.lease.assumeGranted(now, m_settings.maxLease); // By an earlier leader.
     // Once the worker has responded to the new fencing token, each run that an earlier leader placed
@@ -82,10 +83,16 @@
     }
 }
 
-void WorkerDispatcher::noteWorkerReport(WorkerNumber number, Time now)
+bool WorkerDispatcher::noteWorkerReport(WorkerNumber number, uint64_t sequence, Time now)
 {
-    if (WorkerView* known = workerView(number))
-        known->lastReport = now;
+    WorkerView* known = workerView(number);
+    if (!known)
+        return true;
+    if (sequence < known->reportSequence && now < known->lastReport + config::maxReportDelay)
+        return false;
+    known->reportSequence = sequence;
+    known->lastReport = now;
+    return true;
 }
 
 void WorkerDispatcher::stopJob(Time now, JobKey job)
--- a/src/worker_dispatcher.h
+++ b/src/worker_dispatcher.h
@@ -32,8 +32,9 @@
     /// Whether a worker has confirmed a run of the job to this leader.
     bool hasStarted(JobKey job) const { return m_startedJobs.count(job) > 0; }
     void forget(JobKey job) { m_startedJobs.erase(job); }
-    /// Notes a report of a worker, changed or not.
-    void noteWorkerReport(WorkerNumber number, Time now);
+    /// Notes a report of a worker, changed or not. Returns false if it was sent before one that arrived
+    /// earlier, and tells nothing new.
+    bool noteWorkerReport(WorkerNumber number, uint64_t sequence, Time now);
 
     /// Notes that ends of a worker are durable; the next poll acknowledges them.
     void didRecordEnds(WorkerNumber number, Time now) { schedule(now, number); }
--- a/src/worker_view.h
+++ b/src/worker_view.h
@@ -114,6 +114,7 @@
     uint64_t endsProposed = 0; ///< Ends up to this number are in the log or proposed to it.
     uint64_t endsAcknowledged = 0; ///< Ends up to this number were acknowledged to the worker.
     Time lastReport {};
+    uint64_t reportSequence = 0; ///< Number of that report.
     std::vector<JobKey> failedJobs; ///< Distinct jobs with failures since the last success on the worker.
     Time quarantinedUntil {};
     bool isOnProbation = false; ///< Was quarantined; gets one task at a time until one succeeds.
--- a/tests/worker_capacity_test.cpp
+++ b/tests/worker_capacity_test.cpp
@@ -1,3 +1,4 @@
+#include "support/fleet_cluster.h"
 #include "support/worker_dispatcher_fixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -11,6 +12,34 @@
 /// Number of the starts in flight.
 size_t startsOf(const WorkerDispatcherFixture& fixture) { return fixture.ordersOf(OrderKind::Start).size(); }
 
+FleetConfig configOf()
+{
+    FleetConfig config;
+    config.version = 1;
+    config.queues.push_back({ "queue", "host", "/jobs/", "pool", 0, 4, 2, 400ms, {} });
+    config.pools.push_back({ "pool" });
+    return config;
+}
+
+/// A fleet with a leader, a configuration and one worker.
+struct Fleet : FleetCluster {
+    Fleet()
+        : FleetCluster(Options { 1 })
+    {
+        BOOST_REQUIRE(callUntilOk(PutConfig { configOf() }));
+        BOOST_REQUIRE(runUntil(5s, [&] { return !table().workers().empty(); }));
+    }
+
+    const FleetWorker& record() const { return table().workers().begin()->second; }
+
+    ControlStatus report(const WorkerInfo& info, uint64_t sequence)
+    {
+        const CallId id = call(ReportWorker { info, sequence });
+        BOOST_REQUIRE(runUntil(2s, [&] { return reply(id).has_value(); }));
+        return reply(id)->status;
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(WorkerCapacityTests)
@@ -83,4 +112,51 @@
     BOOST_TEST((fixture.workerView().freeCapacity() == Resources { 12000, 30000, 0 }));
 }
 
+BOOST_AUTO_TEST_CASE(overtakenReportDoesNotRestoreTheCapacity)
+{
+    Fleet fleet;
+    const WorkerInfo former = fleet.record().info;
+    fleet.setCapacity(0, { 4000, 8000, 0 });
+    BOOST_REQUIRE(fleet.runUntil(2s, [&] { return fleet.record().info.capacity == Resources { 4000, 8000, 0 }; }));
+    BOOST_TEST((fleet.report(former, 1) == ControlStatus::Ok));
+    BOOST_TEST(fleet.record().info.capacity.processorMillis == 4000U);
+    BOOST_TEST(fleet.control(*fleet.leader()).counters().events[FleetCounter::ReportsOutdated] == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(overtakenReportDoesNotEndADrain)
+{
+    Fleet fleet;
+    WorkerInfo leaving = fleet.record().info;
+    leaving.isLeaving = true;
+    fleet.report(leaving, 1'000'000);
+    BOOST_TEST(fleet.record().info.isLeaving);
+    fleet.run(1s); // The simulated worker goes on to report as before, with lower numbers.
+    BOOST_TEST(fleet.record().info.isLeaving);
+}
+
+/// A new leader knows the number of the last change from the log.
+BOOST_AUTO_TEST_CASE(overtakenReportDoesNotRestoreTheCapacityAtANewLeader)
+{
+    Fleet fleet;
+    const WorkerInfo former = fleet.record().info;
+    fleet.run(1s);
+    fleet.setCapacity(0, { 4000, 8000, 0 });
+    BOOST_REQUIRE(fleet.runUntil(2s, [&] { return fleet.record().info.capacity == Resources { 4000, 8000, 0 }; }));
+    fleet.setUnresponsive(0);
+    const uint32_t leader = *fleet.leader();
+    fleet.kill(leader);
+    BOOST_REQUIRE(fleet.runUntil(5s, [&] { return fleet.leader().has_value(); }));
+    fleet.report(former, 1);
+    BOOST_TEST(fleet.record().info.capacity.processorMillis == 4000U);
+}
+
+/// Another writer may give any number: it must not silence the worker for good.
+BOOST_AUTO_TEST_CASE(reportsCountAgainAfterOneWithAHugeNumber)
+{
+    Fleet fleet;
+    fleet.report(fleet.record().info, uint64_t { 1 } << 52);
+    fleet.setCapacity(0, { 4000, 8000, 0 });
+    BOOST_TEST(fleet.runUntil(config::maxReportDelay + 2s, [&] { return fleet.record().info.capacity == Resources { 4000, 8000, 0 }; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
