Count reports and answers of workers that were refused or unreadable

An entry of another writer left a log line and nothing in the metrics, so that an operator could not tell one odd entry from a thousand. The I/O layer now tells the core, whose counters the host serves: reports_refused_total, answers_unreadable_total.

--- a/src/control_node.h
+++ b/src/control_node.h
@@ -125,6 +125,7 @@
     // Connections.
 
     void handle(FleetStep&, const FleetTick&) { }
+    void handle(FleetStep&, const InputRefused& event) { m_counters.add(event.counter); }
     void handle(FleetStep&, const FleetStopRequested&) { } // The host remains a member of the log until the process ends.
 
     void handle(FleetStep& step, const SeedsChanged& event)
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -49,6 +49,7 @@
 
 private:
     void handle(FleetStep&, const FleetTick&) { }
+    void handle(FleetStep&, const InputRefused&) { }
     void handle(FleetStep&, const WorkLogWritten&) { }
     void handle(FleetStep&, const OrderResponseReceived&) { }
     void handle(FleetStep& step, const FleetPeerUp& event);
--- a/src/fleet_counters.h
+++ b/src/fleet_counters.h
@@ -19,7 +19,9 @@
     CallsRelayed, ///< Calls to workers that go through another control host.
     RelaysUnanswered,
     Plans,
+    ReportsRefused, ///< Reports of workers that can't be read or that name no worker.
     ReportsOutdated, ///< Reports of workers that arrived after a later one.
+    AnswersUnreadable, ///< Answers of workers to orders.
     StartsWithdrawn, ///< Starts that would have exceeded a capacity that shrank after the placement.
     JobsExamined, ///< Open jobs whose tasks plans went through.
     Count
@@ -29,7 +31,7 @@
 {
     constexpr NameTable<FleetCounter> table { "jobs_accepted", "jobs_repeated", "calls_passed_on", "runs_placed", "runs_lost",
         "runs_stopped_for_gangs", "workers_lost", "workers_set_aside", "advice_asked", "advice_unanswered",
-        "calls_relayed", "relays_unanswered", "plans", "reports_outdated", "starts_withdrawn", "jobs_examined" };
+        "calls_relayed", "relays_unanswered", "plans", "reports_refused", "reports_outdated", "answers_unreadable", "starts_withdrawn", "jobs_examined" };
     static_assert(detail::isComplete<FleetCounter>(table));
     return table;
 }
--- a/src/fleet_events.h
+++ b/src/fleet_events.h
@@ -61,8 +61,13 @@
     std::vector<HostId> seeds;
 };
 
+/// The I/O layer refused what a worker sent.
+struct InputRefused {
+    FleetCounter counter = FleetCounter::ReportsRefused;
+};
+
 using FleetEvent = std::variant<FleetTick, FleetPeerUp, FleetPeerDown, FleetMessageReceived, WorkLogWritten, ControlCallReceived,
-    OrderResponseReceived, AdviceReplyReceived, FleetStopRequested, SeedsChanged>;
+    OrderResponseReceived, AdviceReplyReceived, FleetStopRequested, SeedsChanged, InputRefused>;
 
 /// Kind of an event, for metrics and logs. Messages of other hosts count by the kind of message.
 enum class FleetEventKind : uint8_t {
@@ -75,6 +80,7 @@
     AdviceReply,
     StopRequested,
     SeedsChanged,
+    InputRefused,
     MessageLogHello,
     MessageControlStatus,
     MessageEntryStatus,
@@ -92,7 +98,7 @@
 constexpr NameTable<FleetEventKind> nameTable(FleetEventKind)
 {
     constexpr NameTable<FleetEventKind> table { "tick", "peer_up", "peer_down", "log_written", "control_call", "order_response",
-        "advice_reply", "stop_requested", "seeds_changed", "log_hello", "control_status", "entry_status", "config_update", "forwarded_call",
+        "advice_reply", "stop_requested", "seeds_changed", "input_refused", "log_hello", "control_status", "entry_status", "config_update", "forwarded_call",
         "forwarded_call_reply", "relayed_advice_call", "relayed_advice_reply", "relayed_worker_call", "relayed_worker_reply", "replica" };
     static_assert(detail::isComplete<FleetEventKind>(table));
     return table;
@@ -111,7 +117,7 @@
 {
     using Kind = FleetEventKind;
     constexpr std::array<Kind, std::variant_size_v<FleetEvent>> kinds { Kind::Tick, Kind::PeerUp, Kind::PeerDown, Kind::Count,
-        Kind::LogWritten, Kind::ControlCall, Kind::OrderResponse, Kind::AdviceReply, Kind::StopRequested, Kind::SeedsChanged };
+        Kind::LogWritten, Kind::ControlCall, Kind::OrderResponse, Kind::AdviceReply, Kind::StopRequested, Kind::SeedsChanged, Kind::InputRefused };
     const auto* received = std::get_if<FleetMessageReceived>(&event);
     return received ? kindOf(received->message) : kinds[event.index()];
 }
