Let no entry of an unknown service displace a worker

An entry whose service the configuration doesn't name, but with the id, address or machine of a healthy worker and a later start, ended that worker's record; its tasks were placed again while they went on running.

Cause: any report of a later start counts as the worker's next incarnation, whatever else it says.

Without a conflict it is kept as before and gets no tasks, as the next configuration may name the service. A proper entry that claims to be a worker's next incarnation still counts: it can't be told from a restart.

The test failed before: both entries were accepted and the healthy worker's record was gone.

--- a/include/eelgrassloft/work.h
+++ b/include/eelgrassloft/work.h
@@ -142,6 +142,15 @@
         return nullptr;
     }
 
+    const PoolSpec* pool(const std::string& name) const
+    {
+        for (const PoolSpec& candidate : pools) {
+            if (candidate.name == name)
+                return &candidate;
+        }
+        return nullptr;
+    }
+
     /// Returns the queue of `host` with the longest prefix of `path`, or null.
     const QueueSpec* queueAt(std::string_view host, std::string_view path) const
     {
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -393,6 +393,11 @@
             sendReply(step, to, {});
             return;
         }
+        const FleetConfig& config = table().config();
+        if (config.version && !config.pool(request.info.pool) && table().displacesWorker(request.info)) {
+            sendReply(step, to, { ControlStatus::UnknownQueue, {}, 0, {} });
+            return;
+        }
         propose(step, SetFleetWorker { request.info, request.sequence }, to);
     }
 
--- a/src/work_table.cpp
+++ b/src/work_table.cpp
@@ -28,6 +28,14 @@
     return summary;
 }
 
+/// Whether both can't be there at the same time.
+bool isSameWorker(const WorkerInfo& a, const WorkerInfo& b)
+{
+    return a.id == b.id || a.address == b.address || (!b.machine.empty() && a.machine == b.machine);
+}
+
+bool isSameIncarnation(const WorkerInfo& a, const WorkerInfo& b) { return a.id == b.id && a.startedAtMs == b.startedAtMs; }
+
 } // namespace
 
 WorkTable::Result WorkTable::apply(Time at, const Command& command)
@@ -167,13 +175,11 @@
     const WorkerInfo& info = command.info;
     std::vector<WorkerNumber> former;
     for (auto& [number, record] : m_workers) {
-        const bool isSame = record.info.id == info.id || record.info.address == info.address
-            || (!info.machine.empty() && record.info.machine == info.machine);
-        if (!isSame)
+        if (!isSameWorker(record.info, info))
             continue;
         if (record.info.startedAtMs > info.startedAtMs)
             return { WorkStatus::Unchanged }; // Report of an earlier incarnation.
-        if (record.info.startedAtMs == info.startedAtMs && record.info.id == info.id) {
+        if (isSameIncarnation(record.info, info)) {
             record.info = info;
             record.reportSequence = command.reportSequence;
             return {};
@@ -189,6 +195,11 @@
     return {};
 }
 
+bool WorkTable::displacesWorker(const WorkerInfo& info) const
+{
+    return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto& entry) { return isSameWorker(entry.second.info, info) && !isSameIncarnation(entry.second.info, info); });
+}
+
 WorkTable::Result WorkTable::handle(Time, const RemoveFleetWorker& command)
 {
     if (!m_workers.count(command.worker))
--- a/src/work_table.h
+++ b/src/work_table.h
@@ -241,6 +241,9 @@
     const StepSpec* stepOf(const TaskRef& task) const;
     /// Whether the run is the latest one of its task, and its job has not ended.
     bool isCurrentRun(const TaskRun& run) const;
+    /// Whether a report of this worker would end the record of another one, of which it claims the id,
+    /// the address or the machine.
+    bool displacesWorker(const WorkerInfo& info) const;
     /// Number of the worker's current incarnation; invalid if the worker is unknown.
     WorkerNumber findWorker(const std::string& id) const;
 
--- a/tests/worker_capacity_test.cpp
+++ b/tests/worker_capacity_test.cpp
@@ -159,4 +159,21 @@
     BOOST_TEST(fleet.runUntil(config::maxReportDelay + 2s, [&] { return fleet.record().info.capacity == Resources { 4000, 8000, 0 }; }));
 }
 
+/// Its runs would be placed again while they go on.
+BOOST_AUTO_TEST_CASE(entryOfAnUnknownServiceDisplacesNoWorker)
+{
+    Fleet fleet;
+    const WorkerInfo healthy = fleet.record().info;
+    WorkerInfo odd = healthy;
+    odd.pool = "other";
+    odd.startedAtMs += 1000;
+    BOOST_TEST((fleet.report(odd, 1) == ControlStatus::UnknownQueue));
+    odd.id = "odd";
+    BOOST_TEST((fleet.report(odd, 1) == ControlStatus::UnknownQueue));
+    BOOST_TEST((fleet.record().info == healthy));
+    odd.address = "10.0.0.200:1";
+    BOOST_TEST((fleet.report(odd, 1) == ControlStatus::Ok)); // The next configuration may name the service.
+    BOOST_TEST((fleet.table().worker(fleet.table().findWorker(healthy.id))->info == healthy));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
