Follow the list of seeds when one of its entries is odd

What operators would see: a seed with a port out of range, or one that is no text, made the whole settings file unreadable: a host that started ended at once, again and again, and a running one no longer followed the list. A seed with an IPv6 address threw an exception that nobody expected: at a start it ended the process; in a running one it ended the task that reads the file each second or, after a SIGHUP, the task that handles signals, so that SIGTERM was ignored from then on.

Cause: the list was read as a whole or not at all, and `to_v4` throws.

Why this works: entries that are not `IP:PORT` with an IPv4 address and a port from 1 to 65535 are left out, each with a `seed-ignored` line when the file changes. Only a list without any usable seed is an error.

The test failed before, at its first entry (port 65536). That the two tasks end is read from the code, not shown by a test.

--- a/src/daemon/fleet_process.h
+++ b/src/daemon/fleet_process.h
@@ -111,6 +111,8 @@
             m_log.writeError("settings-unreadable", reader.lastError());
             return;
         }
+        for (const std::string& seed : settings->ignoredSeeds)
+            m_log.writeError("seed-ignored", { ErrorKind::WrongType, "the seed \"" + seed + "\" is not `IP:PORT`", "correct it in the list of seeds" });
         if (settings->node.seeds == m_settings.node.seeds)
             return;
         m_settings.node.seeds = settings->node.seeds;
--- a/src/io/fleet_settings_json.cpp
+++ b/src/io/fleet_settings_json.cpp
@@ -24,7 +24,9 @@
     return hostIdOf(address);
 }
 
-std::vector<HostId> readSeeds(JsonFields& fields)
+/// Reads the usable seeds. One that is not `IP:PORT` with an IPv4 address must not keep the host from
+/// the others.
+std::vector<HostId> readSeeds(JsonFields& fields, std::vector<std::string>& ignored)
 {
     std::vector<HostId> seeds;
     const Json* list = fields.find("seeds");
@@ -32,10 +34,13 @@
         throw JsonError { ErrorKind::MissingField, "seeds", "\"seeds\" is not a list", "list `IP:PORT` of some control hosts" };
     for (const Json& entry : *list) {
         const auto endpoint = entry.is_string() ? parseEndpoint(entry.get<std::string>()) : std::nullopt;
-        if (!endpoint)
-            throw JsonError { ErrorKind::WrongType, "seeds", "a seed is not `IP:PORT`", "list `IP:PORT` of some control hosts" };
-        seeds.push_back(hostIdOf(endpoint->address().to_v4()));
+        if (endpoint && endpoint->address().is_v4() && endpoint->port())
+            seeds.push_back(hostIdOf(endpoint->address().to_v4()));
+        else
+            ignored.push_back(entry.is_string() ? entry.get<std::string>() : std::string(entry.type_name()));
     }
+    if (seeds.empty() && !ignored.empty())
+        throw JsonError { ErrorKind::WrongType, "seeds", "no seed is `IP:PORT`", "list `IP:PORT` of some control hosts" };
     return seeds;
 }
 
@@ -50,7 +55,7 @@
     settings.node.self = readHostId(fields.required<std::string>("address"), "address");
     settings.node.dataCentre = fields.required<std::string>("dataCentre");
     settings.node.region = fields.optional<std::string>("region", {});
-    settings.node.seeds = readSeeds(fields);
+    settings.node.seeds = readSeeds(fields, settings.ignoredSeeds);
     settings.node.mayForm = fields.optional<bool>("mayForm", false);
     settings.node.voters = fields.optional<uint32_t>("toleratedLosses", 1) * 2 + 1;
     settings.node.maxLease = readMilliseconds(fields, "maxLeaseMs", settings.node.maxLease);
--- a/src/io/fleet_settings_json.h
+++ b/src/io/fleet_settings_json.h
@@ -31,6 +31,7 @@
     std::string adviceAddress; ///< Empty if there is no advice service.
     Duration stopGrace = std::chrono::seconds(6); ///< From the stop signal until the process is killed.
     std::string logLevel = "info";
+    std::vector<std::string> ignoredSeeds; ///< Entries of the list of seeds that are not `IP:PORT`.
 };
 
 /// Reads the settings of a fleet process from JSON with comments.
--- a/tests/odd_input_test.cpp
+++ b/tests/odd_input_test.cpp
@@ -1,4 +1,5 @@
 #include "io/event_log.h"
+#include "io/fleet_settings_json.h"
 #include "io/http_messages.h"
 #include "io/read_file.h"
 
@@ -108,4 +109,23 @@
     EventLog other({}, "error");
 }
 
+/// A host that can't read the list would not start, or would go on without its changes.
+BOOST_AUTO_TEST_CASE(oddSeedLeavesTheOthersInForce)
+{
+    const auto settings = [](const std::string& seeds) {
+        return R"({"address":"10.0.0.1","dataCentre":"d","linkPort":1,"seeds":[)" + seeds + "]}";
+    };
+    constexpr size_t depth = 100'000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    for (const std::string& odd : std::vector<std::string> { "\"10.0.0.3:65536\"", "\"10.0.0.3:4294967376\"", "\"10.0.0.3:0\"", "\"10.0.0.3:-1\"", "\"10.0.0.3\"", "\"\"", "\"host:80\"", "\"::1:80\"",
+             "8", "null", "1e300", "{}", nested }) {
+        FleetSettingsReader reader;
+        const auto read = reader.read(settings("\"10.0.0.2:80\"," + odd));
+        BOOST_REQUIRE_MESSAGE(read.has_value(), odd.substr(0, 30));
+        BOOST_TEST(read->node.seeds.size() == 1U);
+        BOOST_TEST(read->ignoredSeeds.size() == 1U);
+        BOOST_TEST(!reader.read(settings(odd)).has_value()); // Without a usable seed there is nothing to follow.
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
