--- a/tests/fleet_random_test.cpp
+++ b/tests/fleet_random_test.cpp
@@ -18,6 +18,7 @@
     PowerOff, ///< All control hosts crash right after a job was accepted, and restart with their disks.
     UnresponsiveWorker, ///< A worker is unresponsive, and its tasks keep running.
     FailingWorker, ///< All runs on a worker fail.
+    ShrunkWorker, ///< A worker reports less capacity for a while.
     Cancel, ///< The job that was submitted last is cancelled.
     Count
 };
@@ -51,10 +52,10 @@
 }
 
 /// A job of two steps, of which the second depends on the first.
-SubmitJob jobOf(uint64_t key)
+SubmitJob jobOf(uint64_t key, uint32_t tasks = 2)
 {
     StepSpec step;
-    step.count = 2;
+    step.count = tasks;
     step.size = { 3000, 2000, 0 };
     step.estimate = 300ms;
     StepSpec second = step;
@@ -96,6 +97,14 @@
             m_cluster.run(duration);
             m_cluster.setFailing(worker, false);
             break;
+        case FleetFault::ShrunkWorker: {
+            const Resources capacity = m_cluster.capacity(worker);
+            m_cluster.setCapacity(worker, { step.durationMs * 2, capacity.memoryMiB, 0 }); // Up to half of it.
+            submit(config::maxPlacementsPerStep / 4); // More than the fleet can hold at a time.
+            m_cluster.run(duration);
+            m_cluster.setCapacity(worker, capacity);
+            break;
+        }
         case FleetFault::Cancel:
             if (m_cluster.callUntilOk(CancelJob { JobKey { m_nextKey - 1 } }))
                 m_cancelled.insert(m_nextKey - 1);
@@ -125,10 +134,10 @@
     static constexpr uint32_t workerCount = 4;
 
 private:
-    void submit()
+    void submit(uint32_t tasks = 2)
     {
         const uint64_t key = m_nextKey++;
-        if (m_cluster.callUntilOk(jobOf(key)))
+        if (m_cluster.callUntilOk(jobOf(key, tasks)))
             m_accepted.insert(key);
     }
 
@@ -169,6 +178,7 @@
     options.seed = *rc::gen::arbitrary<uint32_t>();
     options.noResponsePercent = *rc::gen::inRange<uint32_t>(0, 15);
     options.maxOrderDelay = std::chrono::milliseconds(*rc::gen::inRange<uint32_t>(0, 8000));
+    options.lateReportPercent = *rc::gen::inRange<uint32_t>(0, 30);
     FaultScenario scenario(options);
     for (const FaultStep& step : *rc::gen::container<std::vector<FaultStep>>(12, faultStepGen()))
         scenario.applyFault(step);
