Refuse numbers that fit no type in every JSON text

What callers and operators would see: a body with 1e400 anywhere got no answer at eelgrassd. In the settings file of a fleet's host it ended the process at a start and, in a running one, the task that reads the file or the one that handles signals.

Cause: the JSON library reports an overflow as out_of_range, while only parse_error was caught.

Why this works: `parseJson`, through which all these texts go, turns both into an error of its own. The adapter's reader caught both before.

The test failed before: an exception from each of the six texts. What happens to the processes is read from the code.

--- a/src/io/json_fields.cpp
+++ b/src/io/json_fields.cpp
@@ -183,6 +183,8 @@
         const std::string what = error.what();
         const size_t colon = what.rfind(": ");
         throw JsonError { ErrorKind::Syntax, {}, linePosition(text, error.byte ? error.byte - 1 : 0) + ": " + (colon == std::string::npos ? what : what.substr(colon + 2)), "correct the JSON there" };
+    } catch (const Json::out_of_range& error) {
+        throw JsonError { ErrorKind::OutOfRange, {}, error.what(), "use numbers that fit into 64 bits" };
     }
 }
 
--- a/tests/odd_input_test.cpp
+++ b/tests/odd_input_test.cpp
@@ -109,6 +109,18 @@
     EventLog other({}, "error");
 }
 
+/// The JSON library reports these numbers by another exception than errors of syntax.
+BOOST_AUTO_TEST_CASE(numbersBeyondAnyTypeAreRefused)
+{
+    MessageReader reader;
+    FleetSettingsReader settingsReader;
+    for (const char* number : { "1e400", "-1e400" }) {
+        BOOST_CHECK_NO_THROW(BOOST_TEST(!reader.readReport(workerReportWith(",\"unknown\":" + std::string(number))).has_value()));
+        BOOST_CHECK_NO_THROW(BOOST_TEST(!reader.readCancel("{\"dataCentre\":" + std::string(number) + "}", { "d" }).has_value()));
+        BOOST_CHECK_NO_THROW(BOOST_TEST(!settingsReader.read("{\"remoteFactor\":" + std::string(number) + "}").has_value()));
+    }
+}
+
 /// A host that can't read the list would not start, or would go on without its changes.
 BOOST_AUTO_TEST_CASE(oddSeedLeavesTheOthersInForce)
 {
