Refuse the port 0 in announcements; send odd entries to real daemons

An upstream announced at port 0 was taken into the set and called. All other odd ports were refused before.

daemons.sh sends unreadable bytes, a field named like a position, 100,000 levels of nesting and odd ports to four paths of eelgrassd, and checks that all three hosts answer as before. This part was not run on the code before the fixes; the tests in odd_input_test.cpp were.

--- a/src/io/http_messages.cpp
+++ b/src/io/http_messages.cpp
@@ -30,6 +30,8 @@
         throw JsonError { ErrorKind::WrongType, "address", "\"" + result.address + "\" is not an IP number", "announce the upstream's IP number" };
     if (result.name.empty() || result.name.size() > config::maxNameBytes || result.service.empty() || result.service.size() > config::maxNameBytes)
         throw JsonError { ErrorKind::OutOfRange, "name", "names have 1 to " + std::to_string(config::maxNameBytes) + " characters", "shorten or fill in the name" };
+    if (!result.port)
+        throw JsonError { ErrorKind::OutOfRange, "port", "0 is not a port that can be called", "announce the port that the upstream listens on" };
     if (!result.slots || result.slots > config::maxSlotsPerUpstream)
         throw JsonError { ErrorKind::OutOfRange, "slots", "an upstream has 1 to " + std::to_string(config::maxSlotsPerUpstream) + " slots", "announce a number in this range" };
     return result;
--- a/tests/daemons.sh
+++ b/tests/daemons.sh
@@ -166,6 +166,20 @@
 [ "$refusals" = 5 ] || fail "refusals are not counted by their reasons"
 pass "each kind of invalid input gets its error status and is counted"
 
+nested() { head -c 100000 /dev/zero | tr '\0' '['; head -c 100000 /dev/zero | tr '\0' ']'; }
+for path in upstreams workers/w1/report sheet jobs/cancel; do
+    url="http://$(address 1)/v1/$path"
+    [ "$(printf '\xff\xfe' | status_of --data-binary @- "$url")" = 400 ] || fail "unreadable bytes to $path"
+    [ "$(printf '{"[":1}' | status_of --data-binary @- "$url")" = 400 ] || fail "a field named like a position to $path"
+    [ "$(nested | status_of --data-binary @- "$url")" = 400 ] || fail "deep nesting to $path"
+    [ "$(printf '{"name":%s}' "$(nested)" | status_of --data-binary @- "$url")" = 400 ] || fail "a deeply nested field to $path"
+done
+for port in 0 65536 4294967376 -1 1.5 99999999999999999999 1e400; do
+    [ "$(status_of -d "{\"name\":\"odd\",\"service\":\"orders\",\"address\":\"127.0.0.1\",\"port\":$port,\"slots\":1}" "http://$(address 1)/v1/upstreams")" = 400 ] || fail "port $port"
+done
+for i in 1 2 3; do is_answered $i first || fail "odd input to host 1 disturbed host $i"; done
+pass "odd entries get 400, end no process and leave the others in force"
+
 kill -TERM "${pids[host-3]}"
 code=0
 wait "${pids[host-3]}" || code=$?
--- a/tests/odd_input_test.cpp
+++ b/tests/odd_input_test.cpp
@@ -121,6 +121,15 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(announcementWithAnOddPortIsRefused)
+{
+    MessageReader reader;
+    const auto announcement = [](const std::string& port) { return R"({"name":"u","service":"s","address":"10.0.0.1","slots":1,"port":)" + port + "}"; };
+    for (const char* port : { "0", "65536", "4294967376", "-1", "1.5", "1e30", "1e400", "99999999999999999999", "\"80\"", "null", "" })
+        BOOST_TEST(!reader.readAnnouncement(announcement(port)).has_value(), port);
+    BOOST_TEST(reader.readAnnouncement(announcement("65535")).has_value());
+}
+
 /// A host that can't read the list would not start, or would go on without its changes.
 BOOST_AUTO_TEST_CASE(oddSeedLeavesTheOthersInForce)
 {
