--- a/src/control_node.h
+++ b/src/control_node.h
@@ -130,6 +130,7 @@
     // Connections.
 
     void handle(FleetStep&, const FleetTick&) { }
+    void handle(FleetStep&, const InputRefused& event) { m_counters.add(event.counter); }
     void handle(FleetStep&, const FleetStopRequested&) { } // The host remains a member of the log until the process ends.
 
     void handle(FleetStep& step, const SeedsChanged& event)
@@ -406,12 +407,18 @@
     {
         const WorkerNumber number = table().findWorker(request.info.id);
         const FleetWorker* record = number.isValid() ? table().worker(number) : nullptr;
-        if (record && record->info == request.info) {
-            m_dispatcher.noteWorkerReport(number, step.now);
+        const bool isOutdated = record && record->info.startedAtMs == request.info.startedAtMs && !m_dispatcher.noteWorkerReport(number, request.sequence, step.now);
+        if (isOutdated || (record && record->info == request.info)) {
+            m_counters.add(FleetCounter::ReportsOutdated, isOutdated);
             sendReply(step, to, {});
             return;
         }
-        propose(step, SetFleetWorker { request.info }, to);
+        const FleetConfig& config = table().config();
+        if (config.version && !config.pool(request.info.pool) && table().displacesWorker(request.info)) {
+            sendReply(step, to, { ControlStatus::UnknownQueue, {}, 0, {} });
+            return;
+        }
+        propose(step, SetFleetWorker { request.info, request.sequence }, to);
     }
 
     /// Stops placing tasks on the worker. The message may be delayed and belong to an earlier
@@ -426,7 +433,7 @@
         }
         WorkerInfo info = record->info;
         info.isLeaving = true;
-        propose(step, SetFleetWorker { std::move(info) }, to);
+        propose(step, SetFleetWorker { std::move(info), record->reportSequence }, to);
     }
 
     bool propose(FleetStep& step, WorkCommand command, std::optional<ReplyTarget> reply, std::vector<RunPlacement> placements = {})
--- a/src/io/http_messages.cpp
+++ b/src/io/http_messages.cpp
@@ -30,6 +30,8 @@
         throw JsonError { ErrorKind::WrongType, "address", "\"" + result.address + "\" is not an IP number", "announce the upstream's IP number" };
     if (result.name.empty() || result.name.size() > config::maxNameBytes || result.service.empty() || result.service.size() > config::maxNameBytes)
         throw JsonError { ErrorKind::OutOfRange, "name", "names have 1 to " + std::to_string(config::maxNameBytes) + " characters", "shorten or fill in the name" };
+    if (!result.port)
+        throw JsonError { ErrorKind::OutOfRange, "port", "0 is not a port that can be called", "announce the port that the upstream listens on" };
     if (!result.slots || result.slots > config::maxSlotsPerUpstream)
         throw JsonError { ErrorKind::OutOfRange, "slots", "an upstream has 1 to " + std::to_string(config::maxSlotsPerUpstream) + " slots", "announce a number in this range" };
     return result;
@@ -124,16 +126,16 @@
 
 HttpResponse errorResponse(http::status status, const Error& error)
 {
-    const Json body { { "error", name(error.kind) }, { "message", error.message }, { "remedy", error.remedy } };
-    return textResponse(status, body.dump() + "\n", jsonType);
+    const Json body { { "error", name(error.kind) }, { "message", boundedText(error.message) }, { "remedy", error.remedy } };
+    return textResponse(status, jsonText(body) + "\n", jsonType);
 }
 
 HttpResponse refusalResponse(RefusalReason reason, const std::string& detail)
 {
     Json body { { "outcome", name(Outcome::NotRun) }, { "reason", name(reason) }, { "remedy", remedy(reason) } };
     if (!detail.empty())
-        body["message"] = detail;
-    HttpResponse response = textResponse(statusOf(reason), body.dump() + "\n", jsonType);
+        body["message"] = boundedText(detail);
+    HttpResponse response = textResponse(statusOf(reason), jsonText(body) + "\n", jsonType);
     response.set(header::outcome, beastView(name(Outcome::NotRun)));
     response.set(header::reason, beastView(name(reason)));
     return response;
--- a/src/work_table.h
+++ b/src/work_table.h
@@ -91,8 +91,9 @@
     WorkerInfo info;
     uint64_t lastEndNumber = 0; ///< Number of the last recorded end; the worker may forget ends up to it.
     std::vector<TaskRun> runs; ///< Runs placed on the worker and not known to have ended.
+    uint64_t reportSequence = 0; ///< Number of the report that `info` is from.
 
-    static constexpr auto members() { return std::make_tuple(&FleetWorker::info, &FleetWorker::lastEndNumber, &FleetWorker::runs); }
+    static constexpr auto members() { return std::make_tuple(&FleetWorker::info, &FleetWorker::lastEndNumber, &FleetWorker::runs, &FleetWorker::reportSequence); }
 };
 
 // Commands.
@@ -119,8 +120,9 @@
 
 struct SetFleetWorker {
     WorkerInfo info;
+    uint64_t reportSequence = 0;
 
-    static constexpr auto members() { return std::make_tuple(&SetFleetWorker::info); }
+    static constexpr auto members() { return std::make_tuple(&SetFleetWorker::info, &SetFleetWorker::reportSequence); }
 };
 
 /// Removes an incarnation of a worker that has ended, so that nothing runs on it any more.
@@ -239,6 +241,9 @@
     const StepSpec* stepOf(const TaskRef& task) const;
     /// Whether the run is the latest one of its task, and its job has not ended.
     bool isCurrentRun(const TaskRun& run) const;
+    /// Whether a report of this worker would end the record of another one, of which it claims the id,
+    /// the address or the machine.
+    bool displacesWorker(const WorkerInfo& info) const;
     /// Number of the worker's current incarnation; invalid if the worker is unknown.
     WorkerNumber findWorker(const std::string& id) const;
 
