Let a file log go on after a write or sync that failed

Cause: after a failed append or sync nothing is known of what was written since the last sync. A torn record may stand in the segment, entries may be there twice, and fsync may have dropped pages. The log could only be restored by a new process, and a torn end was accepted in the last segment only.

Now the log remembers the last position that is known to be synced. After a failure the next write goes to a new segment, whose first record names that position and the hard state; a restore ignores what was written after the position, in its segment and in those between. The caller writes everything again that no call has written.

--- a/src/io/file_log.cpp
+++ b/src/io/file_log.cpp
@@ -70,14 +70,14 @@
     return bytes;
 }
 
-std::optional<std::vector<std::string>> RecordFileReader::read(const std::filesystem::path& path)
+std::optional<std::vector<std::string>> RecordFileReader::read(const std::filesystem::path& path, size_t maxBytes)
 {
     std::ifstream file(path, std::ios::binary);
     if (!file)
         return fail(ErrorKind::FileUnreadable, "cannot read " + path.string(), "check its owner and mode");
     std::ostringstream content;
     content << file.rdbuf();
-    const std::string bytes = content.str();
+    const std::string bytes = content.str().substr(0, maxBytes);
     std::vector<std::string> records;
     m_validBytes = 0;
     while (m_validBytes < bytes.size()) {
@@ -138,6 +138,9 @@
         if (count <= 0)
             return failErrno("cannot write");
         written += static_cast<size_t>(count);
+        // Of two unsynced writes, a power loss may keep the second without the first.
+        if (written < bytes.size() && !sync())
+            return std::nullopt;
     }
     return written;
 }
@@ -151,7 +154,14 @@
     return 0;
 }
 
-bool syncFolder(const std::filesystem::path& folder)
+bool PosixAppendFile::rename(const std::filesystem::path& from, const std::filesystem::path& to)
+{
+    return ::rename(from.c_str(), to.c_str()) == 0;
+}
+
+bool PosixAppendFile::remove(const std::filesystem::path& path) { return ::unlink(path.c_str()) == 0; }
+
+bool PosixAppendFile::syncFolder(const std::filesystem::path& folder)
 {
     const int descriptor = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
     if (descriptor < 0)
--- a/src/io/file_log.h
+++ b/src/io/file_log.h
@@ -14,16 +14,17 @@
 /// Reads the records of one file.
 class RecordFileReader : public LastError {
 public:
-    /// Returns all complete records. A torn record at the end is omitted and `validBytes` ends before
-    /// it; invalid bytes that complete records follow are an error.
-    std::optional<std::vector<std::string>> read(const std::filesystem::path& path);
+    /// Returns all complete records in the first `maxBytes` bytes. A torn record at the end is omitted
+    /// and `validBytes` ends before it; invalid bytes that complete records follow are an error.
+    std::optional<std::vector<std::string>> read(const std::filesystem::path& path, size_t maxBytes = SIZE_MAX);
     size_t validBytes() const { return m_validBytes; }
 
 private:
     size_t m_validBytes = 0;
 };
 
-/// Append-only file with explicit syncs. The destructor closes the descriptor.
+/// Append-only file with explicit syncs. The destructor closes the descriptor. The static functions
+/// change the names in a folder and return false on failure; `syncFolder` makes these changes durable.
 class PosixAppendFile : public LastError {
 public:
     PosixAppendFile() = default;
@@ -36,6 +37,10 @@
     std::optional<size_t> sync();
     bool isOpen() const { return m_descriptor >= 0; }
 
+    static bool rename(const std::filesystem::path& from, const std::filesystem::path& to);
+    static bool remove(const std::filesystem::path& path);
+    static bool syncFolder(const std::filesystem::path& folder);
+
 private:
     std::nullopt_t failErrno(const char* operation);
 
@@ -43,10 +48,6 @@
     std::filesystem::path m_path;
 };
 
-/// Syncs a folder, so that files created or renamed in it survive a power loss. Returns false on
-/// failure.
-bool syncFolder(const std::filesystem::path& folder);
-
 /// Storage of one replicated log across restarts.
 template <typename T, typename M>
 concept LogStorage = requires(T storage, uint64_t incarnation, const std::vector<LogWrite<M>>& writes)
@@ -76,9 +77,15 @@
     file.sync();
     constFile.isOpen();
     constFile.lastError();
+    T::rename(path, path);
+    T::remove(path);
+    T::syncFolder(path);
 };
 
 /// Stores a log in a folder: a snapshot, and numbered segments with the records that follow it.
+///
+/// After a write or a sync has failed, nothing is known about what was written since the last sync.
+/// The log then goes on in a new segment, which names the last position that is known to be synced.
 template <typename M, AppendFile File = PosixAppendFile>
 class FileLog : public LastError {
 public:
@@ -88,18 +95,23 @@
     }
 
     /// Reads the folder, or creates it if it is missing. Returns nothing without setting `lastError`
-    /// if the folder holds no log yet.
+    /// if the folder holds no log yet. After `ErrorKind::FileWriteFailed` it can be called again, for
+    /// instance once the disk has room; after other errors an operator has to act.
     std::optional<RestoredLog<M>> restore()
     {
+        *this = FileLog(m_folder);
         std::error_code error;
         std::filesystem::create_directories(m_folder, error);
-        if (error)
-            return fail(ErrorKind::FileUnreadable, "cannot create " + m_folder.string() + ": " + error.message(), "check the path and the owner of the data folder");
+        if (error) {
+            const auto kind = error == std::errc::no_space_on_device ? ErrorKind::FileWriteFailed : ErrorKind::FileUnreadable;
+            return fail(kind, "cannot create " + m_folder.string() + ": " + error.message(), "check the path, the owner and the disk of the data folder");
+        }
         RestoredLog<M> log;
-        if (!restoreSnapshot(log) || !restoreSegments(log))
+        if (!restoreSnapshot(log) || !restoreSegments(log) || !syncRestored())
             return std::nullopt;
+        File::remove(newSnapshotPath());
         m_incarnation = log.incarnation;
-        m_state = log.state;
+        m_state = m_syncedState = log.state;
         if (!log.incarnation)
             return std::nullopt;
         return log;
@@ -107,19 +119,16 @@
 
     /// Writes a batch and syncs it. Everything between two syncs goes into a single write to the
     /// file: of several writes, a power loss may keep a later one and lose an earlier one. After a
-    /// failure the folder must be restored before it is used again.
+    /// failure, the next call must write everything again that no call has written so far.
     bool write(uint64_t incarnation, const std::vector<LogWrite<M>>& writes)
     {
-        for (const LogWrite<M>& write : writes) {
-            if (!append(incarnation, write))
-                return false;
-        }
-        if (!flush())
+        if (!append(incarnation, writes) || !flush() || !syncSegment()) {
+            abandonUnsynced();
             return false;
-        if (m_segment.sync())
-            return true;
-        fail(m_segment.lastError());
-        return false;
+        }
+        m_synced = m_position;
+        m_syncedState = m_state;
+        return true;
     }
 
 private:
@@ -136,14 +145,37 @@
         static constexpr auto members() { return std::make_tuple(&TruncateRecord::from); }
     };
 
-    using SegmentRecord = std::variant<StateRecord, TruncateRecord, LogEntry<M>>;
+    struct Position {
+        uint64_t segment = 0;
+        uint64_t bytes = 0;
+
+        static constexpr auto members() { return std::make_tuple(&Position::segment, &Position::bytes); }
+    };
+
+    /// First record of a segment: the position in an earlier one that the segment continues, and the
+    /// state. What follows the position, up to this segment, was never synced and is void. Segment 0
+    /// stands for none.
+    struct StartRecord {
+        Position previous;
+        StateRecord state;
+
+        static constexpr auto members() { return std::make_tuple(&StartRecord::previous, &StartRecord::state); }
+    };
+
+    using SegmentRecord = std::variant<StateRecord, TruncateRecord, LogEntry<M>, StartRecord>;
 
     struct Segment {
         uint64_t number = 0;
         uint64_t lastIndex = 0;
     };
 
+    struct SegmentContent {
+        uint64_t number = 0;
+        std::vector<SegmentRecord> records;
+    };
+
     std::filesystem::path snapshotPath() const { return m_folder / "snapshot"; }
+    std::filesystem::path newSnapshotPath() const { return m_folder / "snapshot.new"; }
     std::filesystem::path segmentPath(uint64_t number) const { return m_folder / ("segment-" + std::to_string(number)); }
 
     bool failCorrupt(const std::filesystem::path& path, const std::string& reason)
@@ -152,6 +184,20 @@
         return false;
     }
 
+    bool failWrite(const std::string& operation)
+    {
+        fail(ErrorKind::FileWriteFailed, "cannot " + operation, "check the disk of the data folder");
+        return false;
+    }
+
+    bool failWrite(const File& file)
+    {
+        fail(file.lastError());
+        return false;
+    }
+
+    // Restoring.
+
     bool restoreSnapshot(RestoredLog<M>& log)
     {
         if (!std::filesystem::exists(snapshotPath()))
@@ -163,7 +209,8 @@
         return log.snapshot ? true : failCorrupt(snapshotPath(), m_decoder.lastError().message);
     }
 
-    bool restoreSegments(RestoredLog<M>& log)
+    /// Numbers of the segments in the folder, the latest first.
+    std::vector<uint64_t> segmentNumbers() const
     {
         std::vector<uint64_t> numbers;
         for (const auto& file : std::filesystem::directory_iterator(m_folder)) {
@@ -171,50 +218,81 @@
             if (fileName.starts_with("segment-"))
                 numbers.push_back(std::stoull(fileName.substr(8)));
         }
-        std::sort(numbers.begin(), numbers.end());
-        for (const uint64_t number : numbers) {
-            if (!restoreSegment(log, number, number == numbers.back()))
+        std::sort(numbers.begin(), numbers.end(), std::greater<>());
+        return numbers;
+    }
+
+    /// Reads the segments from the latest back, as each names the position that it continues, and
+    /// applies them in their order.
+    bool restoreSegments(RestoredLog<M>& log)
+    {
+        std::vector<SegmentContent> contents;
+        std::optional<Position> continued;
+        for (const uint64_t number : segmentNumbers()) {
+            m_nextNumber = std::max(m_nextNumber, number + 1);
+            if (continued && number != continued->segment) {
+                m_voidSegments.push_back(number);
+                continue;
+            }
+            auto content = readSegment(number, continued, contents.empty());
+            if (!content)
                 return false;
+            if (content->records.empty() && contents.empty()) { // Its first record was never synced.
+                m_voidSegments.push_back(number);
+                continue;
+            }
+            const auto* start = content->records.empty() ? nullptr : std::get_if<StartRecord>(&content->records.front());
+            continued = start ? std::optional(start->previous) : std::nullopt;
+            contents.push_back(std::move(*content));
         }
-        return true;
+        std::for_each(contents.rbegin(), contents.rend(), [&](const SegmentContent& content) { m_segments.push_back({ content.number, 0 }); });
+        std::reverse(contents.begin(), contents.end());
+        return applySegments(log, contents);
     }
 
-    bool restoreSegment(RestoredLog<M>& log, uint64_t number, bool isLast)
+    /// Reads a segment up to `end`, a position in it, or as far as it is complete.
+    std::optional<SegmentContent> readSegment(uint64_t number, const std::optional<Position>& end, bool isLast)
     {
         const std::filesystem::path path = segmentPath(number);
-        const auto records = m_reader.read(path);
-        if (!records)
-            return failCorrupt(path, m_reader.lastError().message);
-        if (m_reader.validBytes() != std::filesystem::file_size(path)) {
-            if (!isLast)
-                return failCorrupt(path, "the last record is incomplete, but later segments exist");
-            std::filesystem::resize_file(path, m_reader.validBytes()); // The torn record was never synced, so nobody relies on it.
+        const auto records = m_reader.read(path, end ? end->bytes : SIZE_MAX);
+        const size_t expectedBytes = end ? end->bytes : std::filesystem::file_size(path);
+        if (!records) {
+            failCorrupt(path, m_reader.lastError().message);
+            return std::nullopt;
         }
-        if (isLast && !syncSegment(path))
-            return false;
-        m_segments.push_back({ number, 0 });
+        if (m_reader.validBytes() != expectedBytes && (end || !isLast)) {
+            failCorrupt(path, "the last record is incomplete, but later segments exist");
+            return std::nullopt;
+        }
+        if (isLast && !records->empty())
+            m_position = m_synced = { number, m_reader.validBytes() };
+        SegmentContent content { number, {} };
         for (const std::string& bytes : *records) {
-            const auto record = m_decoder.decode<SegmentRecord>(bytes);
-            if (!record || !restoreRecord(log, *record))
-                return failCorrupt(path, record ? "the indexes of its entries have a gap" : m_decoder.lastError().message);
+            auto record = m_decoder.decode<SegmentRecord>(bytes);
+            if (!record) {
+                failCorrupt(path, m_decoder.lastError().message);
+                return std::nullopt;
+            }
+            content.records.push_back(std::move(*record));
         }
-        return true;
+        return content;
     }
 
-    /// Syncs records that an earlier process may have left unsynced. Once a new segment follows, losing
-    /// them would leave a gap.
-    bool syncSegment(const std::filesystem::path& path)
+    bool applySegments(RestoredLog<M>& log, std::vector<SegmentContent>& contents)
     {
-        File file;
-        if (file.open(path, false) && file.sync())
-            return true;
-        fail(file.lastError());
-        return false;
+        for (size_t i = 0; i < contents.size(); ++i) {
+            for (SegmentRecord& record : contents[i].records) {
+                if (!applyRecord(log, m_segments[i], std::move(record)))
+                    return failCorrupt(segmentPath(contents[i].number), "the indexes of its entries have a gap");
+            }
+        }
+        return true;
     }
 
-    bool restoreRecord(RestoredLog<M>& log, const SegmentRecord& record)
+    static bool applyRecord(RestoredLog<M>& log, Segment& segment, SegmentRecord record)
     {
-        if (const auto* stateRecord = std::get_if<StateRecord>(&record)) {
+        const auto* start = std::get_if<StartRecord>(&record);
+        if (const auto* stateRecord = start ? &start->state : std::get_if<StateRecord>(&record)) {
             log.incarnation = stateRecord->incarnation;
             log.state = stateRecord->state;
             return true;
@@ -225,14 +303,34 @@
                 log.entries.pop_back();
             return true;
         }
-        const auto& entry = std::get<LogEntry<M>>(record);
-        m_segments.back().lastIndex = std::max(m_segments.back().lastIndex, entry.index);
+        auto& entry = std::get<LogEntry<M>>(record);
+        segment.lastIndex = std::max(segment.lastIndex, entry.index);
         if (entry.index <= base)
             return true;
         const uint64_t expected = log.entries.empty() ? base + 1 : log.entries.back().index + 1;
         if (entry.index != expected)
             return false;
-        log.entries.push_back(entry);
+        log.entries.push_back(std::move(entry));
+        return true;
+    }
+
+    /// Syncs what an earlier process may have left unsynced, as the caller relies on what was restored.
+    bool syncRestored()
+    {
+        File file;
+        if (m_synced.segment && (!file.open(segmentPath(m_synced.segment), false) || !file.sync()))
+            return failWrite(file);
+        return File::syncFolder(m_folder) || failWrite("sync " + m_folder.string());
+    }
+
+    // Writing.
+
+    bool append(uint64_t incarnation, const std::vector<LogWrite<M>>& writes)
+    {
+        for (const LogWrite<M>& write : writes) {
+            if (!append(incarnation, write))
+                return false;
+        }
         return true;
     }
 
@@ -241,23 +339,24 @@
         const bool isNewState = write.state && *write.state != m_state;
         if (write.state)
             m_state = *write.state;
-        if (write.snapshot && !writeSnapshot(*write.snapshot))
-            return false;
-        std::string bytes;
-        if (!m_segment.isOpen() || write.snapshot || incarnation != m_incarnation) {
+        // Starting a segment first also shows cheaply whether the disk takes writes at all.
+        if (!m_segment.isOpen() || incarnation != m_incarnation) {
             m_incarnation = incarnation;
-            if (!startSegment(write.snapshot ? write.snapshot->index : 0))
+            if (!startSegment())
                 return false;
         } else if (isNewState) {
-            bytes += frame(StateRecord { m_incarnation, m_state });
+            m_unwrittenBytes += frame(StateRecord { m_incarnation, m_state });
         }
+        if (write.snapshot && (!writeSnapshot(*write.snapshot) || !startSegment()))
+            return false;
+        if (write.snapshot)
+            removeSegmentsThrough(write.snapshot->index);
         if (write.truncateFrom)
-            bytes += frame(TruncateRecord { write.truncateFrom });
+            m_unwrittenBytes += frame(TruncateRecord { write.truncateFrom });
         for (const LogEntry<M>& entry : write.entries) {
             m_segments.back().lastIndex = std::max(m_segments.back().lastIndex, entry.index);
-            bytes += frame(entry);
+            m_unwrittenBytes += frame(entry);
         }
-        m_unwrittenBytes += bytes;
         return true;
     }
 
@@ -266,56 +365,71 @@
     bool flush()
     {
         const std::string bytes = std::exchange(m_unwrittenBytes, {});
-        if (bytes.empty() || m_segment.append(bytes))
-            return true;
-        fail(m_segment.lastError());
-        return false;
+        if (!bytes.empty() && !m_segment.append(bytes))
+            return failWrite(m_segment);
+        m_position.bytes += bytes.size();
+        return true;
     }
 
+    bool syncSegment() { return m_segment.sync() || failWrite(m_segment); }
+
     bool writeSnapshot(const Snapshot<M>& snapshot)
     {
-        const std::filesystem::path temporary = m_folder / "snapshot.new";
         File file;
-        if (!file.open(temporary, true) || !file.append(frameRecord(encode(snapshot))) || !file.sync()) {
-            fail(file.lastError());
-            return false;
-        }
-        std::error_code error;
-        std::filesystem::rename(temporary, snapshotPath(), error);
-        if (error || !syncFolder(m_folder)) {
-            fail(ErrorKind::FileWriteFailed, "cannot replace " + snapshotPath().string(), "check the disk of the data folder");
-            return false;
+        if (!file.open(newSnapshotPath(), true) || !file.append(frameRecord(encode(snapshot))) || !file.sync()) {
+            File::remove(newSnapshotPath());
+            return failWrite(file);
         }
+        if (!File::rename(newSnapshotPath(), snapshotPath()) || !File::syncFolder(m_folder))
+            return failWrite("replace " + snapshotPath().string());
         return true;
     }
 
-    /// Starts the next segment and removes those whose entries the snapshot up to `snapshotIndex` covers.
-    bool startSegment(uint64_t snapshotIndex)
+    /// Starts the next segment, which continues the log at the present position.
+    bool startSegment()
     {
-        const uint64_t number = m_segments.empty() ? 1 : m_segments.back().number + 1;
         // Earlier writes of the same batch may belong to the segment that is closed here.
-        if (m_segment.isOpen() && (!flush() || !m_segment.sync())) {
-            fail(m_segment.lastError());
+        if (m_segment.isOpen() && (!flush() || !syncSegment()))
             return false;
+        m_unwrittenBytes = frame(StartRecord { m_position, { m_incarnation, m_state } });
+        m_position = { m_nextNumber++, 0 };
+        const std::filesystem::path path = segmentPath(m_position.segment);
+        if (!m_segment.open(path, true) || !flush() || !syncSegment()) {
+            if (!File::remove(path)) // Nothing in it was synced.
+                m_voidSegments.push_back(m_position.segment);
+            return failWrite(m_segment);
         }
-        if (!m_segment.open(segmentPath(number), true)) {
-            fail(m_segment.lastError());
-            return false;
-        }
-        m_segments.push_back({ number, 0 });
-        m_unwrittenBytes = frame(StateRecord { m_incarnation, m_state });
-        if (!flush())
-            return false;
-        if (!m_segment.sync() || !syncFolder(m_folder)) {
-            fail(ErrorKind::FileWriteFailed, "cannot sync " + segmentPath(number).string(), "check the disk of the data folder");
-            return false;
+        if (!File::syncFolder(m_folder)) {
+            m_voidSegments.push_back(m_position.segment);
+            return failWrite("sync " + m_folder.string());
         }
-        while (m_segments.size() > 1 && m_segments.front().lastIndex <= snapshotIndex) {
-            std::error_code ignored;
-            std::filesystem::remove(segmentPath(m_segments.front().number), ignored);
+        m_segments.push_back({ m_position.segment, 0 });
+        for (const uint64_t number : std::exchange(m_voidSegments, {}))
+            File::remove(segmentPath(number));
+        return true;
+    }
+
+    /// Removes the segments whose entries the snapshot up to `index` covers, but for the last one.
+    void removeSegmentsThrough(uint64_t index)
+    {
+        while (m_segments.size() > 1 && m_segments.front().lastIndex <= index) {
+            File::remove(segmentPath(m_segments.front().number));
             m_segments.erase(m_segments.begin());
         }
-        return true;
+    }
+
+    /// Returns to the last position that is known to be synced. Later segments remain until another
+    /// continues the log there: if earlier ones were removed already, only they hold the state.
+    void abandonUnsynced()
+    {
+        while (!m_segments.empty() && m_segments.back().number > m_synced.segment) {
+            m_voidSegments.push_back(m_segments.back().number);
+            m_segments.pop_back();
+        }
+        m_segment = File();
+        m_unwrittenBytes.clear();
+        m_position = m_synced;
+        m_state = m_syncedState;
     }
 
     std::filesystem::path m_folder;
@@ -324,8 +438,13 @@
     File m_segment;
     std::string m_unwrittenBytes; ///< Records of the open segment that are still to be written.
     std::vector<Segment> m_segments;
+    std::vector<uint64_t> m_voidSegments; ///< Removed once a later segment continues the log.
+    uint64_t m_nextNumber = 1;
+    Position m_position; ///< End of what was written to the log.
+    Position m_synced; ///< End of what is known to be synced.
     uint64_t m_incarnation = 0;
     HardState m_state;
+    HardState m_syncedState; ///< As of `m_synced`.
 };
 
 } // namespace eelgrassloft::io
