Let a candidate lead only once its own vote is durable

What callers could see: a log in which two leaders of one term wrote different entries at one index, and so an acknowledged change that is lost.

Cause: a candidate with the votes of a quorum of others (four voters or more, or all others of three) led before its own vote was synced. While its disk refused writes or was slow, and its process ended then, it restarted in the former term, could ask for votes in the same term, and get them again from the same voters, who had voted for it already.

Evidence: ReplicaTests/aCandidateWithTheVotesOfAQuorumLeadsOnceItsOwnIsDurable failed before this change (role Leader before the write was complete). An unsynced vote of the candidate may no longer be replaced by the votes of others, so each term's leader knows the term after a restart.

--- a/src/replica.h
+++ b/src/replica.h
@@ -371,9 +371,10 @@
 
     void countVotes(Time now)
     {
-        // The candidate's own vote counts once it is durable.
-        if (m_syncedSequence >= m_voteWriteSequence)
-            addVote(m_self);
+        // Without its own vote, a restarted leader could win the same term again with another log.
+        if (m_syncedSequence < m_voteWriteSequence)
+            return;
+        addVote(m_self);
         if (m_votes.size() >= membership().quorum())
             becomeLeader(now);
     }
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -385,6 +385,26 @@
     BOOST_TEST((replica.role() == ReplicaRole::Leader));
 }
 
+/// A leader whose own vote isn't durable could win the same term again after a restart.
+BOOST_AUTO_TEST_CASE(aCandidateWithTheVotesOfAQuorumLeadsOnceItsOwnIsDurable)
+{
+    const Time start(1h);
+    const std::vector<Member> voters { { HostId { 0 }, 1 }, { HostId { 1 }, 1 }, { HostId { 2 }, 1 } };
+    Replica<ListMachine> replica(voters[0], {}, start);
+    replica.form(start, { voters, {} });
+    const Time now = start + 10s;
+    replica.tick(now);
+    replica.receive(now, { voters[1], voters[0], VoteReply { replica.term() + 1, true, true } });
+    const auto output = replica.takeOutput(now);
+    BOOST_REQUIRE((replica.role() == ReplicaRole::Candidate));
+    BOOST_REQUIRE(output.write.has_value());
+    for (const Member& voter : { voters[1], voters[2] })
+        replica.receive(now, { voter, voters[0], VoteReply { replica.term(), true, false } });
+    BOOST_TEST((replica.role() == ReplicaRole::Candidate));
+    replica.completeWrites(now, output.write->sequence);
+    BOOST_TEST((replica.role() == ReplicaRole::Leader));
+}
+
 BOOST_AUTO_TEST_CASE(aRestartedVoterRejectsCandidatesForAnElectionTimeout)
 {
     const Member self { HostId { 0 }, 1 };
