Keep a control host up while its disk refuses writes

What callers saw: with the disks of control hosts full for 3 s, one after another, each host ended by itself (`storage-failed`) and was started again every 0.65 s until the disk took writes; meanwhile it forwarded no call, relayed none and acknowledged no contact with the leader, and a leader lost the lead. Other operators saw changes refused or unanswered long after the last disk had room.

Cause: a failed write was the end of the process. `WorkLogRefused` and `LogRefused` tell the core, which starts no election and supports none in a pre-vote, since no vote of its own can become durable; what depends on the write stays at the durability gate, where an acknowledgement that the next one supersedes is replaced.

A leader goes on leading. Its entries commit once a quorum of the others holds them; any other leader would need the same quorum, so stepping down would only add an election for callers.

Tests: hostWithAFullDiskStartsAndSupportsNoElection failed without the reaction of the core (7 elections, term 15); LogWriterTests and the two hostsWithFullDisksInTurnWriteAndVoteAgain (replica, fleet) use interfaces of this change and could not run before it.

--- a/src/control_node.h
+++ b/src/control_node.h
@@ -88,6 +88,7 @@
         gauges[FleetGauge::OpenJobs] = static_cast<double>(table().openJobs().size());
         gauges[FleetGauge::Workers] = static_cast<double>(table().workers().size());
         gauges[FleetGauge::PendingCalls] = static_cast<double>(m_forwarder.size());
+        gauges[FleetGauge::StorageRefused] = m_replica.isStorageRefused();
         for (const auto& [number, workerView] : m_dispatcher.workerViews()) {
             gauges[FleetGauge::UnresponsiveWorkers] += workerView.isUnresponsive;
             gauges[FleetGauge::ActiveRuns] += static_cast<double>(workerView.runs.size());
@@ -263,7 +264,20 @@
             receive(step, m_settings.self, event.reply);
     }
 
-    void handle(FleetStep& step, const WorkLogWritten& event) { m_replica.completeWrites(step.now, event.sequence); }
+    void handle(FleetStep& step, const WorkLogWritten& event)
+    {
+        if (m_replica.isStorageRefused())
+            step.log(LogEventKind::StorageRestored, { { "log", "fleet" }, { "afterMs", std::to_string((step.now - m_storageRefusedAt) / std::chrono::milliseconds(1)) } });
+        m_replica.completeWrites(step.now, event.sequence);
+    }
+
+    void handle(FleetStep& step, const WorkLogRefused& event)
+    {
+        m_replica.refuseWrites();
+        m_storageRefusedAt = step.now;
+        m_counters.add(FleetCounter::StorageRefusals);
+        step.log(LogEventKind::StorageRefused, { { "log", "fleet" }, { "leading", m_isLeading ? "yes" : "no" }, { "error", event.reason } });
+    }
 
     void handle(FleetStep& step, const OrderResponseReceived& event)
     {
@@ -671,6 +685,7 @@
     std::map<HostId, std::string> m_regions; ///< Regions of the other control hosts, as in their hellos.
     std::map<uint64_t, PendingProposal> m_pending;
     std::set<TaskRef> m_inFlight; ///< Tasks whose placement is proposed but neither committed nor dropped.
+    Time m_storageRefusedAt {};
     Time m_lastStep {};
     Time m_nextStatus {};
     Time m_nextPlan = never;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,5 +1,7 @@
 #include "daemon/daemon.h"
 
+#include "daemon/restore_when_writable.h"
+
 #include <csignal>
 
 namespace eelgrassloft::io {
@@ -11,10 +13,10 @@
 
 /// Restores one log from its folder and opens it for writing. After an error the process must not start.
 template <typename M>
-std::optional<Error> restoreLog(const std::string& folder, LogKind kind, LogWriter<M, NodeLogWriteObserver>& writer, std::optional<RestoredLog<M>>& restored)
+std::optional<Error> restoreLog(const std::string& folder, LogKind kind, LogWriter<M, NodeLogWriteObserver>& writer, EventLog& log, std::optional<RestoredLog<M>>& restored)
 {
     auto file = std::make_unique<FileLog<M>>(std::filesystem::path(folder) / std::string(name(kind)));
-    restored = file->restore();
+    restored = restoreWhenWritable(*file, log);
     if (!restored && file->lastError().kind != ErrorKind::None)
         return file->lastError();
     writer.setFile(std::move(file));
@@ -28,12 +30,11 @@
     , m_mayForm(mayForm)
     , m_log(m_settings.logFile, m_settings.logLevel)
     , m_mailbox(m_context.get_executor(), config::nodeMailboxCapacity)
-    , m_failures(m_context.get_executor(), eventMailboxCapacity)
     , m_drained(m_context.get_executor(), eventMailboxCapacity)
     , m_peers(m_context, m_settings.node, m_mailbox, m_log)
     , m_upstreams(m_context, m_mailbox)
-    , m_cellWriter(m_context, m_storageThread, NodeLogWriteObserver { LogKind::Cell, m_mailbox, m_failures })
-    , m_dataCentreWriter(m_context, m_storageThread, NodeLogWriteObserver { LogKind::DataCentre, m_mailbox, m_failures })
+    , m_cellWriter(m_context, m_storageThread, NodeLogWriteObserver { LogKind::Cell, m_mailbox })
+    , m_dataCentreWriter(m_context, m_storageThread, NodeLogWriteObserver { LogKind::DataCentre, m_mailbox })
     , m_http(m_context, m_settings.node, m_mailbox, m_log)
     , m_signals(m_context, SIGTERM, SIGINT)
 {
@@ -43,9 +44,9 @@
 {
     if (m_settings.dataFolder.empty())
         return std::nullopt;
-    if (auto error = restoreLog(m_settings.dataFolder, LogKind::Cell, m_cellWriter, start.cell))
+    if (auto error = restoreLog(m_settings.dataFolder, LogKind::Cell, m_cellWriter, m_log, start.cell))
         return error;
-    return restoreLog(m_settings.dataFolder, LogKind::DataCentre, m_dataCentreWriter, start.dataCentre);
+    return restoreLog(m_settings.dataFolder, LogKind::DataCentre, m_dataCentreWriter, m_log, start.dataCentre);
 }
 
 int Daemon::run()
@@ -81,7 +82,6 @@
         stop(exitFailure);
     });
     asio::co_spawn(m_context, watchSignals(), asio::detached);
-    asio::co_spawn(m_context, watchFailures(), asio::detached);
     m_context.run();
     m_storageThread.join();
     m_log.write("stopped", { { "exitCode", std::to_string(m_exitCode) } });
@@ -101,16 +101,6 @@
         stop(exitFailure);
 }
 
-/// Ends the process when a log cannot be written: it could no longer keep what it acknowledges.
-awaitable<void> Daemon::watchFailures()
-{
-    const auto error = co_await m_failures.pop();
-    if (!error)
-        co_return;
-    m_log.writeError("storage-failed", *error);
-    stop(exitFailure);
-}
-
 /// Fails the readiness check, waits until the load balancer uses other hosts, and stops once no
 /// request is in flight or the limit has passed.
 awaitable<void> Daemon::drain()
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -18,7 +18,6 @@
 private:
     std::optional<Error> restoreLogs(NodeStart& start);
     awaitable<void> watchSignals();
-    awaitable<void> watchFailures();
     awaitable<void> drain();
     void stop(int exitCode);
 
@@ -28,7 +27,6 @@
     asio::thread_pool m_storageThread { 1 };
     EventLog m_log;
     NodeMailbox m_mailbox;
-    Mailbox<Error> m_failures;
     Mailbox<DrainFinished> m_drained;
     PeerNetwork m_peers;
     UpstreamClient m_upstreams;
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -50,6 +50,7 @@
 private:
     void handle(FleetStep&, const FleetTick&) { }
     void handle(FleetStep&, const WorkLogWritten&) { }
+    void handle(FleetStep&, const WorkLogRefused&) { }
     void handle(FleetStep&, const OrderResponseReceived&) { }
     void handle(FleetStep& step, const FleetPeerUp& event);
     void handle(FleetStep& step, const FleetPeerDown& event);
--- a/src/fleet_counters.h
+++ b/src/fleet_counters.h
@@ -20,6 +20,7 @@
     RelaysUnanswered,
     Plans,
     JobsExamined, ///< Open jobs whose tasks plans went through.
+    StorageRefusals, ///< Times that the disk began to refuse the writes of the log.
     Count
 };
 
@@ -27,7 +28,7 @@
 {
     constexpr NameTable<FleetCounter> table { "jobs_accepted", "jobs_repeated", "calls_passed_on", "runs_placed", "runs_lost",
         "runs_stopped_for_gangs", "workers_lost", "workers_set_aside", "advice_asked", "advice_unanswered",
-        "calls_relayed", "relays_unanswered", "plans", "jobs_examined" };
+        "calls_relayed", "relays_unanswered", "plans", "jobs_examined", "storage_refusals" };
     static_assert(detail::isComplete<FleetCounter>(table));
     return table;
 }
@@ -43,13 +44,14 @@
     UnresponsiveWorkers,
     ActiveRuns, ///< Runs that occupy capacity on workers.
     PendingCalls, ///< Calls to forward to the leader that have no reply yet.
+    StorageRefused, ///< Whether the disk refuses the writes of the log.
     Count
 };
 
 constexpr NameTable<FleetGauge> nameTable(FleetGauge)
 {
     constexpr NameTable<FleetGauge> table { "is_leading", "term", "commit_index", "config_version", "open_jobs", "workers",
-        "silent_workers", "held_runs", "waiting_calls" };
+        "silent_workers", "held_runs", "waiting_calls", "storage_refused" };
     static_assert(detail::isComplete<FleetGauge>(table));
     return table;
 }
--- a/src/fleet_events.h
+++ b/src/fleet_events.h
@@ -34,6 +34,11 @@
     uint64_t sequence = 0;
 };
 
+/// The disk refuses the log's writes. They are retried, and `WorkLogWritten` follows once it takes them.
+struct WorkLogRefused {
+    std::string reason;
+};
+
 /// A caller, a worker or an operator made a call.
 struct ControlCallReceived {
     CallId call;
@@ -62,7 +67,7 @@
 };
 
 using FleetEvent = std::variant<FleetTick, FleetPeerUp, FleetPeerDown, FleetMessageReceived, WorkLogWritten, ControlCallReceived,
-    OrderResponseReceived, AdviceReplyReceived, FleetStopRequested, SeedsChanged>;
+    OrderResponseReceived, AdviceReplyReceived, FleetStopRequested, SeedsChanged, WorkLogRefused>;
 
 /// Kind of an event, for metrics and logs. Messages of other hosts count by the kind of message.
 enum class FleetEventKind : uint8_t {
@@ -75,6 +80,7 @@
     AdviceReply,
     StopRequested,
     SeedsChanged,
+    LogRefused,
     MessageLogHello,
     MessageControlStatus,
     MessageEntryStatus,
@@ -92,7 +98,7 @@
 constexpr NameTable<FleetEventKind> nameTable(FleetEventKind)
 {
     constexpr NameTable<FleetEventKind> table { "tick", "peer_up", "peer_down", "log_written", "control_call", "order_response",
-        "advice_reply", "stop_requested", "seeds_changed", "log_hello", "control_status", "entry_status", "config_update", "forwarded_call",
+        "advice_reply", "stop_requested", "seeds_changed", "log_refused", "log_hello", "control_status", "entry_status", "config_update", "forwarded_call",
         "forwarded_call_reply", "relayed_advice_call", "relayed_advice_reply", "relayed_worker_call", "relayed_worker_reply", "replica" };
     static_assert(detail::isComplete<FleetEventKind>(table));
     return table;
@@ -111,13 +117,13 @@
 {
     using Kind = FleetEventKind;
     constexpr std::array<Kind, std::variant_size_v<FleetEvent>> kinds { Kind::Tick, Kind::PeerUp, Kind::PeerDown, Kind::Count,
-        Kind::LogWritten, Kind::ControlCall, Kind::OrderResponse, Kind::AdviceReply, Kind::StopRequested, Kind::SeedsChanged };
+        Kind::LogWritten, Kind::ControlCall, Kind::OrderResponse, Kind::AdviceReply, Kind::StopRequested, Kind::SeedsChanged, Kind::LogRefused };
     const auto* received = std::get_if<FleetMessageReceived>(&event);
     return received ? kindOf(received->message) : kinds[event.index()];
 }
 
 /// Whether an event overtakes others that wait: the log's progress and the leader's lease rest on it.
-constexpr bool isUrgent(FleetEventKind kind) { return kind == FleetEventKind::MessageReplica || kind == FleetEventKind::LogWritten; }
+constexpr bool isUrgent(FleetEventKind kind) { return kind == FleetEventKind::MessageReplica || kind == FleetEventKind::LogWritten || kind == FleetEventKind::LogRefused; }
 
 // Effects, which the I/O layer carries out.
 
--- a/src/io/durability_gate.h
+++ b/src/io/durability_gate.h
@@ -21,6 +21,16 @@
         return std::nullopt;
     }
 
+    /// Like `admit`, while storage refuses writes: a message that has to wait replaces the latest of
+    /// those that wait if it supersedes it, so that they don't grow in number.
+    template <typename IsSuperseded>
+    std::optional<Message> admitWhileRefused(Message message, IsSuperseded isSuperseded)
+    {
+        if (message.afterWrite > m_durableSequence && !m_held.empty() && isSuperseded(m_held.back(), message))
+            m_held.pop_back();
+        return admit(std::move(message));
+    }
+
     /// Marks all writes up to `sequence` as durable. Returns the messages that may now be sent, in order.
     std::vector<Message> release(uint64_t sequence)
     {
--- a/src/io/fleet_mailbox.h
+++ b/src/io/fleet_mailbox.h
@@ -57,13 +57,12 @@
 
 using FleetMailbox = Mailbox<FleetTaskDelivery>;
 
-/// Reports writes of the fleet's log: durable ones to the core, errors to `failures`.
+/// Reports to the core which writes of the fleet's log are durable, and that the disk refuses them.
 struct FleetLogWriteObserver {
     FleetMailbox& nodeMailbox;
-    Mailbox<Error>& failures;
 
     void didSync(uint64_t sequence) { nodeMailbox.tryPushUrgent(FleetEvent(WorkLogWritten { sequence })); }
-    void didFail(const Error& error) { failures.tryPush(error); }
+    void didRefuse(const Error& error) { nodeMailbox.tryPushUrgent(FleetEvent(WorkLogRefused { error.text() })); }
 };
 
 } // namespace eelgrassloft::io
--- a/src/io/fleet_task.h
+++ b/src/io/fleet_task.h
@@ -134,12 +134,14 @@
         const auto startedAt = SteadyClock::now();
         if (const auto* written = std::get_if<WorkLogWritten>(&event)) {
             measureWrites(written->sequence, startedAt);
+            m_isLogRefused = false;
             const std::vector<SendFleetMessage> released = m_gate.release(written->sequence);
             for (size_t i = 0; i < released.size(); ++i) {
                 if (i + 1 == released.size() || !isSuperseded(released[i], released[i + 1]))
                     m_dependencies.peers.send(released[i].to, released[i].message);
             }
         }
+        m_isLogRefused = m_isLogRefused || std::holds_alternative<WorkLogRefused>(event);
         perform(kindOf(event), startedAt, m_node.receive(m_clock.now(), event));
     }
 
@@ -197,7 +199,8 @@
 
     void perform(SendFleetMessage effect)
     {
-        if (const auto message = m_gate.admit(std::move(effect)))
+        const auto message = m_isLogRefused ? m_gate.admitWhileRefused(std::move(effect), isSuperseded) : m_gate.admit(std::move(effect));
+        if (message)
             m_dependencies.peers.send(message->to, message->message);
     }
 
@@ -205,7 +208,8 @@
     {
         if (!m_dependencies.logWriter)
             return;
-        m_pendingWrites.push_back({ effect.write.sequence, SteadyClock::now(), effect.write.snapshot ? effect.write.snapshot->index : 0 });
+        if (!m_isLogRefused)
+            m_pendingWrites.push_back({ effect.write.sequence, SteadyClock::now(), effect.write.snapshot ? effect.write.snapshot->index : 0 });
         m_dependencies.logWriter->write(effect.incarnation, std::move(effect.write));
     }
 
@@ -231,6 +235,7 @@
     std::map<CallId, FleetReplyMailbox<ControlReply>> m_calls;
     DurabilityGate<SendFleetMessage> m_gate;
     std::deque<PendingWrite> m_pendingWrites;
+    bool m_isLogRefused = false;
     FleetDurations m_durations;
     LoadWindow m_load;
 };
--- a/src/io/node_messages.h
+++ b/src/io/node_messages.h
@@ -76,14 +76,13 @@
 using NodeMessage = std::variant<Event, SubmitRequest, SubmitReport, SubmitManifest, SubmitCancel, SubmitQuery>;
 using NodeMailbox = Mailbox<NodeMessage>;
 
-/// Reports writes of one of the node's logs: durable ones to the node, errors to `failures`.
+/// Reports to the node which writes of one of its logs are durable, and that the disk refuses them.
 struct NodeLogWriteObserver {
     LogKind log = LogKind::Cell;
     NodeMailbox& nodeMailbox;
-    Mailbox<Error>& failures;
 
     void didSync(uint64_t sequence) { nodeMailbox.tryPushUrgent(Event(LogWritten { log, sequence })); }
-    void didFail(const Error& error) { failures.tryPush(error); }
+    void didRefuse(const Error& error) { nodeMailbox.tryPushUrgent(Event(LogRefused { log, error.text() })); }
 };
 
 } // namespace eelgrassloft::io
--- a/src/log_member.h
+++ b/src/log_member.h
@@ -131,7 +131,18 @@
         m_isForming = m_isForming && m_replica.isEmpty(); // Another voter may have formed the log already.
     }
 
-    void completeWrites(NodeStep& step, uint64_t sequence) { m_replica.completeWrites(step.now, sequence); }
+    void completeWrites(NodeStep& step, uint64_t sequence)
+    {
+        if (m_replica.isStorageRefused())
+            step.log(LogEventKind::StorageRestored, { { "log", std::string(name(m_options.log)) } });
+        m_replica.completeWrites(step.now, sequence);
+    }
+
+    void refuseWrites(NodeStep& step, const std::string& reason)
+    {
+        m_replica.refuseWrites();
+        step.log(LogEventKind::StorageRefused, { { "log", std::string(name(m_options.log)) }, { "error", reason } });
+    }
 
     // Steps.
 
--- a/src/node.h
+++ b/src/node.h
@@ -335,6 +335,14 @@
             m_dataCentre.completeWrites(step, event.sequence);
     }
 
+    void handle(NodeStep& step, const LogRefused& event)
+    {
+        if (event.log == LogKind::Cell)
+            m_cell.refuseWrites(step, event.reason);
+        else
+            m_dataCentre.refuseWrites(step, event.reason);
+    }
+
     // Work of every step.
 
     void tick(NodeStep& step)
--- a/src/node_events.h
+++ b/src/node_events.h
@@ -78,6 +78,12 @@
     uint64_t sequence = 0;
 };
 
+/// The disk refuses the writes of a log. They are retried, and `LogWritten` follows once it takes them.
+struct LogRefused {
+    LogKind log = LogKind::Cell;
+    std::string reason;
+};
+
 /// The time that the node's `nextDeadline` returned has come.
 struct Tick { };
 
@@ -88,7 +94,7 @@
 struct DrainStarted { };
 
 using Event = std::variant<Tick, RequestArrived, RequestRejected, CallerGone, AttemptAnswered, AttemptFailed, UpstreamAnnounced,
-    WorkerReported, ManifestSubmitted, JobsCancelled, PeerUp, PeerDown, PeerMessageReceived, LogWritten, DrainAnnounced, DrainStarted>;
+    WorkerReported, ManifestSubmitted, JobsCancelled, PeerUp, PeerDown, PeerMessageReceived, LogWritten, LogRefused, DrainAnnounced, DrainStarted>;
 
 // Effects: the outputs of a node's `step`, for the I/O layer to carry out.
 
--- a/src/replica.h
+++ b/src/replica.h
@@ -120,12 +120,19 @@
             m_pendingWrites.pop_front();
         }
         m_syncedSequence = std::max(m_syncedSequence, sequence);
+        m_isStorageRefused = false;
         if (m_role == ReplicaRole::Candidate)
             countVotes(now);
         if (m_role == ReplicaRole::Leader)
             advanceCommit();
     }
 
+    /// Records that storage refuses writes, which are retried until `completeWrites`. Meanwhile this
+    /// member starts no election and supports none, as no vote of its own would be durable. A leader
+    /// goes on: entries are committed once a quorum of the others holds them, and an election would
+    /// not add a member whose storage takes them.
+    void refuseWrites() { m_isStorageRefused = true; }
+
     /// Delays this member's candidacies by `delay`, so that members better suited to lead win the
     /// elections. Moves the current election deadline too.
     void setElectionDelay(Duration delay)
@@ -151,7 +158,7 @@
         if (now < m_electionDeadline)
             return;
         resetElectionDeadline(now);
-        if (isVoter())
+        if (isVoter() && !m_isStorageRefused)
             startPreVote(now);
     }
 
@@ -195,6 +202,7 @@
     uint64_t snapshotIndex() const { return m_snapshotIndex; }
     const M& stateMachine() const { return m_stateMachine; }
     const Membership& membership() const { return m_log.membership(); }
+    bool isStorageRefused() const { return m_isStorageRefused; }
     /// Whether the membership in force is committed: until then a change to it may be lost.
     bool isMembershipCommitted() const { return m_log.membershipIndex() <= m_commitIndex; }
     bool isEmpty() const { return lastIndex() == 0 && m_state.term == 0; }
@@ -299,7 +307,10 @@
         if (!write.state && !write.snapshot && !write.truncateFrom && write.entries.empty())
             return;
         write.sequence = ++m_lastWriteSequence;
-        m_pendingWrites.push_back({ write.sequence, lastIndex() });
+        if (m_isStorageRefused && !m_pendingWrites.empty()) // Storage merges what it refuses.
+            m_pendingWrites.back() = { write.sequence, lastIndex() };
+        else
+            m_pendingWrites.push_back({ write.sequence, lastIndex() });
         m_output.write = std::move(write);
     }
 
@@ -413,7 +424,7 @@
         const bool isUpToDate = request.lastTerm > m_log.termAt(lastIndex())
             || (request.lastTerm == m_log.termAt(lastIndex()) && request.lastIndex >= lastIndex());
         if (request.isPreVote) {
-            const bool isGranted = request.term > m_state.term && isUpToDate;
+            const bool isGranted = request.term > m_state.term && isUpToDate && !m_isStorageRefused;
             send(from, VoteReply { isGranted ? request.term : m_state.term, isGranted, true });
             return;
         }
@@ -485,7 +496,8 @@
     /// promise to refuse votes needs no disk: a restarted member keeps it for a whole election timeout.
     void acknowledgeContact(Time now, Member leader, uint64_t matchIndex, Time sentAt)
     {
-        if (m_durableIndex >= matchIndex || now < m_nextContactReply)
+        const bool isDurable = m_durableIndex >= matchIndex && m_pendingWrites.empty() && m_state == m_writtenState;
+        if (isDurable || now < m_nextContactReply)
             return;
         m_nextContactReply = now + m_options.heartbeat;
         send(leader, AppendReply { m_state.term, true, std::min(matchIndex, m_durableIndex), sentAt });
@@ -712,6 +724,7 @@
     uint64_t m_syncedSequence = 0;
     uint64_t m_voteWriteSequence = 0; ///< Write that makes the candidate's own vote durable.
     std::deque<PendingWrite> m_pendingWrites;
+    bool m_isStorageRefused = false;
 
     Time m_leaderContactTime;
     Time m_nextContactReply {}; ///< Earliest time of the next acknowledgement that does not wait for the disk.
--- a/tests/fleet_cluster_test.cpp
+++ b/tests/fleet_cluster_test.cpp
@@ -205,6 +205,41 @@
     BOOST_REQUIRE(fleet.finishes(2, 10s));
 }
 
+/// The disks of all control hosts were full one after another; later, changes were refused for good.
+BOOST_AUTO_TEST_CASE(hostsWithFullDisksInTurnWriteAndVoteAgain)
+{
+    Fleet fleet;
+    uint64_t version = 1;
+    uint64_t key = 0;
+    for (uint32_t full = 1; full <= 3; ++full) {
+        const uint32_t leader = *fleet.leader();
+        fleet.fillDisk(full);
+        for (int i = 0; i < 5; ++i) {
+            BOOST_TEST(fleet.callUntilOk(PutConfig { configOf(++version) }, 1s));
+            BOOST_TEST(fleet.callUntilOk(jobOf(++key), 1s));
+            fleet.run(500ms);
+        }
+        BOOST_TEST(fleet.leader().value_or(0) == leader);
+        fleet.freeDisk(full);
+        fleet.run(1s);
+    }
+    // Each pair of hosts elects a leader and commits, so each host votes and writes.
+    for (uint32_t lost = 1; lost <= 3; ++lost) {
+        fleet.kill(lost);
+        BOOST_TEST(fleet.callUntilOk(PutConfig { configOf(++version) }, 5s));
+        fleet.restart(lost);
+        fleet.run(3s);
+    }
+    for (uint64_t i = 1; i <= key; ++i)
+        BOOST_TEST(fleet.finishes(i, 20s));
+    BOOST_TEST(fleet.table().config().version == version);
+    const auto countLines = [&](LogEventKind kind) {
+        return std::count_if(fleet.log().begin(), fleet.log().end(), [&](const LogEvent& line) { return line.kind == kind; });
+    };
+    BOOST_TEST(countLines(LogEventKind::StorageRefused) == 3);
+    BOOST_TEST(countLines(LogEventKind::StorageRestored) == 3);
+}
+
 BOOST_AUTO_TEST_CASE(stateSurvivesTheRestartOfAllControlHosts)
 {
     Fleet fleet;
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -499,4 +499,59 @@
     BOOST_TEST(cluster.accepted().size() == 200U);
 }
 
+/// The disks of all hosts were full one after another.
+BOOST_AUTO_TEST_CASE(hostsWithFullDisksInTurnWriteAndVoteAgain)
+{
+    ReplicaCluster cluster(threeHosts({ 0, 1, 2 }));
+    cluster.run(3s);
+    uint64_t id = 0;
+    for (int round = 0; round < 2; ++round) {
+        for (uint32_t i = 0; i < 3; ++i) {
+            const uint32_t leader = requireLeader(cluster);
+            const uint64_t term = cluster.replica(leader).term();
+            cluster.fillDisk(i, 3s);
+            for (int step = 0; step < 200; ++step) {
+                BOOST_REQUIRE(cluster.propose(++id));
+                cluster.run(20ms);
+            }
+            BOOST_TEST(cluster.accepted().size() + 2 >= id);
+            BOOST_TEST(cluster.replica(leader).term() == term);
+        }
+    }
+    cluster.run(1s);
+    BOOST_TEST(cluster.accepted().size() == id);
+    // Each pair of hosts elects a leader and commits, so each host votes and writes.
+    for (uint32_t i = 0; i < 3; ++i) {
+        cluster.apply({ FaultKind::Isolate, i, 0, 0 });
+        cluster.run(5s);
+        BOOST_TEST(requireLeader(cluster) != i);
+        proposeMany(cluster, id + 1, 10);
+        id += 10;
+        cluster.run(1s);
+        BOOST_TEST(cluster.accepted().size() == id);
+        cluster.heal();
+        cluster.run(3s);
+    }
+}
+
+/// A host whose disk was full ran for election, and its unsynced votes kept others from being elected.
+BOOST_AUTO_TEST_CASE(hostWithAFullDiskStartsAndSupportsNoElection)
+{
+    ReplicaCluster cluster(threeHosts({ 0, 1, 2 }));
+    cluster.run(3s);
+    const uint32_t leader = requireLeader(cluster);
+    const uint32_t full = (leader + 1) % 3;
+    cluster.fillDisk(full, 20s);
+    BOOST_REQUIRE(cluster.propose(1));
+    cluster.run(100ms);
+    const uint64_t term = cluster.replica(full).term();
+    cluster.apply({ FaultKind::Isolate, leader, 0, 0 });
+    cluster.run(10s);
+    BOOST_TEST(!cluster.leader().has_value());
+    BOOST_TEST(cluster.replica(full).electionsStarted() == 0U);
+    BOOST_TEST(cluster.replica((leader + 2) % 3).term() == term);
+    cluster.run(15s);
+    BOOST_TEST(requireLeader(cluster) != leader);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/fleet_cluster.h
+++ b/tests/support/fleet_cluster.h
@@ -133,6 +133,19 @@
         startControl(id, false);
     }
 
+    /// Lets a control host's disk refuse all writes until `freeDisk`.
+    void fillDisk(uint32_t id) { m_controls.at(id).isDiskFull = true; }
+
+    void freeDisk(uint32_t id)
+    {
+        Control& control = m_controls.at(id);
+        control.isDiskFull = false;
+        for (WriteWorkLog& write : std::exchange(control.refusedWrites, {}))
+            perform(HostId { id }, write);
+        for (SendFleetMessage& message : std::exchange(control.heldMessages, {}))
+            perform(HostId { id }, message);
+    }
+
     void setUnresponsive(size_t worker, bool isUnresponsive = true) { m_workers[worker].isUnresponsive = isUnresponsive; }
     void setFailing(size_t worker, bool isFailing = true) { m_workers[worker].isFailing = isFailing; }
     bool isUp(uint32_t id) const { return m_controls.at(id).node.has_value(); }
@@ -164,6 +177,9 @@
     struct Control {
         std::optional<ControlNode<>> node;
         Disk disk;
+        bool isDiskFull = false;
+        std::vector<WriteWorkLog> refusedWrites;
+        std::vector<SendFleetMessage> heldMessages; ///< Messages that depend on refused writes.
     };
 
     struct RunningTask {
@@ -215,6 +231,8 @@
         if (control.disk.isUsed)
             options.log = control.disk.log;
         control.node.emplace(std::move(options));
+        control.refusedWrites.clear();
+        control.heldMessages.clear();
         ++m_hostIncarnations[id];
         setConnected(id, true);
         stepControl(id, FleetTick {});
@@ -277,8 +295,20 @@
             std::visit([&](auto& body) { perform(from, body); }, effect);
     }
 
+    /// Holds a message that depends on a write which the sender's disk refuses.
+    bool hold(HostId from, SendFleetMessage& effect)
+    {
+        const auto sender = m_controls.find(from.value);
+        if (sender == m_controls.end() || sender->second.refusedWrites.empty() || effect.afterWrite < sender->second.refusedWrites.front().write.sequence)
+            return false;
+        sender->second.heldMessages.push_back(std::move(effect));
+        return true;
+    }
+
     void perform(HostId from, SendFleetMessage& effect)
     {
+        if (hold(from, effect))
+            return;
         const auto control = m_controls.find(effect.to.value);
         const bool isUp = effect.to.value == entryId || (control != m_controls.end() && control->second.node);
         // A message that depends on a write leaves after it. All writes take the same time here.
@@ -288,6 +318,12 @@
 
     void perform(HostId from, WriteWorkLog& effect)
     {
+        if (Control& control = m_controls.at(from.value); control.isDiskFull) {
+            if (control.refusedWrites.empty())
+                post(from, WorkLogRefused { "no room" });
+            control.refusedWrites.push_back(std::move(effect));
+            return;
+        }
         Disk& disk = m_controls.at(from.value).disk;
         disk.isUsed = true;
         disk.log.incarnation = effect.incarnation;
--- a/tests/support/replica_cluster.h
+++ b/tests/support/replica_cluster.h
@@ -162,6 +162,15 @@
         }
     }
 
+    /// Lets a host's disk refuse all writes for `duration`; they are made when it has room again.
+    void fillDisk(uint32_t i, Duration duration)
+    {
+        Host& host = m_hosts[i];
+        host.diskFullUntil = m_now + duration;
+        for (UnsyncedWrite& write : host.unsyncedWrites)
+            write.syncedAt = std::max(write.syncedAt, host.diskFullUntil);
+    }
+
     void heal()
     {
         m_partitions.clear();
@@ -243,6 +252,7 @@
         std::deque<UnsyncedWrite> unsyncedWrites;
         std::deque<HeldMessage> heldMessages;
         Time pausedUntil {};
+        Time diskFullUntil {};
     };
 
     struct InFlight {
@@ -348,7 +358,9 @@
         Host& host = m_hosts[i];
         auto output = host.replica->takeOutput(m_now);
         if (output.write) {
-            const Time earliest = std::max(m_disksStalledUntil, host.unsyncedWrites.empty() ? m_now : host.unsyncedWrites.back().syncedAt);
+            if (m_now < host.diskFullUntil)
+                host.replica->refuseWrites();
+            const Time earliest = std::max({ m_disksStalledUntil, host.diskFullUntil, host.unsyncedWrites.empty() ? m_now : host.unsyncedWrites.back().syncedAt });
             host.unsyncedWrites.push_back({ earliest + randomUpTo(m_options.maxSync), std::move(*output.write) });
         }
         for (auto& outgoing : output.messages) {
