--- a/include/eelgrassloft/effects.h
+++ b/include/eelgrassloft/effects.h
@@ -50,6 +50,8 @@
     WorkerResponsive,
     AdviceUnanswered,
     LeaderSummary,
+    StorageRefused, ///< The disk refuses the writes of a log, which are retried.
+    StorageRestored,
     Count
 };
 
@@ -60,7 +62,7 @@
         "worker-lost", "worker-set-aside", "time-leap", "draining",
         "log-formed", "membership-changed", "incarnation-changed", "job-ended", "job-accepted", "call-unanswered", "order-refused",
         "run-failed", "run-lost", "worker-silent", "worker-back", "advice-unanswered",
-        "leader-summary" };
+        "leader-summary", "storage-refused", "storage-restored" };
     static_assert(detail::isComplete<LogEventKind>(table));
     return table;
 }
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -385,6 +385,26 @@
     BOOST_TEST((replica.role() == ReplicaRole::Leader));
 }
 
+/// A leader whose own vote isn't durable could win the same term again after a restart.
+BOOST_AUTO_TEST_CASE(aCandidateWithTheVotesOfAQuorumLeadsOnceItsOwnIsDurable)
+{
+    const Time start(1h);
+    const std::vector<Member> voters { { HostId { 0 }, 1 }, { HostId { 1 }, 1 }, { HostId { 2 }, 1 } };
+    Replica<ListMachine> replica(voters[0], {}, start);
+    replica.form(start, { voters, {} });
+    const Time now = start + 10s;
+    replica.tick(now);
+    replica.receive(now, { voters[1], voters[0], VoteReply { replica.term() + 1, true, true } });
+    const auto output = replica.takeOutput(now);
+    BOOST_REQUIRE((replica.role() == ReplicaRole::Candidate));
+    BOOST_REQUIRE(output.write.has_value());
+    for (const Member& voter : { voters[1], voters[2] })
+        replica.receive(now, { voter, voters[0], VoteReply { replica.term(), true, false } });
+    BOOST_TEST((replica.role() == ReplicaRole::Candidate));
+    replica.completeWrites(now, output.write->sequence);
+    BOOST_TEST((replica.role() == ReplicaRole::Leader));
+}
+
 BOOST_AUTO_TEST_CASE(aRestartedVoterRejectsCandidatesForAnElectionTimeout)
 {
     const Member self { HostId { 0 }, 1 };
@@ -551,4 +571,59 @@
     BOOST_TEST(cluster.accepted().size() == 200U);
 }
 
+/// The disks of all hosts were full one after another.
+BOOST_AUTO_TEST_CASE(hostsWithFullDisksInTurnWriteAndVoteAgain)
+{
+    ReplicaCluster cluster(threeHosts({ 0, 1, 2 }));
+    cluster.run(3s);
+    uint64_t id = 0;
+    for (int round = 0; round < 2; ++round) {
+        for (uint32_t i = 0; i < 3; ++i) {
+            const uint32_t leader = requireLeader(cluster);
+            const uint64_t term = cluster.replica(leader).term();
+            cluster.fillDisk(i, 3s);
+            for (int step = 0; step < 200; ++step) {
+                BOOST_REQUIRE(cluster.propose(++id));
+                cluster.run(20ms);
+            }
+            BOOST_TEST(cluster.accepted().size() + 2 >= id);
+            BOOST_TEST(cluster.replica(leader).term() == term);
+        }
+    }
+    cluster.run(1s);
+    BOOST_TEST(cluster.accepted().size() == id);
+    // Each pair of hosts elects a leader and commits, so each host votes and writes.
+    for (uint32_t i = 0; i < 3; ++i) {
+        cluster.apply({ FaultKind::Isolate, i, 0, 0 });
+        cluster.run(5s);
+        BOOST_TEST(requireLeader(cluster) != i);
+        proposeMany(cluster, id + 1, 10);
+        id += 10;
+        cluster.run(1s);
+        BOOST_TEST(cluster.accepted().size() == id);
+        cluster.heal();
+        cluster.run(3s);
+    }
+}
+
+/// A host whose disk was full ran for election, and its unsynced votes kept others from being elected.
+BOOST_AUTO_TEST_CASE(hostWithAFullDiskStartsAndSupportsNoElection)
+{
+    ReplicaCluster cluster(threeHosts({ 0, 1, 2 }));
+    cluster.run(3s);
+    const uint32_t leader = requireLeader(cluster);
+    const uint32_t full = (leader + 1) % 3;
+    cluster.fillDisk(full, 20s);
+    BOOST_REQUIRE(cluster.propose(1));
+    cluster.run(100ms);
+    const uint64_t term = cluster.replica(full).term();
+    cluster.apply({ FaultKind::Isolate, leader, 0, 0 });
+    cluster.run(10s);
+    BOOST_TEST(!cluster.leader().has_value());
+    BOOST_TEST(cluster.replica(full).electionsStarted() == 0U);
+    BOOST_TEST(cluster.replica((leader + 2) % 3).term() == term);
+    cluster.run(15s);
+    BOOST_TEST(requireLeader(cluster) != leader);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/replica_cluster.h
+++ b/tests/support/replica_cluster.h
@@ -172,6 +172,15 @@
 
     void partition(uint32_t a, uint32_t b) { m_partitions.insert({ a, b }); }
 
+    /// Lets a host's disk refuse all writes for `duration`; they are made when it has room again.
+    void fillDisk(uint32_t i, Duration duration)
+    {
+        Host& host = m_hosts[i];
+        host.diskFullUntil = m_now + duration;
+        for (UnsyncedWrite& write : host.unsyncedWrites)
+            write.syncedAt = std::max(write.syncedAt, host.diskFullUntil);
+    }
+
     void heal()
     {
         m_partitions.clear();
@@ -295,6 +304,7 @@
         std::deque<UnsyncedWrite> unsyncedWrites;
         std::deque<HeldMessage> heldMessages;
         Time pausedUntil {};
+        Time diskFullUntil {};
     };
 
     struct InFlight {
@@ -415,6 +425,8 @@
         Host& host = m_hosts[i];
         auto output = host.replica->takeOutput(m_now);
         if (output.write) {
+            if (m_now < host.diskFullUntil)
+                host.replica->refuseWrites();
             addWrite(host, std::move(*output.write));
         }
         for (auto& outgoing : output.messages) {
@@ -435,7 +447,7 @@
         const UnsyncedWrite* last = host.unsyncedWrites.empty() ? nullptr : &host.unsyncedWrites.back();
         const Time startsAt = last ? std::max(m_now, last->startsAt > m_now ? last->startsAt : last->syncedAt) : m_now;
         const bool isShared = last && last->startsAt > m_now;
-        const Time syncedAt = std::max(m_disksStalledUntil, startsAt + sync);
+        const Time syncedAt = std::max({ m_disksStalledUntil, host.diskFullUntil, startsAt + sync });
         host.unsyncedWrites.push_back({ startsAt, isShared ? std::max(last->syncedAt, syncedAt) : syncedAt, std::move(write) });
     }
 
