Count crashes of workers against the tasks that caused them, and keep suspects apart

Cause: nothing counted crashes. The runs of a crashed worker were requeued like those of one that was cut off, and the crashing task went on to the next worker together with others.

The start is accepted, the worker crashes 10 to 60 ms later and is back after 3.0 to 3.5 s with a later start; its open poll breaks within 30 ms of the crash.

Fix: the log counts a crash against the runs that had started within 0.3 s before the last sign of life, once the worker's next incarnation shows that it crashed. The count is part of the replicated state, so that it survives a change of leader. A task with a crash on its record runs only on a worker where all other runs have been at work for longer, and nothing is placed beside it until it has been itself; busy fleets withhold workers for this. After two crashes, the last with no other job to blame, the job fails; after three in any case. Workers that were cut off, lost for good or drained are not known to have crashed; their runs are kept for 30 s in case a next incarnation shows that they did.

The stored form of tasks, workers and lost runs has new members: a log of an earlier version can't be read.

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -129,6 +129,15 @@
 inline constexpr Duration quarantineDuration = 5s; ///< Afterwards the worker is on probation: one failure quarantines it again.
 inline constexpr Duration stuckRunTimeout = 1200ms; ///< Time without progress of a stuck run; even the longest runs gain one percent in less.
 
+// Tasks that crash their workers.
+inline constexpr Duration crashProofTime = 300ms; ///< A run that has been at work for this long is not the cause of a later crash.
+inline constexpr uint32_t crashesToGiveUp = 2; ///< Of workers under one task, if no other job can have caused the last one.
+inline constexpr uint32_t maxCrashesPerTask = 3; ///< Of workers under one task, whatever ran beside it.
+inline constexpr uint32_t doubtfulCrashesToSuspect = 2; ///< Of workers to which a start of the task had been sent without a response.
+inline constexpr Duration crashEvidenceLifetime = 30s; ///< How long a lost worker's next incarnation is waited for, which shows that it crashed.
+inline constexpr size_t minIsolatedWorkers = 2; ///< Workers that suspects may take at a time.
+inline constexpr size_t workersPerIsolated = 8; ///< In larger fleets, one for this many workers.
+
 // Intervals between the fleet's plans.
 inline constexpr Duration minPlanInterval = 5ms; ///< Between two plans.
 inline constexpr Duration planIntervalPerThousandPairs = 200us; ///< Added to `minPlanInterval` for every 1,000 pairs of a waiting step and a worker.
--- a/include/eelgrassloft/effects.h
+++ b/include/eelgrassloft/effects.h
@@ -48,6 +48,8 @@
     WorkerUnresponsive,
     WorkerResponsive,
     AdviceUnanswered,
+    TaskSuspected,
+    JobGivenUp,
     Count
 };
 
@@ -57,7 +59,7 @@
         "change-refused", "upstream-announced", "upstream-leaving", "upstream-set-aside", "worker-joined",
         "worker-lost", "worker-set-aside", "time-leap", "draining",
         "log-formed", "incarnation-changed", "job-ended", "job-accepted", "call-unanswered", "order-refused",
-        "run-failed", "run-lost", "worker-silent", "worker-back", "advice-unanswered" };
+        "run-failed", "run-lost", "worker-silent", "worker-back", "advice-unanswered", "task-suspected", "job-given-up" };
     static_assert(detail::isComplete<LogEventKind>(table));
     return table;
 }
--- a/include/eelgrassloft/work.h
+++ b/include/eelgrassloft/work.h
@@ -175,6 +175,12 @@
 
     friend bool operator==(const WorkerInfo&, const WorkerInfo&) = default;
 
+    /// Whether both are incarnations of one worker.
+    bool isSameWorker(const WorkerInfo& other) const
+    {
+        return id == other.id || address == other.address || (!machine.empty() && machine == other.machine);
+    }
+
     bool hasLabel(const std::string& label) const
     {
         for (const std::string& candidate : labels) {
--- a/src/capacity_view.cpp
+++ b/src/capacity_view.cpp
@@ -21,7 +21,7 @@
     m_workers.reserve(workerViews.size());
     m_numbers.reserve(workerViews.size());
     for (const auto& [number, workerView] : workerViews) {
-        if (!workerView.acceptsPlacements(now))
+        if (!workerView.acceptsPlacements(now) || workerView.isolatedRuns)
             continue;
         m_workers.push_back({ &workerView, workerView.freeCapacity(), {}, workerView.isOnProbation });
         m_numbers.push_back(number);
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -391,6 +391,8 @@
             sendReply(step, to, {});
             return;
         }
+        m_dispatcher.endFormerIncarnations(table(), step.now, request.info);
+        proposeDispatcherCommands(step);
         propose(step, SetFleetWorker { request.info }, to);
     }
 
@@ -550,8 +552,8 @@
     void didApply(FleetStep&, const PlaceRuns&, const Applied&) { requestPlan(); }
     void didApply(FleetStep&, const RequeueLostRuns&, const Applied&) { requestPlan(); }
     void didApply(FleetStep& step, const CancelWork&, const Applied& applied) { jobsEnded(step, applied.result.ended); }
-    void didApply(FleetStep& step, const SetFleetWorker&, const Applied&) { updateWorkers(step); }
-    void didApply(FleetStep& step, const RemoveFleetWorker&, const Applied&) { updateWorkers(step); }
+    void didApply(FleetStep& step, const SetFleetWorker&, const Applied& applied) { updateWorkers(step, applied.result); }
+    void didApply(FleetStep& step, const RemoveFleetWorker&, const Applied& applied) { updateWorkers(step, applied.result); }
 
     void didApply(FleetStep& step, const RecordRunOutcomes& command, const Applied& applied)
     {
@@ -579,14 +581,22 @@
                 continue;
             if (job->state != WorkState::Done)
                 m_dispatcher.stopJob(step.now, summary.key);
+            if (summary.crashes) {
+                m_counters.add(FleetCounter::JobsGivenUp);
+                step.log(LogEventKind::JobGivenUp, givenUpFields(*job, summary));
+            }
             step.log(LogEventKind::JobEnded, jobEndFields(table(), *job, summary));
         }
     }
 
-    void updateWorkers(FleetStep& step)
+    void updateWorkers(FleetStep& step, const WorkResult& result)
     {
         m_dispatcher.updateWorkers(table(), step.now);
         requestPlan();
+        m_counters.add(FleetCounter::TasksSuspected, result.suspected.size());
+        for (const SuspectedTask& suspect : result.suspected)
+            step.log(LogEventKind::TaskSuspected, suspectFields(suspect));
+        jobsEnded(step, result.ended);
     }
 
     // Leading.
--- /dev/null
+++ b/src/crash_isolation.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "capacity_view.h"
+
+namespace eelgrassloft {
+
+/// Keeps tasks that may have crashed a worker apart from others, so that the next crash shows its
+/// cause and harms as few others as possible. Suspects of one job run on a worker where all other
+/// runs are proven. In a busy fleet no worker would ever be so, so that some are withheld from other
+/// tasks while suspects wait.
+class CrashIsolation {
+public:
+    using Workers = std::vector<CapacityView::Worker*>;
+
+    /// Begins a plan, and withholds the workers that the last plan chose.
+    void begin(const std::map<WorkerNumber, WorkerView>& workerViews, CapacityView& capacityView);
+    void clear() { *this = {}; }
+
+    /// Whether one more worker may be given to suspects.
+    bool hasRoom() const { return m_isolated < m_maxIsolated; }
+    /// Makes the capacity of the withheld workers free, for suspects, or takes it back.
+    void setWithheldFree(CapacityView& capacityView, bool isFree);
+    /// Those of the candidates where a gang of suspects may run, or the one with the fewest runs to lose.
+    static Workers suitable(const Workers& candidates, bool isGang);
+    /// Gives the worker to suspects, so that this plan places nothing more there.
+    void isolate(CapacityView::Worker& worker);
+    /// Withholds up to `count` of the candidates for suspects that found no suitable worker.
+    void withhold(Workers candidates, size_t count);
+
+private:
+    static bool isSuitable(const CapacityView::Worker& worker);
+
+    size_t m_isolated = 0; ///< Workers with suspects, those that have not responded since included.
+    size_t m_maxIsolated = 0;
+    std::set<WorkerNumber> m_withheld; ///< For the suspects of this plan.
+    std::set<WorkerNumber> m_nextWithheld; ///< For those of the next one.
+    bool m_areSuspectsWaiting = false;
+};
+
+} // namespace eelgrassloft
--- a/src/fleet_counters.h
+++ b/src/fleet_counters.h
@@ -20,6 +20,8 @@
     RelaysUnanswered,
     Plans,
     JobsExamined, ///< Open jobs whose tasks plans went through.
+    TasksSuspected, ///< Possible causes of crashes of workers; a task counts again with each crash.
+    JobsGivenUp, ///< Failed because a task crashed its workers.
     Count
 };
 
@@ -27,7 +29,7 @@
 {
     constexpr NameTable<FleetCounter> table { "jobs_accepted", "jobs_repeated", "calls_passed_on", "runs_placed", "runs_lost",
         "runs_stopped_for_gangs", "workers_lost", "workers_set_aside", "advice_asked", "advice_unanswered",
-        "calls_relayed", "relays_unanswered", "plans", "jobs_examined" };
+        "calls_relayed", "relays_unanswered", "plans", "jobs_examined", "tasks_suspected", "jobs_given_up" };
     static_assert(detail::isComplete<FleetCounter>(table));
     return table;
 }
--- a/src/job_report.h
+++ b/src/job_report.h
@@ -21,4 +21,21 @@
         { "lastTask", std::to_string(job.endedBy.task.index) }, { "lastWorker", lastWorker ? lastWorker->info.id : "none" } };
 }
 
+/// Fields of the log line of a task that may have crashed its worker.
+inline std::vector<LogField> suspectFields(const SuspectedTask& suspect)
+{
+    const TaskRef& task = suspect.run.task;
+    return { { "job", hexText(task.job.value) }, { "step", std::to_string(task.step) }, { "task", std::to_string(task.index) },
+        { "attempt", std::to_string(suspect.run.attempt) }, { "worker", suspect.worker }, { "crashes", std::to_string(suspect.crashes) },
+        { "evidence", std::string(name(suspect.evidence)) }, { "alone", suspect.wasAlone ? "yes" : "no" } };
+}
+
+/// Fields of the log line of a job that was given up because a task crashed its workers.
+inline std::vector<LogField> givenUpFields(const WorkJob& job, const EndedJob& summary)
+{
+    const TaskRun& run = job.endedBy;
+    return { { "job", hexText(job.key.value) }, { "queue", job.queue.name }, { "step", std::to_string(run.task.step) }, { "task", std::to_string(run.task.index) },
+        { "attempt", std::to_string(run.attempt) }, { "crashes", std::to_string(summary.crashes) } };
+}
+
 } // namespace eelgrassloft
--- a/src/queue_policy.h
+++ b/src/queue_policy.h
@@ -11,6 +11,7 @@
     const WorkJob* job = nullptr;
     TaskRef step; ///< With task index 0.
     std::vector<uint32_t> waiting; ///< Indices of the waiting tasks.
+    bool isSuspect = false; ///< Whether the tasks need isolation. A step with tasks of both kinds is listed twice.
     Time objective {}; ///< When the job should be done.
     Time lateLimit {}; ///< When the job's result loses its value to the caller.
     Duration remainingCriticalPath {}; ///< Critical path of the job from this step on.
--- a/src/ready_steps.cpp
+++ b/src/ready_steps.cpp
@@ -99,7 +99,7 @@
             continue;
         ReadyStep step;
         for (uint32_t t = 0; t < record.tasks.size(); ++t) {
-            if (record.tasks[t].phase == TaskPhase::Waiting)
+            if (record.tasks[t].phase == TaskPhase::Waiting && !record.tasks[t].isHeld())
                 step.waiting.push_back(t);
         }
         if (step.waiting.empty())
@@ -115,7 +115,27 @@
             const uint32_t openTasks = other.count - std::min(other.count, occurrence.steps[later].doneCount);
             step.remainingWork += static_cast<double>(openTasks) * other.size.processorMillis * static_cast<double>(other.estimate.count());
         }
+        addWaiting(entry, std::move(step));
+    }
+}
+
+/// Adds the waiting tasks of a step, those that need isolation apart from the others.
+void ReadySteps::addWaiting(JobEntry& entry, ReadyStep step)
+{
+    const auto& tasks = step.job->occurrences[step.step.occurrence].steps[step.step.step].tasks;
+    if (std::none_of(tasks.begin(), tasks.end(), [](const WorkTask& task) { return task.isSuspect; })) {
         entry.steps.push_back(std::move(step));
+        return;
+    }
+    const bool isGang = step.spec().isGang;
+    const auto isSuspect = [&](uint32_t index) { return isGang || tasks[index].isSuspect; };
+    ReadyStep suspects = step;
+    suspects.isSuspect = true;
+    std::erase_if(suspects.waiting, [&](uint32_t index) { return !isSuspect(index); });
+    std::erase_if(step.waiting, isSuspect);
+    for (ReadyStep* part : { &step, &suspects }) {
+        if (!part->waiting.empty())
+            entry.steps.push_back(std::move(*part));
     }
 }
 
--- a/src/ready_steps.h
+++ b/src/ready_steps.h
@@ -52,6 +52,7 @@
 
     static void examine(JobEntry& entry, Time now);
     static void addOccurrence(JobEntry& entry, uint32_t index, Time begin);
+    static void addWaiting(JobEntry& entry, ReadyStep step);
     static bool areDependenciesDone(const OccurrenceRecord& occurrence, const StepSpec& step);
 
     std::map<JobKey, JobEntry> m_jobs;
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "advice_client.h"
+#include "crash_isolation.h"
 #include "gang_reservation.h"
 #include "ready_steps.h"
 #include "worker_dispatcher.h"
@@ -47,6 +48,7 @@
         plan.waitingSteps = steps.size();
         CapacityView capacityView(workerViews, now);
         capacityView.markReserved(m_reserved);
+        m_isolation.begin(workerViews, capacityView);
         m_previouslyReserved = std::exchange(m_reserved, {});
         m_reservedGangs.clear();
         for (const auto& [key, step] : steps) {
@@ -58,7 +60,11 @@
     }
 
     /// Forgets what it knows of the jobs, for a new term of leadership.
-    void clear() { m_ready.clear(); }
+    void clear()
+    {
+        m_ready.clear();
+        m_isolation.clear();
+    }
 
 private:
     using Worker = CapacityView::Worker;
@@ -128,13 +134,20 @@
     {
         const StepSpec& spec = step.spec();
         const QueueSpec& queue = queueOf(table, step);
-        if (!spec.isGang && !capacityView.hasCapacityFor(spec))
+        if (!step.isSuspect && !spec.isGang && !capacityView.hasCapacityFor(spec))
             return;
         const StepAdvice* stepAdvice = queue.advice ? advice.find(step.step) : nullptr;
+        if (step.isSuspect)
+            m_isolation.setWithheldFree(capacityView, true);
         std::vector<Worker*> candidates = allowedWorkers(capacityView, queue, spec, stepAdvice, [&](const Worker& worker, const StepAdvice::Ticket* ticket) {
             return CapacityView::fits(worker, spec) && (!ticket || ticket->isValid(now));
         });
-        const size_t placedCount = spec.isGang ? placeGang(plan, capacityView, candidates, step, stepAdvice) : placeEach(plan, capacityView, candidates, step, stepAdvice);
+        const size_t placedCount = step.isSuspect ? placeSuspects(plan, capacityView, candidates, step, stepAdvice) : placeAll(plan, capacityView, candidates, step, stepAdvice);
+        if (step.isSuspect) {
+            m_isolation.setWithheldFree(capacityView, false);
+            if (!placedCount)
+                withholdWorkers(capacityView, queue, step, stepAdvice, now);
+        }
         const size_t maxReserved = std::max(config::maxReservedGangs, capacityView.workers().size() / config::workersPerReservedGang);
         if (spec.isGang && !placedCount && m_reservedGangs[queue.priority] < maxReserved) {
             reserveForGang(plan, capacityView, queue, step, stepAdvice, now);
@@ -144,6 +157,34 @@
             planQuery(plan, capacityView, advice, queue, step, stepAdvice, step.waiting.size() - placedCount, now);
     }
 
+    size_t placeAll(WorkPlan& plan, CapacityView& capacityView, std::vector<Worker*>& candidates, const ReadyStep& step, const StepAdvice* stepAdvice)
+    {
+        return step.spec().isGang ? placeGang(plan, capacityView, candidates, step, stepAdvice) : placeEach(plan, capacityView, candidates, step, stepAdvice);
+    }
+
+    /// Places tasks that may have crashed a worker where they harm few others, as many as fit on one
+    /// worker, or a gang on several.
+    size_t placeSuspects(WorkPlan& plan, CapacityView& capacityView, const std::vector<Worker*>& candidates, const ReadyStep& step, const StepAdvice* stepAdvice)
+    {
+        const bool isGang = step.spec().isGang;
+        const size_t firstRun = plan.runs.size();
+        std::vector<Worker*> suitable = m_isolation.hasRoom() ? CrashIsolation::suitable(candidates, isGang) : std::vector<Worker*> {};
+        const size_t placedCount = placeAll(plan, capacityView, suitable, step, stepAdvice);
+        for (size_t i = firstRun; i < plan.runs.size(); ++i)
+            m_isolation.isolate(*capacityView.find(plan.runs[i].placement.worker));
+        return placedCount;
+    }
+
+    /// Withholds workers for suspects that could not be placed, whatever runs there now.
+    void withholdWorkers(CapacityView& capacityView, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* stepAdvice, Time now)
+    {
+        const StepSpec& spec = step.spec();
+        m_isolation.withhold(allowedWorkers(capacityView, queue, spec, stepAdvice, [&](const Worker& worker, const StepAdvice::Ticket* ticket) {
+            return spec.size.fitsIn(worker.view->info.capacity) && (!ticket || ticket->isValid(now));
+        }),
+            spec.isGang ? spec.count : 1);
+    }
+
     /// Best fit: the worker with the lowest sum of the fractions of processors and memory that would
     /// be left, plus penalties for workers reserved for a gang and for a rack without the input data.
     Worker* bestWorker(std::vector<Worker*>& candidates, const ReadyStep& step, std::unordered_map<uint32_t, uint32_t>& perWorker) const
@@ -335,6 +376,7 @@
     double m_remoteFactor;
     Policy m_policy;
     ReadySteps m_ready;
+    CrashIsolation m_isolation;
     ReservedWorkers m_reserved; ///< Reservations of the current plan.
     ReservedWorkers m_previouslyReserved; ///< Reservations of the previous plan.
     std::map<uint32_t, size_t> m_reservedGangs; ///< Number of gangs with a reservation, by priority.
--- a/src/work_table.cpp
+++ b/src/work_table.cpp
@@ -1,7 +1,5 @@
 #include "work_table.h"
 
-#include "eelgrassloft/config.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -28,12 +26,28 @@
     return summary;
 }
 
+/// Whether those runs that most likely caused a crash belong to one job.
+bool areOfOneJob(const std::vector<LostRun>& suspects)
+{
+    const LostRun* first = nullptr;
+    const bool hasStrong = std::any_of(suspects.begin(), suspects.end(), [](const LostRun& lost) { return lost.evidence == CrashEvidence::Strong; });
+    for (const LostRun& lost : suspects) {
+        if (hasStrong && lost.evidence != CrashEvidence::Strong)
+            continue;
+        if (first && first->run.task.job != lost.run.task.job)
+            return false;
+        first = &lost;
+    }
+    return true;
+}
+
 } // namespace
 
 WorkTable::Result WorkTable::apply(Time at, const Command& command)
 {
     Result result = std::visit([&](const auto& body) { return handle(at, body); }, command);
     result.ended = std::exchange(m_endedByCommand, {});
+    result.suspected = std::exchange(m_suspectedByCommand, {});
     return result;
 }
 
@@ -95,6 +109,15 @@
     });
 }
 
+bool WorkJob::needsIsolation(const TaskRef& ref) const
+{
+    const WorkTask* found = task(ref);
+    if (!found || !work.steps[ref.step].isGang)
+        return found && found->isSuspect;
+    const auto& members = occurrences[ref.occurrence].steps[ref.step].tasks;
+    return std::any_of(members.begin(), members.end(), [](const WorkTask& member) { return member.isSuspect; });
+}
+
 // Jobs.
 
 WorkTable::Result WorkTable::handle(Time at, const SubmitWork& command)
@@ -162,14 +185,12 @@
 
 // Workers.
 
-WorkTable::Result WorkTable::handle(Time, const SetFleetWorker& command)
+WorkTable::Result WorkTable::handle(Time at, const SetFleetWorker& command)
 {
     const WorkerInfo& info = command.info;
     std::vector<WorkerNumber> former;
     for (auto& [number, record] : m_workers) {
-        const bool isSame = record.info.id == info.id || record.info.address == info.address
-            || (!info.machine.empty() && record.info.machine == info.machine);
-        if (!isSame)
+        if (!record.info.isSameWorker(info))
             continue;
         if (record.info.startedAtMs > info.startedAtMs)
             return { WorkStatus::Unchanged }; // Report of an earlier incarnation.
@@ -180,32 +201,97 @@
         former.push_back(number);
     }
     for (const WorkerNumber number : former)
-        removeWorker(number);
+        removeWorker(at, number, true);
     const WorkerNumber number { m_nextWorker++ };
     m_workers[number].info = info;
     m_workerById[info.id] = number;
     return {};
 }
 
-WorkTable::Result WorkTable::handle(Time, const RemoveFleetWorker& command)
+WorkTable::Result WorkTable::handle(Time at, const RemoveFleetWorker& command)
 {
     if (!m_workers.count(command.worker))
         return { WorkStatus::Unchanged };
-    removeWorker(command.worker);
+    removeWorker(at, command.worker, command.isReplaced);
     return {};
 }
 
-void WorkTable::removeWorker(WorkerNumber number)
+void WorkTable::removeWorker(Time at, WorkerNumber number, bool isReplaced)
 {
     FleetWorker& record = m_workers.at(number);
     for (const TaskRun& run : std::vector<TaskRun>(record.runs))
         requeue({ run, {} }, number);
+    if (isReplaced && !record.info.isLeaving)
+        countCrash(at, record);
+    takeCrashSuspects(record);
     const auto byId = m_workerById.find(record.info.id);
     if (byId != m_workerById.end() && byId->second == number)
         m_workerById.erase(byId);
     m_workers.erase(number);
 }
 
+/// Notes that a run may have caused the crash of its worker, if the worker has crashed.
+void WorkTable::noteCrashSuspect(FleetWorker& worker, WorkTask& task, const LostRun& lost)
+{
+    if (lost.evidence == CrashEvidence::None || worker.info.isLeaving)
+        return;
+    worker.crashSuspects.push_back({ lost.run, {}, lost.evidence });
+    if (lost.evidence != CrashEvidence::Strong)
+        return;
+    ++task.openLosses;
+    task.isSuspect = true;
+}
+
+/// Takes the runs that may have caused a worker's crash, once it is known whether it has crashed.
+std::vector<LostRun> WorkTable::takeCrashSuspects(FleetWorker& worker)
+{
+    std::vector<LostRun> taken = std::exchange(worker.crashSuspects, {});
+    for (const LostRun& lost : taken) {
+        const auto found = m_jobs.find(lost.run.task.job);
+        WorkTask* task = found == m_jobs.end() ? nullptr : found->second.task(lost.run.task);
+        if (!task || lost.evidence != CrashEvidence::Strong)
+            continue;
+        ++found->second.changes;
+        --task->openLosses;
+    }
+    return taken;
+}
+
+/// Counts a crash against a task. An unanswered start confirms it only of a task that was isolated.
+bool WorkTable::isConfirmedCrash(WorkTask& task, CrashEvidence evidence, bool wasAlone)
+{
+    if (evidence == CrashEvidence::Strong || (wasAlone && task.isSuspect)) {
+        ++task.crashes;
+        return true;
+    }
+    task.isSuspect = task.isSuspect || ++task.doubtfulCrashes >= config::doubtfulCrashesToSuspect;
+    return false;
+}
+
+/// Counts the crash of a worker against the tasks that may have caused it. A task is given up after
+/// two crashes, of which the last left no other job to blame, and at the latest after
+/// `maxCrashesPerTask`.
+void WorkTable::countCrash(Time at, FleetWorker& worker)
+{
+    const std::vector<LostRun> suspects = takeCrashSuspects(worker);
+    const bool wasAlone = areOfOneJob(suspects);
+    for (const LostRun& lost : suspects) {
+        const auto found = m_jobs.find(lost.run.task.job);
+        WorkTask* task = found == m_jobs.end() ? nullptr : found->second.task(lost.run.task);
+        if (!task || isEnded(found->second.state) || task->phase == TaskPhase::Done)
+            continue;
+        WorkJob& job = found->second;
+        const bool isConfirmed = isConfirmedCrash(*task, lost.evidence, wasAlone);
+        m_suspectedByCommand.push_back({ lost.run, worker.info.id, task->crashes, lost.evidence, wasAlone });
+        if (!isConfirmed || task->crashes < (wasAlone ? config::crashesToGiveUp : config::maxCrashesPerTask))
+            continue;
+        const uint32_t crashes = task->crashes;
+        job.endedBy = lost.run;
+        endJob(at, job, WorkState::Failed);
+        m_endedByCommand.back().crashes = crashes;
+    }
+}
+
 // Runs.
 
 WorkTable::Result WorkTable::handle(Time at, const PlaceRuns& command)
@@ -223,6 +309,7 @@
         task->attempt = placement.run.attempt;
         task->worker = placement.worker;
         worker->second.runs.push_back(placement.run);
+        takeCrashSuspects(worker->second); // It has responded since.
         if (found->second.state == WorkState::Queued)
             found->second.startedAt = at;
         found->second.state = WorkState::Running;
@@ -235,6 +322,7 @@
     const auto worker = m_workers.find(command.worker);
     if (worker == m_workers.end())
         return { WorkStatus::Unchanged };
+    takeCrashSuspects(worker->second);
     for (const EndedRun& end : command.ends) {
         if (end.number <= worker->second.lastEndNumber)
             continue;
@@ -339,6 +427,8 @@
         ++found->second.changes;
         task->phase = TaskPhase::Waiting;
         storeCheckpoint(found->second, run.task, lost.checkpoint);
+        if (record != m_workers.end())
+            noteCrashSuspect(record->second, *task, lost);
     }
 }
 
--- a/src/work_table.h
+++ b/src/work_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "eelgrassloft/config.h"
 #include "eelgrassloft/work.h"
 
 #include <map>
@@ -26,11 +27,19 @@
     uint32_t attempt = 0; ///< Number of the latest run; 0 before the first placement.
     WorkerNumber worker; ///< Worker of the latest run.
     std::string checkpoint; ///< Latest checkpoint; empty if there is none.
+    uint32_t crashes = 0; ///< Workers that crashed just after a run of the task had started there.
+    uint32_t doubtfulCrashes = 0; ///< Workers that crashed when a start order had no response yet.
+    uint32_t openLosses = 0; ///< Lost workers of which it is not known yet whether they crashed, and that the task may have crashed.
+    bool isSuspect = false; ///< Whether the task has to run apart from others until it has proved harmless.
 
     static constexpr auto members()
     {
-        return std::make_tuple(&WorkTask::phase, &WorkTask::failures, &WorkTask::attempt, &WorkTask::worker, &WorkTask::checkpoint);
+        return std::make_tuple(&WorkTask::phase, &WorkTask::failures, &WorkTask::attempt, &WorkTask::worker, &WorkTask::checkpoint,
+            &WorkTask::crashes, &WorkTask::doubtfulCrashes, &WorkTask::openLosses, &WorkTask::isSuspect);
     }
+
+    /// Whether the task has to wait until it is known which of the workers lost under it have crashed.
+    bool isHeld() const { return openLosses && crashes + openLosses >= config::maxCrashesPerTask; }
 };
 
 struct StepRecord {
@@ -75,6 +84,9 @@
 
     /// Whether any run of the job has succeeded or failed.
     bool hasFinishedRuns() const;
+    /// Whether the task has to run on a worker without other runs that could crash it. All members of a
+    /// gang share the suspicion.
+    bool needsIsolation(const TaskRef& task) const;
 
     /// Returns the record of a task, or null if the job has no such task.
     WorkTask* task(const TaskRef& ref)
@@ -87,12 +99,38 @@
     const WorkTask* task(const TaskRef& ref) const { return const_cast<WorkJob*>(this)->task(ref); }
 };
 
+/// Whether a run that was lost with its worker may have caused the worker's crash.
+enum class CrashEvidence : uint8_t {
+    None, ///< It can't have started, or has run on the worker for a while.
+    Weak, ///< Its start had no response.
+    Strong, ///< It had just started.
+    Count
+};
+
+constexpr NameTable<CrashEvidence> nameTable(CrashEvidence)
+{
+    constexpr NameTable<CrashEvidence> table { "none", "weak", "strong" };
+    return table;
+}
+
+struct LostRun {
+    TaskRun run;
+    std::string checkpoint; ///< Latest one that the worker reported; empty if there is none.
+    CrashEvidence evidence = CrashEvidence::None; ///< In case the worker has crashed.
+
+    static constexpr auto members() { return std::make_tuple(&LostRun::run, &LostRun::checkpoint, &LostRun::evidence); }
+};
+
 struct FleetWorker {
     WorkerInfo info;
     uint64_t lastEndNumber = 0; ///< Number of the last recorded end; the worker may forget ends up to it.
     std::vector<TaskRun> runs; ///< Runs placed on the worker and not known to have ended.
+    std::vector<LostRun> crashSuspects; ///< Requeued runs that may have caused the worker's crash, if it has crashed.
 
-    static constexpr auto members() { return std::make_tuple(&FleetWorker::info, &FleetWorker::lastEndNumber, &FleetWorker::runs); }
+    static constexpr auto members()
+    {
+        return std::make_tuple(&FleetWorker::info, &FleetWorker::lastEndNumber, &FleetWorker::runs, &FleetWorker::crashSuspects);
+    }
 };
 
 // Commands.
@@ -117,6 +155,8 @@
     static constexpr auto members() { return std::make_tuple(&SetFleetConfig::config); }
 };
 
+/// Adds a worker, or a new incarnation of it. A former incarnation that had not announced its end
+/// has crashed.
 struct SetFleetWorker {
     WorkerInfo info;
 
@@ -126,8 +166,9 @@
 /// Removes an incarnation of a worker that has ended, so that nothing runs on it any more.
 struct RemoveFleetWorker {
     WorkerNumber worker;
+    bool isReplaced = false; ///< Whether a later incarnation has responded in its place.
 
-    static constexpr auto members() { return std::make_tuple(&RemoveFleetWorker::worker); }
+    static constexpr auto members() { return std::make_tuple(&RemoveFleetWorker::worker, &RemoveFleetWorker::isReplaced); }
 };
 
 struct RunPlacement {
@@ -160,13 +201,6 @@
     static constexpr auto members() { return std::make_tuple(&RecordRunOutcomes::worker, &RecordRunOutcomes::ends); }
 };
 
-struct LostRun {
-    TaskRun run;
-    std::string checkpoint; ///< Latest one that the worker reported; empty if there is none.
-
-    static constexpr auto members() { return std::make_tuple(&LostRun::run, &LostRun::checkpoint); }
-};
-
 /// Requeues the tasks of runs that are certainly not active on the worker and can't start there any
 /// more. Lost runs don't count as failures.
 struct RequeueLostRuns {
@@ -197,16 +231,35 @@
     JobKey key;
     uint32_t attempts = 0; ///< Highest attempt of any task.
     uint32_t failures = 0; ///< Of all tasks.
+    uint32_t crashes = 0; ///< Of workers under the task for which the job was given up; 0 if it was not.
     WorkerNumber lastWorker; ///< Worker of the run that ended the job; invalid if none did.
 
-    static constexpr auto members() { return std::make_tuple(&EndedJob::key, &EndedJob::attempts, &EndedJob::failures, &EndedJob::lastWorker); }
+    static constexpr auto members()
+    {
+        return std::make_tuple(&EndedJob::key, &EndedJob::attempts, &EndedJob::failures, &EndedJob::crashes, &EndedJob::lastWorker);
+    }
+};
+
+/// A task that may have crashed its worker.
+struct SuspectedTask {
+    TaskRun run;
+    std::string worker; ///< Id of the worker.
+    uint32_t crashes = 0; ///< Of workers under the task.
+    CrashEvidence evidence = CrashEvidence::None;
+    bool wasAlone = false; ///< Whether no run of another job may have caused the crash.
+
+    static constexpr auto members()
+    {
+        return std::make_tuple(&SuspectedTask::run, &SuspectedTask::worker, &SuspectedTask::crashes, &SuspectedTask::evidence, &SuspectedTask::wasAlone);
+    }
 };
 
 struct WorkResult {
     WorkStatus status = WorkStatus::Applied;
     std::vector<EndedJob> ended {}; ///< Jobs that the command ended.
+    std::vector<SuspectedTask> suspected {}; ///< Tasks that may have caused a crash that the command shows.
 
-    static constexpr auto members() { return std::make_tuple(&WorkResult::status, &WorkResult::ended); }
+    static constexpr auto members() { return std::make_tuple(&WorkResult::status, &WorkResult::ended, &WorkResult::suspected); }
 };
 
 /// State machine of the fleet's replicated log: configuration, workers, jobs and the placements of
@@ -258,7 +311,11 @@
     void completeTask(Time at, WorkJob& job, const TaskRun& run);
     void endJob(Time at, WorkJob& job, WorkState state);
     void requeue(const LostRun& lost, WorkerNumber worker);
-    void removeWorker(WorkerNumber number);
+    void removeWorker(Time at, WorkerNumber number, bool isReplaced);
+    void noteCrashSuspect(FleetWorker& worker, WorkTask& task, const LostRun& lost);
+    std::vector<LostRun> takeCrashSuspects(FleetWorker& worker);
+    void countCrash(Time at, FleetWorker& worker);
+    static bool isConfirmedCrash(WorkTask& task, CrashEvidence evidence, bool wasAlone);
     void removeExpiredJobs(Time at);
 
     FleetConfig m_config;
@@ -270,6 +327,7 @@
     std::map<std::string, WorkerNumber> m_workerById;
     std::multimap<Time, JobKey> m_endedJobs;
     std::vector<EndedJob> m_endedByCommand; ///< Jobs that the command being applied has ended.
+    std::vector<SuspectedTask> m_suspectedByCommand; ///< Tasks that the command being applied has shown to be suspects.
 };
 
 } // namespace eelgrassloft
--- a/src/worker_dispatcher.cpp
+++ b/src/worker_dispatcher.cpp
@@ -22,6 +22,7 @@
     runView.isGang = step->isGang;
     runView.canCheckpoint = step->canCheckpoint;
     runView.priority = table.job(task.job)->queue.priority;
+    runView.isSuspect = table.job(task.job)->needsIsolation(task);
     return runView;
 }
 
@@ -64,6 +65,7 @@
     for (const TaskRun& run : record.runs) {
         RunView runView = initialRunView(table, run.task, {});
         runView.phase = RunPhase::Running;
+        runView.isInherited = true;
         runView.confirmedAt = runView.progressAt = runView.placedAt = now - config::pollInterval;
         runView.isStopRequested = !table.isCurrentRun(run);
         workerView.addRun(run, std::move(runView));
@@ -202,6 +204,10 @@
     }
     if (response.clockMs)
         target->lease.updateClock(step.now, *response.clockMs);
+    if (response.outcome != OrderOutcome::NoResponse) {
+        target->noteAlive(step.now);
+        target->brokenAt = never;
+    }
     switch (call.kind) {
     case OrderKind::Start:
         handleStartResponse(step, table, *target, call, response);
@@ -281,12 +287,24 @@
     }
 }
 
+/// A poll that fails long before its timeout shows when the connection broke, and so when the
+/// worker's process ended, if it did.
+void WorkerDispatcher::noteBrokenPoll(WorkerView& workerView, const Call& call, Time now)
+{
+    if (now >= call.sentAt + call.timeout)
+        return;
+    workerView.noteAlive(now);
+    workerView.brokenAt = now;
+}
+
 void WorkerDispatcher::handlePollResponse(FleetStep& step, const WorkTable& table, WorkerView& workerView, const Call& call, const OrderResponse& response)
 {
     workerView.isPollPending = false;
     if (response.outcome != OrderOutcome::Accepted) {
         if (!std::exchange(workerView.isUnresponsive, true)) {
             workerView.unresponsiveSince = call.sentAt;
+            if (response.outcome == OrderOutcome::NoResponse)
+                noteBrokenPoll(workerView, call, step.now);
             step.log(LogEventKind::WorkerUnresponsive, { { "worker", workerView.info.id }, { "runs", std::to_string(workerView.runs.size()) }, { "outcome", std::string(name(response.outcome)) } });
         }
         workerView.nextPoll = step.now + config::orderRetryInterval;
@@ -413,14 +431,15 @@
         requeue(table, workerView, step.now, missing);
 }
 
-void WorkerDispatcher::requeue(const WorkTable& table, WorkerView& workerView, Time now, const std::vector<TaskRun>& runs)
+/// Requeues runs that were lost. If the worker `mayHaveCrashed`, the log keeps those that may be the cause.
+void WorkerDispatcher::requeue(const WorkTable& table, WorkerView& workerView, Time now, const std::vector<TaskRun>& runs, bool mayHaveCrashed)
 {
     RequeueLostRuns command { workerView.number, {} };
     for (const TaskRun& run : runs) {
         const auto found = workerView.runs.find(run);
         if (found == workerView.runs.end())
             continue;
-        command.runs.push_back({ run, found->second.checkpoint });
+        command.runs.push_back({ run, found->second.checkpoint, mayHaveCrashed ? found->second.crashEvidence(workerView.aliveUntil, workerView.brokenAt) : CrashEvidence::None });
         const bool isGang = found->second.isGang;
         workerView.removeRun(run);
         if (isGang)
@@ -444,18 +463,33 @@
         if (runView.phase != RunPhase::Reserved)
             runs.push_back(run);
     }
-    requeue(table, workerView, now, runs);
+    requeue(table, workerView, now, runs, true);
 }
 
 void WorkerDispatcher::endIncarnation(const WorkTable& table, WorkerView& workerView, Time now)
 {
     requeueAll(table, workerView, now);
-    m_commands.push_back(RemoveFleetWorker { workerView.number });
+    m_commands.push_back(RemoveFleetWorker { workerView.number, true });
     workerView.isSynced = false;
     workerView.isUnresponsive = true;
     workerView.isPollPending = true; // Sends nothing more before the log has removed the worker.
 }
 
+void WorkerDispatcher::endFormerIncarnations(const WorkTable& table, Time now, const WorkerInfo& info)
+{
+    for (auto& [number, former] : m_workerViews) {
+        if (!former.runs.empty() && former.info.startedAtMs < info.startedAtMs && former.info.isSameWorker(info))
+            requeueAll(table, former, now);
+    }
+}
+
+/// Whether the worker's next incarnation may still show that the worker has crashed.
+bool WorkerDispatcher::awaitsNextIncarnation(const WorkTable& table, const WorkerView& workerView, Time now) const
+{
+    const FleetWorker* record = table.worker(workerView.number);
+    return record && !record->crashSuspects.empty() && now < workerView.lastReport + config::crashEvidenceLifetime;
+}
+
 // Orders.
 
 void WorkerDispatcher::tick(FleetStep& step, const WorkTable& table)
@@ -483,6 +517,10 @@
         workerView.isSynced = false;
     }
     if (workerView.isUnresponsive && workerView.runs.empty() && step.now > workerView.lastReport + config::fleetPeerTimeout * 5) {
+        if (awaitsNextIncarnation(table, workerView, step.now)) {
+            schedule(step.now + config::idlePlanPeriod, workerView.number);
+            return;
+        }
         m_commands.push_back(RemoveFleetWorker { workerView.number });
         return;
     }
@@ -533,7 +571,7 @@
             order.leaseEndMs = leaseFor(workerView, step.now);
         }
         runView.isOrderPending = true;
-        const Call call { workerView.number, order.kind, run, step.now, 0 };
+        const Call call { workerView.number, order.kind, run, step.now, config::orderTimeout, 0 };
         send(step, workerView, call, std::move(order));
     }
     for (const TaskRun& run : lateMembers)
@@ -558,10 +596,12 @@
     if (workerView.lease.isClockKnown() && !workerView.runs.empty())
         order.leaseEndMs = leaseFor(workerView, step.now);
     const bool mayWait = workerView.isSynced && !workerView.isUnresponsive && !workerView.runs.empty();
-    order.maxWait = mayWait ? config::maxPollWait : Duration {};
+    if (mayWait)
+        order.maxWait = workerView.isolatedRuns ? config::crashProofTime : config::maxPollWait;
     workerView.isPollPending = true;
     const uint64_t acknowledgedEnd = order.acknowledgedEnd;
-    send(step, workerView, { workerView.number, OrderKind::Poll, {}, step.now, acknowledgedEnd }, std::move(order));
+    const Duration timeout = config::orderTimeout + order.maxWait;
+    send(step, workerView, { workerView.number, OrderKind::Poll, {}, step.now, timeout, acknowledgedEnd }, std::move(order));
 }
 
 void WorkerDispatcher::send(FleetStep& step, const WorkerView& workerView, Call call, WorkerOrder order)
--- a/src/worker_dispatcher.h
+++ b/src/worker_dispatcher.h
@@ -32,6 +32,9 @@
     /// Whether a worker has confirmed a run of the job to this leader.
     bool hasStarted(JobKey job) const { return m_startedJobs.count(job) > 0; }
     void forget(JobKey job) { m_startedJobs.erase(job); }
+    /// Requeues the runs of the worker's former incarnations, which a report of a later one shows to
+    /// have ended. Its commands have to be proposed before the report itself.
+    void endFormerIncarnations(const WorkTable& table, Time now, const WorkerInfo& info);
     /// Notes a report of a worker, changed or not.
     void noteWorkerReport(WorkerNumber number, Time now);
 
@@ -69,6 +72,7 @@
         OrderKind kind = OrderKind::Poll;
         TaskRun run;
         Time sentAt {};
+        Duration timeout {};
         uint64_t acknowledgedEnd = 0;
     };
 
@@ -83,6 +87,7 @@
     void processActiveRuns(const WorkTable& table, WorkerView& workerView, Time now, const std::vector<ReportedRun>& running);
     void requeueUnlisted(FleetStep& step, const WorkTable& table, WorkerView& workerView, Time pollSentAt, const OrderResponse& response);
     void stopStuckRuns(FleetStep& step, const WorkTable& table, WorkerView& workerView);
+    static void noteBrokenPoll(WorkerView& workerView, const Call& call, Time now);
     void quarantine(FleetStep& step, WorkerView& workerView);
     void trackFailures(FleetStep& step, WorkerView& workerView, const EndedRun& end);
     void markStarted(const WorkTable& table, JobKey job);
@@ -90,9 +95,10 @@
     void logRun(FleetStep& step, LogEventKind kind, const WorkerView& workerView, const TaskRun& run, std::string_view reason);
 
     void handleRefusedStart(const WorkTable& table, WorkerView& workerView, Time now, const TaskRun& run);
-    void requeue(const WorkTable& table, WorkerView& workerView, Time now, const std::vector<TaskRun>& runs);
+    void requeue(const WorkTable& table, WorkerView& workerView, Time now, const std::vector<TaskRun>& runs, bool mayHaveCrashed = false);
     void requeueAll(const WorkTable& table, WorkerView& workerView, Time now);
     void endIncarnation(const WorkTable& table, WorkerView& workerView, Time now);
+    bool awaitsNextIncarnation(const WorkTable& table, const WorkerView& workerView, Time now) const;
     void stopGang(const WorkTable& table, Time now, const TaskRun& run);
 
     void serviceWorker(FleetStep& step, const WorkTable& table, WorkerView& workerView);
--- a/src/worker_view.h
+++ b/src/worker_view.h
@@ -4,6 +4,7 @@
 
 #include "eelgrassloft/config.h"
 
+#include <algorithm>
 #include <map>
 
 namespace eelgrassloft {
@@ -39,8 +40,26 @@
     bool isOrderPending = false; ///< An order for the run has no response yet.
     bool mayStartLate = false; ///< A start had no response and may still be carried out.
     bool isGang = false;
+    bool isInherited = false; ///< Placed by an earlier leader, which may not have sent the start.
+    bool isSuspect = false; ///< Whether the task may have crashed a worker before.
+    bool isProven = false; ///< Has been at work for long enough not to be the cause of a later crash.
     Time nextOrder {};
     Time placedAt {};
+
+    /// Whether the run needs a worker without other runs that could be the cause of a crash.
+    bool isIsolated() const { return isSuspect && !isProven; }
+
+    /// Whether the run had been at work for long enough at the given time.
+    bool isProvenBy(Time at) const { return isProven || (confirmedAt != Time {} && confirmedAt + config::crashProofTime <= at); }
+
+    /// What the run has to do with a crash of its worker, which was alive until `aliveUntil`.
+    CrashEvidence crashEvidence(Time aliveUntil, Time brokenAt) const
+    {
+        const bool isUnsent = phase == RunPhase::Reserved || (phase == RunPhase::Starting && !isOrderPending && !mayStartLate);
+        if (isUnsent || placedAt >= brokenAt || isProvenBy(aliveUntil))
+            return CrashEvidence::None;
+        return phase == RunPhase::Starting || (isInherited && !isReported) ? CrashEvidence::Weak : CrashEvidence::Strong;
+    }
 };
 
 /// Lease of a worker in terms of the worker's and the leader's clock. The worker's steady clock may
@@ -101,10 +120,13 @@
     WorkerInfo info;
     std::map<TaskRun, RunView> runs;
     Resources used; ///< Taken by all runs in `runs`, whatever their phase.
+    uint32_t isolatedRuns = 0; ///< Number of `runs` that are isolated.
     WorkerLease lease;
     bool isSynced = false; ///< Has responded to a poll with the current fencing token.
     bool isUnresponsive = false; ///< The last poll failed.
     Time unresponsiveSince {};
+    Time aliveUntil {}; ///< When the worker last showed a sign of life.
+    Time brokenAt = never; ///< When the connection of a poll broke before its timeout, if the worker has not responded since.
     bool hasUnansweredStart = false; ///< The last start had no response, and no poll succeeded since.
     bool isPollPending = false; ///< A poll has no response yet.
     Time nextPoll {};
@@ -127,6 +149,7 @@
     void addRun(const TaskRun& run, RunView runView)
     {
         used += chargedSize(runView);
+        isolatedRuns += runView.isIsolated();
         runs[run] = std::move(runView);
     }
 
@@ -136,9 +159,30 @@
         if (found == runs.end())
             return;
         used -= chargedSize(found->second);
+        isolatedRuns -= found->second.isIsolated();
         runs.erase(found);
     }
 
+    /// Notes that the worker was alive at the given time, which clears isolated runs that have been at
+    /// work for long enough by then.
+    void noteAlive(Time at)
+    {
+        aliveUntil = std::max(aliveUntil, at);
+        if (!isolatedRuns)
+            return;
+        for (auto& [run, runView] : runs) {
+            if (!runView.isIsolated() || !runView.isProvenBy(at))
+                continue;
+            runView.isProven = true;
+            --isolatedRuns;
+        }
+    }
+
+    bool hasUnprovenRuns() const
+    {
+        return std::any_of(runs.begin(), runs.end(), [&](const auto& entry) { return !entry.second.isProvenBy(aliveUntil); });
+    }
+
     /// Resources that a run takes of its worker. Best-effort runs only use processors that others leave
     /// idle.
     static Resources chargedSize(const RunView& runView)
--- a/tests/support/fleet_cluster.h
+++ b/tests/support/fleet_cluster.h
@@ -9,9 +9,10 @@
 namespace eelgrassloft::testing {
 
 /// Simulates a fleet in virtual time: three control hosts with disks, one entry host, workers and an
-/// advice service, with message delays, crashes and unresponsive workers. Checks at every start that
-/// no worker exceeds its capacity, that no two runs of a task are active at the same time, and that
-/// no task starts after its success was acknowledged.
+/// advice service, with message delays, crashes, unresponsive workers and tasks that crash their
+/// worker. Checks at every start that no worker exceeds its capacity, that no two runs of a task are
+/// active at the same time, that no task starts after its success was acknowledged, and that no task
+/// starts three times more after three workers have crashed under it.
 class FleetCluster {
 public:
     static constexpr uint32_t controlCount = 3;
@@ -137,9 +138,47 @@
     void setFailing(size_t worker, bool isFailing = true) { m_workers[worker].isFailing = isFailing; }
     bool isUp(uint32_t id) const { return m_controls.at(id).node.has_value(); }
 
+    /// Makes all tasks of the job crash their worker after running for `runTime`.
+    void setCrashing(JobKey job, Duration runTime = std::chrono::milliseconds(60)) { m_crashingJobs[job] = runTime; }
+    /// How long tasks run that start from now on.
+    void setRunLength(Duration length) { m_runLength = length; }
+    /// How long a crashed worker is away before its next incarnation.
+    void setCrashLength(Duration length) { m_crashLength = length; }
+    /// Crashes a worker, as by a fault of its machine.
+    void crashWorker(size_t worker) { crash(m_workers[worker]); }
+    /// Takes a worker away for good.
+    void loseWorker(size_t worker)
+    {
+        crash(m_workers[worker]);
+        m_workers[worker].backAt = never;
+    }
+    /// Makes a worker announce that it leaves, end after `notice` and start again.
+    void drainWorker(size_t worker, Duration notice)
+    {
+        m_workers[worker].info.isLeaving = true;
+        m_workers[worker].leavesAt = m_now + notice;
+    }
+
     // Observations.
 
     size_t startCount() const { return m_starts; }
+    /// Number of workers that crashed while they ran a task of the job.
+    size_t crashesUnder(JobKey job) const
+    {
+        const auto found = m_jobCrashes.find(job);
+        return found == m_jobCrashes.end() ? 0 : found->second;
+    }
+    size_t workerCrashes() const { return m_workerCrashes; }
+    /// A worker that runs a task of the job.
+    std::optional<size_t> workerOf(JobKey job) const
+    {
+        for (size_t i = 0; i < m_workers.size(); ++i) {
+            const auto& running = m_workers[i].running;
+            if (std::any_of(running.begin(), running.end(), [&](const auto& entry) { return entry.first.task.job == job; }))
+                return i;
+        }
+        return std::nullopt;
+    }
     /// Number of calls to workers that a host made.
     size_t workerCalls(uint32_t id) const
     {
@@ -153,7 +192,6 @@
 private:
     static constexpr Duration tickLength = std::chrono::milliseconds(5);
     static constexpr Duration reportPeriod = std::chrono::milliseconds(500);
-    static constexpr Duration runLength = std::chrono::milliseconds(300);
     static constexpr Duration delay = std::chrono::milliseconds(2);
 
     struct Disk {
@@ -168,7 +206,15 @@
 
     struct RunningTask {
         Resources size;
+        Time startedAt {};
         Time endsAt {};
+        Time crashesAt = never; ///< When the task crashes its worker.
+    };
+
+    /// Crashes of workers that ran a task, and its starts after the third.
+    struct TaskCrashes {
+        uint32_t crashes = 0;
+        uint32_t startsAfterThird = 0;
     };
 
     struct Worker {
@@ -182,6 +228,10 @@
         uint64_t nextEnd = 1;
         bool isUnresponsive = false;
         bool isFailing = false;
+        Time backAt {}; ///< Start of the next incarnation after a crash.
+        Time leavesAt = never;
+
+        bool isDown(Time now) const { return now < backAt; }
     };
 
     /// An event in transit to a host.
@@ -327,7 +377,7 @@
         ++m_workerCalls[from.value];
         const auto worker = std::find_if(m_workers.begin(), m_workers.end(), [&](const Worker& candidate) { return candidate.info.id == effect.workerId; });
         const Duration timeout = config::orderTimeout + effect.order.maxWait;
-        if (worker == m_workers.end() || worker->isUnresponsive) {
+        if (worker == m_workers.end() || worker->isUnresponsive || worker->isDown(m_now)) {
             post(from, OrderResponseReceived { effect.call, {} }, timeout);
             return;
         }
@@ -345,7 +395,8 @@
         while (!m_delayedOrders.empty() && m_delayedOrders.begin()->first <= m_now) {
             const auto [worker, order] = std::move(m_delayedOrders.begin()->second);
             m_delayedOrders.erase(m_delayedOrders.begin());
-            execute(m_workers[worker], order);
+            if (!m_workers[worker].isDown(m_now))
+                execute(m_workers[worker], order);
         }
     }
 
@@ -398,7 +449,11 @@
                     m_violations.push_back("two runs of a task are active at the same time");
             }
         }
-        worker.running[order.run] = { size, m_now + runLength };
+        if (m_taskCrashes[task].crashes >= 3 && ++m_taskCrashes[task].startsAfterThird >= 3)
+            m_violations.push_back("a task was started three times more after three workers had crashed under it");
+        const auto crashing = m_crashingJobs.find(task.job);
+        const Time crashesAt = crashing == m_crashingJobs.end() ? never : m_now + crashing->second;
+        worker.running[order.run] = { size, m_now, m_now + m_runLength, crashesAt };
         Resources used;
         for (const auto& [run, running] : worker.running)
             used += running.size;
@@ -421,6 +476,11 @@
         worker.ends.push_back({ worker.nextEnd++, run, runOutcome, {} });
     }
 
+    uint32_t percentOf(const RunningTask& running) const
+    {
+        return static_cast<uint32_t>(100 * (m_now - running.startedAt) / (running.endsAt - running.startedAt));
+    }
+
     void listRuns(Worker& worker, const WorkerOrder& order, OrderResponse& response)
     {
         while (!worker.ends.empty() && worker.ends.front().number <= order.acknowledgedEnd) {
@@ -429,12 +489,47 @@
             worker.ends.pop_front();
         }
         for (const auto& [run, running] : worker.running)
-            response.running.push_back({ run, {}, 0 });
+            response.running.push_back({ run, {}, percentOf(running) });
         response.ends.assign(worker.ends.begin(), worker.ends.end());
     }
 
+    /// Ends an incarnation of a worker without notice. The next one starts later and knows nothing.
+    void crash(Worker& worker)
+    {
+        ++m_workerCrashes;
+        std::set<JobKey> jobs;
+        for (const auto& [run, running] : worker.running) {
+            ++m_taskCrashes[run.task].crashes;
+            jobs.insert(run.task.job);
+        }
+        for (const JobKey job : jobs)
+            ++m_jobCrashes[job];
+        beginIncarnation(worker);
+    }
+
+    void beginIncarnation(Worker& worker)
+    {
+        Worker next;
+        next.info = worker.info;
+        next.info.isLeaving = false;
+        next.backAt = m_now + m_crashLength;
+        next.info.startedAtMs = next.backAt.time_since_epoch() / std::chrono::milliseconds(1);
+        worker = std::move(next);
+    }
+
     void tickWorker(Worker& worker)
     {
+        if (worker.isDown(m_now))
+            return;
+        const auto crashes = [&](const auto& entry) { return m_now >= entry.second.crashesAt; };
+        if (std::any_of(worker.running.begin(), worker.running.end(), crashes)) {
+            crash(worker);
+            return;
+        }
+        if (m_now >= worker.leavesAt) {
+            beginIncarnation(worker);
+            return;
+        }
         const bool hasLapsed = m_now >= worker.leaseEnd;
         if (hasLapsed)
             worker.endsBeforeLapse = worker.nextEnd - 1;
@@ -451,7 +546,7 @@
     {
         m_nextReport = m_now + reportPeriod;
         for (const Worker& worker : m_workers) {
-            if (worker.isUnresponsive)
+            if (worker.isUnresponsive || worker.isDown(m_now))
                 continue;
             for (const auto& [id, control] : m_controls) {
                 if (!control.node)
@@ -475,6 +570,12 @@
     std::vector<std::string> m_violations;
     std::vector<LogEvent> m_log;
     std::multimap<Time, std::pair<size_t, WorkerOrder>> m_delayedOrders; ///< Position of the worker and its order, by time of execution.
+    std::map<JobKey, Duration> m_crashingJobs; ///< How long their tasks run before they crash their worker.
+    std::map<JobKey, size_t> m_jobCrashes;
+    std::map<TaskRef, TaskCrashes> m_taskCrashes;
+    size_t m_workerCrashes = 0;
+    Duration m_runLength = std::chrono::milliseconds(300);
+    Duration m_crashLength = std::chrono::seconds(2);
     Time m_nextReport {};
     uint64_t m_nextCall = 1;
     uint64_t m_nextIncarnation = 0;
