Place suspects before all others, on workers cleared for them, and get their tickets there

Cause: suspects were placed after all others. While the fleet was busy, the others used up all calls to the advice service, so that suspects had no tickets for the workers withheld for them.

Fix: a plan looks at some steps of suspects first. They take only workers that hold at most two other runs or have been withheld for 2 s, and ask for tickets only there.

--- a/src/crash_isolation.cpp
+++ b/src/crash_isolation.cpp
@@ -5,8 +5,9 @@
 
 namespace eelgrassloft {
 
-void CrashIsolation::begin(const std::map<WorkerNumber, WorkerView>& workerViews, CapacityView& capacityView)
+void CrashIsolation::begin(const std::map<WorkerNumber, WorkerView>& workerViews, CapacityView& capacityView, Time now)
 {
+    m_now = now;
     const bool wereSuspectsWaiting = std::exchange(m_areSuspectsWaiting, false);
     m_withheld = std::exchange(m_nextWithheld, {});
     m_isolated = 0;
@@ -17,29 +18,48 @@
             continue;
         ++m_isolated;
         if (wereSuspectsWaiting)
-            m_nextWithheld.insert(number); // The next suspects take it once these are proven.
+            m_nextWithheld[number] = now - maxClearingTime; // The next suspects take it once these are proven.
     }
     m_maxIsolated = std::max({ config::minIsolatedWorkers, workerViews.size() / config::workersPerIsolated, m_isolated + idle / 2 });
+    m_turns = m_maxIsolated * 2;
     setWithheldFree(capacityView, false);
 }
 
+bool CrashIsolation::takeTurn()
+{
+    m_areSuspectsWaiting = true;
+    if (!m_turns)
+        return false;
+    --m_turns;
+    return true;
+}
+
+bool CrashIsolation::isIntended(const CapacityView::Worker& worker) const
+{
+    const WorkerNumber number = worker.view->number;
+    return worker.view->runs.size() <= maxRunsAtStake || m_withheld.count(number) || m_nextWithheld.count(number);
+}
+
 void CrashIsolation::setWithheldFree(CapacityView& capacityView, bool isFree)
 {
-    for (const WorkerNumber number : m_withheld) {
+    for (const auto& [number, since] : m_withheld) {
         if (CapacityView::Worker* worker = capacityView.find(number))
             worker->freeCapacity = isFree ? worker->view->freeCapacity() : Resources {};
     }
 }
 
-bool CrashIsolation::isSuitable(const CapacityView::Worker& worker)
+bool CrashIsolation::isSuitable(const CapacityView::Worker& worker) const
 {
-    return !worker.view->hasUnprovenRuns() && worker.freeCapacity == worker.view->freeCapacity();
+    if (worker.view->hasUnprovenRuns() || worker.freeCapacity != worker.view->freeCapacity())
+        return false;
+    const auto withheld = m_withheld.find(worker.view->number);
+    return worker.view->runs.size() <= maxRunsAtStake || (withheld != m_withheld.end() && m_now >= withheld->second + maxClearingTime);
 }
 
-CrashIsolation::Workers CrashIsolation::suitable(const Workers& candidates, bool isGang)
+CrashIsolation::Workers CrashIsolation::suitable(const Workers& candidates, bool isGang) const
 {
     Workers found;
-    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(found), [](const CapacityView::Worker* worker) { return isSuitable(*worker); });
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(found), [&](const CapacityView::Worker* worker) { return isSuitable(*worker); });
     if (isGang || found.empty())
         return found;
     const auto hasFewerRuns = [](const CapacityView::Worker* a, const CapacityView::Worker* b) { return a->view->runs.size() < b->view->runs.size(); };
@@ -56,7 +76,6 @@
 
 void CrashIsolation::withhold(Workers candidates, size_t count)
 {
-    m_areSuspectsWaiting = true;
     const auto rank = [&](const CapacityView::Worker* worker) {
         return std::make_pair(!m_withheld.count(worker->view->number), worker->view->runs.size());
     };
@@ -64,7 +83,9 @@
     for (CapacityView::Worker* worker : candidates) {
         if (!count || m_isolated + m_nextWithheld.size() >= m_maxIsolated)
             return;
-        if (!m_nextWithheld.insert(worker->view->number).second)
+        const auto before = m_withheld.find(worker->view->number);
+        const Time since = before == m_withheld.end() ? m_now : before->second;
+        if (!m_nextWithheld.insert({ worker->view->number, since }).second)
             continue;
         --count;
     }
--- a/src/crash_isolation.h
+++ b/src/crash_isolation.h
@@ -13,27 +13,37 @@
     using Workers = std::vector<CapacityView::Worker*>;
 
     /// Begins a plan, and withholds the workers that the last plan chose.
-    void begin(const std::map<WorkerNumber, WorkerView>& workerViews, CapacityView& capacityView);
+    void begin(const std::map<WorkerNumber, WorkerView>& workerViews, CapacityView& capacityView, Time now);
     void clear() { *this = {}; }
 
+    /// Whether this plan may look at one more step of suspects. With a limit, those that it looks at get
+    /// their tickets while the workers withheld for them are still theirs.
+    bool takeTurn();
     /// Whether one more worker may be given to suspects.
     bool hasRoom() const { return m_isolated < m_maxIsolated; }
     /// Makes the capacity of the withheld workers free, for suspects, or takes it back.
     void setWithheldFree(CapacityView& capacityView, bool isFree);
     /// Those of the candidates where a gang of suspects may run, or the one with the fewest runs to lose.
-    static Workers suitable(const Workers& candidates, bool isGang);
+    Workers suitable(const Workers& candidates, bool isGang) const;
     /// Gives the worker to suspects, so that this plan places nothing more there.
     void isolate(CapacityView::Worker& worker);
+    /// Whether suspects may soon run on the worker.
+    bool isIntended(const CapacityView::Worker& worker) const;
     /// Withholds up to `count` of the candidates for suspects that found no suitable worker.
     void withhold(Workers candidates, size_t count);
 
 private:
-    static bool isSuitable(const CapacityView::Worker& worker);
+    static constexpr size_t maxRunsAtStake = 2; ///< Runs that a suspect may endanger without waiting for their end.
+    static constexpr Duration maxClearingTime = std::chrono::seconds(2); ///< How long a withheld worker's other runs are waited for.
 
+    bool isSuitable(const CapacityView::Worker& worker) const;
+
+    Time m_now {};
     size_t m_isolated = 0; ///< Workers with suspects, those that have not responded since included.
     size_t m_maxIsolated = 0;
-    std::set<WorkerNumber> m_withheld; ///< For the suspects of this plan.
-    std::set<WorkerNumber> m_nextWithheld; ///< For those of the next one.
+    size_t m_turns = 0; ///< Steps of suspects that this plan may still look at.
+    std::map<WorkerNumber, Time> m_withheld; ///< For the suspects of this plan, with the time from which on.
+    std::map<WorkerNumber, Time> m_nextWithheld; ///< For those of the next one.
     bool m_areSuspectsWaiting = false;
 };
 
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -48,13 +48,18 @@
         plan.waitingSteps = steps.size();
         CapacityView capacityView(workerViews, now);
         capacityView.markReserved(m_reserved);
-        m_isolation.begin(workerViews, capacityView);
+        m_isolation.begin(workerViews, capacityView, now);
         m_previouslyReserved = std::exchange(m_reserved, {});
         m_reservedGangs.clear();
-        for (const auto& [key, step] : steps) {
-            if (plan.runs.size() >= config::maxPlacementsPerStep)
-                break;
-            place(plan, table, capacityView, advice, *step, now);
+        // Suspects only take workers that are idle or withheld for them, and a few tickets. After all others,
+        // they would get no tickets while the fleet is busy.
+        for (const bool isSuspect : { true, false }) {
+            for (const auto& [key, step] : steps) {
+                if (plan.runs.size() >= config::maxPlacementsPerStep)
+                    break;
+                if (step->isSuspect == isSuspect)
+                    place(plan, table, capacityView, advice, *step, now);
+            }
         }
         return plan;
     }
@@ -134,20 +139,15 @@
     {
         const StepSpec& spec = step.spec();
         const QueueSpec& queue = queueOf(table, step);
-        if (!step.isSuspect && !spec.isGang && !capacityView.hasCapacityFor(spec))
-            return;
-        const StepAdvice* stepAdvice = queue.advice ? advice.find(step.step) : nullptr;
-        if (step.isSuspect)
-            m_isolation.setWithheldFree(capacityView, true);
-        std::vector<Worker*> candidates = allowedWorkers(capacityView, queue, spec, stepAdvice, [&](const Worker& worker, const StepAdvice::Ticket* ticket) {
-            return CapacityView::fits(worker, spec) && (!ticket || ticket->isValid(now));
-        });
-        const size_t placedCount = step.isSuspect ? placeSuspects(plan, capacityView, candidates, step, stepAdvice) : placeAll(plan, capacityView, candidates, step, stepAdvice);
         if (step.isSuspect) {
-            m_isolation.setWithheldFree(capacityView, false);
-            if (!placedCount)
-                withholdWorkers(capacityView, queue, step, stepAdvice, now);
+            placeSuspectStep(plan, capacityView, advice, queue, step, now);
+            return;
         }
+        if (!spec.isGang && !capacityView.hasCapacityFor(spec))
+            return;
+        const StepAdvice* stepAdvice = queue.advice ? advice.find(step.step) : nullptr;
+        std::vector<Worker*> candidates = fittingWorkers(capacityView, queue, step, stepAdvice, now);
+        const size_t placedCount = placeAll(plan, capacityView, candidates, step, stepAdvice);
         const size_t maxReserved = std::max(config::maxReservedGangs, capacityView.workers().size() / config::workersPerReservedGang);
         if (spec.isGang && !placedCount && m_reservedGangs[queue.priority] < maxReserved) {
             reserveForGang(plan, capacityView, queue, step, stepAdvice, now);
@@ -168,21 +168,58 @@
     {
         const bool isGang = step.spec().isGang;
         const size_t firstRun = plan.runs.size();
-        std::vector<Worker*> suitable = m_isolation.hasRoom() ? CrashIsolation::suitable(candidates, isGang) : std::vector<Worker*> {};
+        std::vector<Worker*> suitable = m_isolation.hasRoom() ? m_isolation.suitable(candidates, isGang) : std::vector<Worker*> {};
         const size_t placedCount = placeAll(plan, capacityView, suitable, step, stepAdvice);
         for (size_t i = firstRun; i < plan.runs.size(); ++i)
             m_isolation.isolate(*capacityView.find(plan.runs[i].placement.worker));
         return placedCount;
     }
 
-    /// Withholds workers for suspects that could not be placed, whatever runs there now.
-    void withholdWorkers(CapacityView& capacityView, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* stepAdvice, Time now)
+    /// Places suspects on isolated workers. Where that is not possible yet, withholds workers for them
+    /// and asks for the tickets that they need there.
+    void placeSuspectStep(WorkPlan& plan, CapacityView& capacityView, const AdviceClient& advice, const QueueSpec& queue, const ReadyStep& step, Time now)
     {
-        const StepSpec& spec = step.spec();
-        m_isolation.withhold(allowedWorkers(capacityView, queue, spec, stepAdvice, [&](const Worker& worker, const StepAdvice::Ticket* ticket) {
-            return spec.size.fitsIn(worker.view->info.capacity) && (!ticket || ticket->isValid(now));
-        }),
-            spec.isGang ? spec.count : 1);
+        if (!m_isolation.takeTurn())
+            return;
+        const StepAdvice* stepAdvice = queue.advice ? advice.find(step.step) : nullptr;
+        m_isolation.setWithheldFree(capacityView, true);
+        const size_t placedCount = placeSuspects(plan, capacityView, fittingWorkers(capacityView, queue, step, stepAdvice, now), step, stepAdvice);
+        m_isolation.setWithheldFree(capacityView, false);
+        if (placedCount)
+            return;
+        std::vector<Worker*> eligible;
+        for (Worker& worker : capacityView.workers()) {
+            const bool isDenied = stepAdvice && stepAdvice->denied.count(worker.view->number);
+            if (!isDenied && isEligible(worker, queue, step.spec()) && step.spec().size.fitsIn(worker.view->info.capacity))
+                eligible.push_back(&worker);
+        }
+        m_isolation.withhold(eligible, step.spec().isGang ? step.spec().count : 1);
+        if (queue.advice && !(stepAdvice && stepAdvice->isQueryPending))
+            planSuspectQuery(plan, advice, queue, step, stepAdvice, eligible, now);
+    }
+
+    /// Queries the workers on which a suspect may run soon, and for which it has no ticket that is valid
+    /// until then.
+    void planSuspectQuery(WorkPlan& plan, const AdviceClient& advice, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* stepAdvice,
+        const std::vector<Worker*>& eligible, Time now) const
+    {
+        AdviceClient::Query query { step.step, {}, *queue.advice, queue.priority };
+        for (const Worker* worker : eligible) {
+            const WorkerNumber number = worker->view->number;
+            const bool hasTicket = stepAdvice && stepAdvice->hasValidTicket(number, now + config::orderTimeout);
+            if (m_isolation.isIntended(*worker) && !hasTicket && query.workers.size() < config::gangAdviceWorkers)
+                query.workers.push_back(number);
+        }
+        if (!query.workers.empty() && advice.canQuery(*queue.advice, query.workers.size(), plan.queries.size()))
+            plan.queries.push_back(std::move(query));
+    }
+
+    /// Workers that may run the step and have capacity for a task of it now.
+    static std::vector<Worker*> fittingWorkers(CapacityView& capacityView, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* stepAdvice, Time now)
+    {
+        return allowedWorkers(capacityView, queue, step.spec(), stepAdvice, [&](const Worker& worker, const StepAdvice::Ticket* ticket) {
+            return CapacityView::fits(worker, step.spec()) && (!ticket || ticket->isValid(now));
+        });
     }
 
     /// Best fit: the worker with the lowest sum of the fractions of processors and memory that would
