--- a/include/eelgrassloft/effects.h
+++ b/include/eelgrassloft/effects.h
@@ -52,6 +52,8 @@
     LeaderSummary,
     StorageRefused, ///< The disk refuses the writes of a log, which are retried.
     StorageRestored,
+    TaskSuspected,
+    JobGivenUp,
     Count
 };
 
@@ -62,7 +64,7 @@
         "worker-lost", "worker-set-aside", "time-leap", "draining",
         "log-formed", "membership-changed", "incarnation-changed", "job-ended", "job-accepted", "call-unanswered", "order-refused",
         "run-failed", "run-lost", "worker-silent", "worker-back", "advice-unanswered",
-        "leader-summary", "storage-refused", "storage-restored" };
+        "leader-summary", "storage-refused", "storage-restored", "task-suspected", "job-given-up" };
     static_assert(detail::isComplete<LogEventKind>(table));
     return table;
 }
--- /dev/null
+++ b/src/crash_isolation.cpp
@@ -0,0 +1,94 @@
+#include "crash_isolation.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace eelgrassloft {
+
+void CrashIsolation::begin(const std::map<WorkerNumber, WorkerView>& workerViews, CapacityView& capacityView, Time now)
+{
+    m_now = now;
+    const bool wereSuspectsWaiting = std::exchange(m_areSuspectsWaiting, false);
+    m_withheld = std::exchange(m_nextWithheld, {});
+    m_isolated = 0;
+    size_t idle = 0;
+    for (const auto& [number, workerView] : workerViews) {
+        idle += workerView.runs.empty() && !workerView.isUnresponsive;
+        if (!workerView.isolatedRuns)
+            continue;
+        ++m_isolated;
+        if (wereSuspectsWaiting)
+            m_nextWithheld[number] = now - maxClearingTime; // The next suspects take it once these are proven.
+    }
+    m_maxIsolated = std::max({ config::minIsolatedWorkers, workerViews.size() / config::workersPerIsolated, m_isolated + idle / 2 });
+    m_turns = m_maxIsolated * 2;
+    setWithheldFree(capacityView, false);
+}
+
+bool CrashIsolation::takeTurn()
+{
+    m_areSuspectsWaiting = true;
+    if (!m_turns)
+        return false;
+    --m_turns;
+    return true;
+}
+
+bool CrashIsolation::isIntended(const CapacityView::Worker& worker) const
+{
+    const WorkerNumber number = worker.view->number;
+    return worker.view->runs.size() <= maxRunsAtStake || m_withheld.count(number) || m_nextWithheld.count(number);
+}
+
+void CrashIsolation::setWithheldFree(CapacityView& capacityView, bool isFree)
+{
+    for (const auto& [number, since] : m_withheld) {
+        if (CapacityView::Worker* worker = capacityView.find(number))
+            worker->freeCapacity = isFree ? worker->view->freeCapacity() : Resources {};
+    }
+}
+
+bool CrashIsolation::isSuitable(const CapacityView::Worker& worker) const
+{
+    if (worker.view->hasUnprovenRuns() || worker.freeCapacity != worker.view->freeCapacity())
+        return false;
+    const auto withheld = m_withheld.find(worker.view->number);
+    return worker.view->runs.size() <= maxRunsAtStake || (withheld != m_withheld.end() && m_now >= withheld->second + maxClearingTime);
+}
+
+CrashIsolation::Workers CrashIsolation::suitable(const Workers& candidates, bool isGang) const
+{
+    Workers found;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(found), [&](const CapacityView::Worker* worker) { return isSuitable(*worker); });
+    if (isGang || found.empty())
+        return found;
+    const auto hasFewerRuns = [](const CapacityView::Worker* a, const CapacityView::Worker* b) { return a->view->runs.size() < b->view->runs.size(); };
+    return { *std::min_element(found.begin(), found.end(), hasFewerRuns) };
+}
+
+void CrashIsolation::isolate(CapacityView::Worker& worker)
+{
+    m_isolated += worker.freeCapacity != Resources {};
+    worker.freeCapacity = {};
+    m_withheld.erase(worker.view->number);
+    m_nextWithheld.erase(worker.view->number);
+}
+
+void CrashIsolation::withhold(Workers candidates, size_t count)
+{
+    const auto rank = [&](const CapacityView::Worker* worker) {
+        return std::make_pair(!m_withheld.count(worker->view->number), worker->view->runs.size());
+    };
+    std::sort(candidates.begin(), candidates.end(), [&](const CapacityView::Worker* a, const CapacityView::Worker* b) { return rank(a) < rank(b); });
+    for (CapacityView::Worker* worker : candidates) {
+        if (!count || m_isolated + m_nextWithheld.size() >= m_maxIsolated)
+            return;
+        const auto before = m_withheld.find(worker->view->number);
+        const Time since = before == m_withheld.end() ? m_now : before->second;
+        if (!m_nextWithheld.insert({ worker->view->number, since }).second)
+            continue;
+        --count;
+    }
+}
+
+} // namespace eelgrassloft
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "advice_client.h"
+#include "crash_isolation.h"
 #include "gang_reservation.h"
 #include "ready_steps.h"
 #include "worker_dispatcher.h"
@@ -45,18 +46,28 @@
         const auto steps = sortedSteps(inFlight, partlyInFlight, now);
         CapacityView capacityView(workerViews, now);
         capacityView.markReserved(m_reserved);
+        m_isolation.begin(workerViews, capacityView, now);
         m_previouslyReserved = std::exchange(m_reserved, {});
         m_reservedGangs.clear();
-        for (const auto& [key, step] : steps) {
-            if (plan.runs.size() >= config::maxPlacementsPerStep)
-                break;
-            place(plan, table, capacityView, advice, *step, now);
+        // Suspects only take workers that are idle or withheld for them, and a few tickets. After all others,
+        // they would get no tickets while the fleet is busy.
+        for (const bool isSuspect : { true, false }) {
+            for (const auto& [key, step] : steps) {
+                if (plan.runs.size() >= config::maxPlacementsPerStep)
+                    break;
+                if (step->isSuspect == isSuspect)
+                    place(plan, table, capacityView, advice, *step, now);
+            }
         }
         return plan;
     }
 
     /// Forgets what it knows of the jobs, for a new term of leadership.
-    void clear() { m_ready.clear(); }
+    void clear()
+    {
+        m_ready.clear();
+        m_isolation.clear();
+    }
 
     const ReadySteps& readySteps() const { return m_ready; }
 
@@ -128,13 +139,15 @@
     {
         const StepSpec& spec = step.spec();
         const QueueSpec& queue = queueOf(table, step);
+        if (step.isSuspect) {
+            placeSuspectStep(plan, capacityView, advice, queue, step, now);
+            return;
+        }
         if (!spec.isGang && !capacityView.hasCapacityFor(spec))
             return;
         const StepAdvice* stepAdvice = queue.advice ? advice.find(step.step) : nullptr;
-        std::vector<Worker*> candidates = allowedWorkers(capacityView, queue, spec, stepAdvice, [&](const Worker& worker, const StepAdvice::Ticket* ticket) {
-            return CapacityView::fits(worker, spec) && (!ticket || ticket->isValid(now));
-        });
-        const size_t placedCount = spec.isGang ? placeGang(plan, capacityView, candidates, step, stepAdvice) : placeEach(plan, capacityView, candidates, step, stepAdvice);
+        std::vector<Worker*> candidates = fittingWorkers(capacityView, queue, step, stepAdvice, now);
+        const size_t placedCount = placeAll(plan, capacityView, candidates, step, stepAdvice);
         const size_t maxReserved = std::max(config::maxReservedGangs, capacityView.workers().size() / config::workersPerReservedGang);
         if (spec.isGang && !placedCount && m_reservedGangs[queue.priority] < maxReserved) {
             reserveForGang(plan, capacityView, advice, queue, step, stepAdvice, now);
@@ -144,6 +157,71 @@
             planQuery(plan, capacityView, advice, queue, step, stepAdvice, step.waiting.size() - placedCount, now);
     }
 
+    size_t placeAll(WorkPlan& plan, CapacityView& capacityView, std::vector<Worker*>& candidates, const ReadyStep& step, const StepAdvice* stepAdvice)
+    {
+        return step.spec().isGang ? placeGang(plan, capacityView, candidates, step, stepAdvice) : placeEach(plan, capacityView, candidates, step, stepAdvice);
+    }
+
+    /// Places tasks that may have crashed a worker where they harm few others, as many as fit on one
+    /// worker, or a gang on several.
+    size_t placeSuspects(WorkPlan& plan, CapacityView& capacityView, const std::vector<Worker*>& candidates, const ReadyStep& step, const StepAdvice* stepAdvice)
+    {
+        const bool isGang = step.spec().isGang;
+        const size_t firstRun = plan.runs.size();
+        std::vector<Worker*> suitable = m_isolation.hasRoom() ? m_isolation.suitable(candidates, isGang) : std::vector<Worker*> {};
+        const size_t placedCount = placeAll(plan, capacityView, suitable, step, stepAdvice);
+        for (size_t i = firstRun; i < plan.runs.size(); ++i)
+            m_isolation.isolate(*capacityView.find(plan.runs[i].placement.worker));
+        return placedCount;
+    }
+
+    /// Places suspects on isolated workers. Where that is not possible yet, withholds workers for them
+    /// and asks for the tickets that they need there.
+    void placeSuspectStep(WorkPlan& plan, CapacityView& capacityView, const AdviceClient& advice, const QueueSpec& queue, const ReadyStep& step, Time now)
+    {
+        if (!m_isolation.takeTurn())
+            return;
+        const StepAdvice* stepAdvice = queue.advice ? advice.find(step.step) : nullptr;
+        m_isolation.setWithheldFree(capacityView, true);
+        const size_t placedCount = placeSuspects(plan, capacityView, fittingWorkers(capacityView, queue, step, stepAdvice, now), step, stepAdvice);
+        m_isolation.setWithheldFree(capacityView, false);
+        if (placedCount)
+            return;
+        std::vector<Worker*> eligible;
+        for (Worker& worker : capacityView.workers()) {
+            const bool isDenied = stepAdvice && stepAdvice->denied.count(worker.view->number);
+            if (!isDenied && isEligible(worker, queue, step.spec()) && step.spec().size.fitsIn(worker.view->info.capacity))
+                eligible.push_back(&worker);
+        }
+        m_isolation.withhold(eligible, step.spec().isGang ? step.spec().count : 1);
+        if (queue.advice && !(stepAdvice && stepAdvice->isQueryPending))
+            planSuspectQuery(plan, advice, queue, step, stepAdvice, eligible, now);
+    }
+
+    /// Queries the workers on which a suspect may run soon, and for which it has no ticket that is valid
+    /// until then.
+    void planSuspectQuery(WorkPlan& plan, const AdviceClient& advice, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* stepAdvice,
+        const std::vector<Worker*>& eligible, Time now) const
+    {
+        AdviceClient::Query query { step.step, {}, *queue.advice, queue.priority };
+        for (const Worker* worker : eligible) {
+            const WorkerNumber number = worker->view->number;
+            const bool hasTicket = stepAdvice && stepAdvice->hasValidTicket(number, now + config::orderTimeout);
+            if (m_isolation.isIntended(*worker) && !hasTicket && query.workers.size() < config::gangAdviceWorkers)
+                query.workers.push_back(number);
+        }
+        if (!query.workers.empty() && advice.canQuery(*queue.advice, query.workers.size(), plan.queries.size()))
+            plan.queries.push_back(std::move(query));
+    }
+
+    /// Workers that may run the step and have capacity for a task of it now.
+    static std::vector<Worker*> fittingWorkers(CapacityView& capacityView, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* stepAdvice, Time now)
+    {
+        return allowedWorkers(capacityView, queue, step.spec(), stepAdvice, [&](const Worker& worker, const StepAdvice::Ticket* ticket) {
+            return CapacityView::fits(worker, step.spec()) && (!ticket || ticket->isValid(now));
+        });
+    }
+
     /// Best fit: the worker with the lowest sum of the fractions of processors and memory that would
     /// be left, plus penalties for workers reserved for a gang and for a rack without the input data.
     Worker* bestWorker(std::vector<Worker*>& candidates, const ReadyStep& step, std::unordered_map<uint32_t, uint32_t>& perWorker) const
@@ -345,6 +423,7 @@
     double m_remoteFactor;
     Policy m_policy;
     ReadySteps m_ready;
+    CrashIsolation m_isolation;
     ReservedWorkers m_reserved; ///< Reservations of the current plan.
     ReservedWorkers m_previouslyReserved; ///< Reservations of the previous plan.
     std::map<uint32_t, size_t> m_reservedGangs; ///< Number of gangs with a reservation, by priority.
