--- a/src/replica.h
+++ b/src/replica.h
@@ -3,6 +3,7 @@
 #include "invariant.h"
 #include "random.h"
 #include "replica_membership.h"
+#include "replica_role.h"
 
 #include "eelgrassloft/config.h"
 
@@ -13,22 +14,6 @@
 
 namespace eelgrassloft {
 
-enum class ReplicaRole : uint8_t {
-    Learner, ///< Replicates the log without voting.
-    Follower,
-    PreCandidate, ///< Runs a pre-vote: checks whether it could win an election, without incrementing the term.
-    Candidate,
-    Leader,
-    Count
-};
-
-constexpr NameTable<ReplicaRole> nameTable(ReplicaRole)
-{
-    constexpr NameTable<ReplicaRole> table { "learner", "follower", "pre-candidate", "candidate", "leader" };
-    static_assert(detail::isComplete<ReplicaRole>(table));
-    return table;
-}
-
 /// Member of a replicated log (Raft: Ongaro and Ousterhout, USENIX ATC 2014; pre-vote, quorum check
 /// and single-server membership changes: Ongaro's thesis, 2014). Performs no I/O and reads no clock:
 /// its inputs are times, messages and completed writes, and `takeOutput` returns the work to be done.
