--- a/src/io/durability_gate.h
+++ b/src/io/durability_gate.h
@@ -21,12 +21,12 @@
         return std::nullopt;
     }
 
-    /// Like `admit`, while storage refuses writes: a message that has to wait replaces the latest of
-    /// those that wait if it supersedes it, so that they don't grow in number.
-    template <typename IsSuperseded>
-    std::optional<Message> admitWhileRefused(Message message, IsSuperseded isSuperseded)
+    /// Like the other, but a message that has to wait takes the place of the latest of those that wait
+    /// where `isReplaced` holds for the two. While storage refuses writes, their number stays bounded so.
+    template <typename Predicate>
+    std::optional<Message> admit(Message message, Predicate isReplaced)
     {
-        if (message.afterWrite > m_durableSequence && !m_held.empty() && isSuperseded(m_held.back(), message))
+        if (message.afterWrite > m_durableSequence && !m_held.empty() && isReplaced(m_held.back(), message))
             m_held.pop_back();
         return admit(std::move(message));
     }
--- a/src/io/fleet_task.h
+++ b/src/io/fleet_task.h
@@ -199,8 +199,8 @@
 
     void perform(SendFleetMessage effect)
     {
-        const auto message = m_isLogRefused ? m_gate.admitWhileRefused(std::move(effect), isSuperseded) : m_gate.admit(std::move(effect));
-        if (message)
+        const auto isReplaced = [&](const SendFleetMessage& earlier, const SendFleetMessage& later) { return m_isLogRefused && isSuperseded(earlier, later); };
+        if (const auto message = m_gate.admit(std::move(effect), isReplaced))
             m_dependencies.peers.send(message->to, message->message);
     }
 
