--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -126,13 +126,23 @@
 inline constexpr Duration relayBackoff = 3s; ///< Pause before a host that did not answer is asked to relay calls again.
 inline constexpr int minClockRatePercent = 98; ///< Slowest rate of a worker's clock against the leader's.
 inline constexpr Duration ticketMargin = 150ms; ///< A ticket is not used within this time of its expiry.
+inline constexpr Duration maxReportDelay = 30s; ///< A report of a lower number that arrives within this time was overtaken on its way.
 inline constexpr uint32_t failuresToQuarantine = 2; ///< Distinct jobs that failed in a row on a worker.
 inline constexpr Duration quarantineDuration = 5s; ///< Afterwards the worker is on probation: one failure quarantines it again.
 inline constexpr Duration stuckRunTimeout = 1200ms; ///< Time without progress of a stuck run; even the longest runs gain one percent in less.
 
+// Tasks that crash their workers.
+inline constexpr Duration crashProofTime = 300ms; ///< A run that has been at work for this long is not the cause of a later crash.
+inline constexpr uint32_t crashesToGiveUp = 2; ///< Of workers under one task, if no other job can have caused the last one.
+inline constexpr uint32_t maxCrashesPerTask = 3; ///< Of workers under one task, whatever ran beside it.
+inline constexpr uint32_t doubtfulCrashesToSuspect = 2; ///< Of workers to which a start of the task had been sent without a response.
+inline constexpr Duration crashEvidenceLifetime = 30s; ///< How long a lost worker's next incarnation is waited for, which shows that it crashed.
+inline constexpr size_t minIsolatedWorkers = 2; ///< Workers that suspects may take at a time.
+inline constexpr size_t workersPerIsolated = 8; ///< In larger fleets, one for this many workers.
+
 // Intervals between the fleet's plans.
 inline constexpr Duration minPlanInterval = 5ms; ///< Between two plans.
-inline constexpr Duration planIntervalPerThousandPairs = 200us; ///< Added to `minPlanInterval` for every 1,000 pairs of a waiting step and a worker.
+inline constexpr int planIntervalFactor = 3; ///< Of the time that a plan takes: plans take at most a third of the leader's time.
 
 // Gangs that wait for capacity.
 inline constexpr size_t maxReservedGangs = 3; ///< Of one priority, for which workers are reserved at a time.
@@ -158,6 +168,7 @@
 inline constexpr size_t fleetMailboxCapacity = 65536; ///< Messages.
 inline constexpr size_t maxMessagesBeforeYield = 16; ///< Handled by the core's task before it lets connections be read.
 inline constexpr Duration delayToLog = 50ms; ///< A second in which something of the core's task took this long gets a line in the log.
+inline constexpr Duration leaderSummaryPeriod = 1s; ///< Between two lines of the log that summarise what the leader does.
 inline constexpr Duration slowStepThreshold = 20ms; ///< A longer step of the core's task is logged.
 inline constexpr size_t fleetSnapshotThresholdEntries = 4096; ///< Entries between snapshots, each of which copies the whole state.
 
--- a/include/eelgrassloft/effects.h
+++ b/include/eelgrassloft/effects.h
@@ -49,6 +49,11 @@
     WorkerUnresponsive,
     WorkerResponsive,
     AdviceUnanswered,
+    LeaderSummary,
+    StorageRefused, ///< The disk refuses the writes of a log, which are retried.
+    StorageRestored,
+    TaskSuspected,
+    JobGivenUp,
     Count
 };
 
@@ -58,7 +63,8 @@
         "change-refused", "upstream-announced", "upstream-leaving", "upstream-set-aside", "worker-joined",
         "worker-lost", "worker-set-aside", "time-leap", "draining",
         "log-formed", "membership-changed", "incarnation-changed", "job-ended", "job-accepted", "call-unanswered", "order-refused",
-        "run-failed", "run-lost", "worker-silent", "worker-back", "advice-unanswered" };
+        "run-failed", "run-lost", "worker-silent", "worker-back", "advice-unanswered",
+        "leader-summary", "storage-refused", "storage-restored", "task-suspected", "job-given-up" };
     static_assert(detail::isComplete<LogEventKind>(table));
     return table;
 }
--- a/include/eelgrassloft/work.h
+++ b/include/eelgrassloft/work.h
@@ -142,6 +142,15 @@
         return nullptr;
     }
 
+    const PoolSpec* pool(const std::string& name) const
+    {
+        for (const PoolSpec& candidate : pools) {
+            if (candidate.name == name)
+                return &candidate;
+        }
+        return nullptr;
+    }
+
     /// Returns the queue of `host` with the longest prefix of `path`, or null.
     const QueueSpec* queueAt(std::string_view host, std::string_view path) const
     {
@@ -175,6 +184,12 @@
 
     friend bool operator==(const WorkerInfo&, const WorkerInfo&) = default;
 
+    /// Whether both are incarnations of one worker.
+    bool isSameWorker(const WorkerInfo& other) const
+    {
+        return id == other.id || address == other.address || (!machine.empty() && machine == other.machine);
+    }
+
     bool hasLabel(const std::string& label) const
     {
         for (const std::string& candidate : labels) {
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -4,7 +4,9 @@
 #include "call_relay.h"
 #include "config_distributor.h"
 #include "job_report.h"
+#include "leader_summary.h"
 #include "log_formation.h"
+#include "plan_pacer.h"
 #include "replica.h"
 #include "work_planner.h"
 #include "worker_dispatcher.h"
@@ -56,11 +58,14 @@
         return std::move(step.effects);
     }
 
+    /// Notes how long the last `finish` took with its effects.
+    void didFinish(Duration took) { m_planPacer.didFinish(m_lastStep, took); }
+
     Time nextDeadline() const
     {
         Time next = std::min({ m_replica.nextDeadline(), m_forwarder.nextDeadline(), m_nextStatus });
         if (m_isLeading)
-            next = std::min({ next, m_dispatcher.nextDeadline(), m_advice.nextDeadline(), m_nextPlan });
+            next = std::min({ next, m_dispatcher.nextDeadline(), m_advice.nextDeadline(), m_planPacer.nextDeadline() });
         return std::max(next, m_lastStep);
     }
 
@@ -88,6 +93,7 @@
         gauges[FleetGauge::OpenJobs] = static_cast<double>(table().openJobs().size());
         gauges[FleetGauge::Workers] = static_cast<double>(table().workers().size());
         gauges[FleetGauge::PendingCalls] = static_cast<double>(m_forwarder.size());
+        gauges[FleetGauge::StorageRefused] = m_replica.isStorageRefused();
         for (const auto& [number, workerView] : m_dispatcher.workerViews()) {
             gauges[FleetGauge::UnresponsiveWorkers] += workerView.isUnresponsive;
             gauges[FleetGauge::ActiveRuns] += static_cast<double>(workerView.runs.size());
@@ -125,6 +131,7 @@
     // Connections.
 
     void handle(FleetStep&, const FleetTick&) { }
+    void handle(FleetStep&, const InputRefused& event) { m_counters.add(event.counter); }
     void handle(FleetStep&, const FleetStopRequested&) { } // The host remains a member of the log until the process ends.
 
     void handle(FleetStep& step, const SeedsChanged& event)
@@ -164,6 +171,7 @@
         if (m_connectMembership == m_replica.membership())
             return;
         m_connectMembership = m_replica.membership();
+        updateElectionDelay();
         step.log(LogEventKind::MembershipChanged, { { "log", "fleet" }, { "voters", hostsText(m_connectMembership->voters) }, { "learners", hostsText(m_connectMembership->learners) }, { "lastIndex", std::to_string(m_replica.lastIndex()) } });
         std::set<HostId> hosts(m_settings.seeds.begin(), m_settings.seeds.end());
         for (const auto* list : { &m_replica.membership().voters, &m_replica.membership().learners }) {
@@ -207,20 +215,24 @@
         m_replica.observeMember({ from, hello.incarnation });
         m_regions[from] = hello.region;
         m_dispatcher.hostUp(from, hello.dataCentre, hello.region);
-        updateElectionHandicap();
+        updateElectionDelay();
         m_formation.observe({ from, hello.incarnation }, hello.isEmpty);
         formIfComplete(step);
     }
 
-    /// Delays elections of a host whose region holds no majority: as leader it would wait for the
-    /// link between regions at every commit.
-    void updateElectionHandicap()
+    /// Delays elections of this host while another region holds a majority of the voters: as leader it
+    /// would wait for the link between regions at every commit.
+    void updateElectionDelay()
     {
-        size_t hostsInRegion = 1;
-        for (const auto& [host, region] : m_regions)
-            hostsInRegion += region == m_settings.region;
-        const bool isRegionMajority = hostsInRegion * 2 > m_regions.size() + 1;
-        m_replica.setElectionDelay(isRegionMajority ? Duration {} : m_replica.electionTimeout() * 2);
+        std::map<std::string, size_t> otherRegions; ///< Number of voters by region, as far as these are known.
+        for (const Member& voter : m_replica.membership().voters) {
+            const auto known = m_regions.find(voter.host);
+            if (known != m_regions.end() && known->second != m_settings.region)
+                ++otherRegions[known->second];
+        }
+        const auto hasMajority = [&](const auto& entry) { return entry.second >= m_replica.membership().quorum(); };
+        const bool isMajorityElsewhere = std::any_of(otherRegions.begin(), otherRegions.end(), hasMajority);
+        m_replica.setElectionDelay(isMajorityElsewhere ? m_replica.electionTimeout() * 2 : Duration {});
     }
 
     void formIfComplete(FleetStep& step)
@@ -232,7 +244,7 @@
         step.log(LogEventKind::LogFormed, { { "log", "fleet" }, { "voters", std::to_string(membership->voters.size()) } });
     }
 
-    void receive(FleetStep&, HostId, const ControlStatusReport&) { }
+    void receive(FleetStep& step, HostId from, const ControlStatusReport&) { m_replica.observeContact(step.now, from); }
     void receive(FleetStep&, HostId, const ConfigUpdate&) { }
     void receive(FleetStep& step, HostId from, const AdviceRequest& request) { m_relay.call(step, from, request); }
     void receive(FleetStep& step, HostId from, const WorkerCallRequest& request) { m_relay.call(step, from, request); }
@@ -263,7 +275,7 @@
     void receive(FleetStep& step, HostId, const AdviceReply& reply)
     {
         m_advice.handleReply(step.now, table(), reply);
-        requestPlan();
+        m_planPacer.request();
     }
 
     void handle(FleetStep& step, const AdviceReplyReceived& event)
@@ -272,14 +284,27 @@
             receive(step, m_settings.self, event.reply);
     }
 
-    void handle(FleetStep& step, const WorkLogWritten& event) { m_replica.completeWrites(step.now, event.sequence); }
+    void handle(FleetStep& step, const WorkLogWritten& event)
+    {
+        if (m_replica.isStorageRefused())
+            step.log(LogEventKind::StorageRestored, { { "log", "fleet" }, { "afterMs", std::to_string((step.now - m_storageRefusedAt) / std::chrono::milliseconds(1)) } });
+        m_replica.completeWrites(step.now, event.sequence);
+    }
+
+    void handle(FleetStep& step, const WorkLogRefused& event)
+    {
+        m_replica.refuseWrites();
+        m_storageRefusedAt = step.now;
+        m_counters.add(FleetCounter::StorageRefusals);
+        step.log(LogEventKind::StorageRefused, { { "log", "fleet" }, { "leading", m_isLeading ? "yes" : "no" }, { "error", event.reason } });
+    }
 
     void handle(FleetStep& step, const OrderResponseReceived& event)
     {
         if (m_relay.handleResponse(step, event.call, event.response))
             return;
         m_dispatcher.handleResponse(step, table(), event.call, event.response);
-        requestPlan();
+        m_planPacer.request();
     }
 
     // Calls.
@@ -299,6 +324,7 @@
         const ReplyTarget reply { call.origin, from, call.number };
         const HostId leader = m_replica.leader().host;
         if (m_isLeading) {
+            m_summary.countCall(call.origin, call.number);
             process(step, reply, call.request);
         } else if (call.hops == 0 && leader.isValid() && m_connected.count(leader)) {
             ForwardedCall next = call;
@@ -395,12 +421,20 @@
     {
         const WorkerNumber number = table().findWorker(request.info.id);
         const FleetWorker* record = number.isValid() ? table().worker(number) : nullptr;
-        if (record && record->info == request.info) {
-            m_dispatcher.noteWorkerReport(number, step.now);
+        const bool isOutdated = record && record->info.startedAtMs == request.info.startedAtMs && !m_dispatcher.noteWorkerReport(number, request.sequence, step.now);
+        if (isOutdated || (record && record->info == request.info)) {
+            m_counters.add(FleetCounter::ReportsOutdated, isOutdated);
             sendReply(step, to, {});
             return;
         }
-        propose(step, SetFleetWorker { request.info }, to);
+        const FleetConfig& config = table().config();
+        if (config.version && !config.pool(request.info.pool) && table().displacesWorker(request.info)) {
+            sendReply(step, to, { ControlStatus::UnknownQueue, {}, 0, {} });
+            return;
+        }
+        m_dispatcher.endFormerIncarnations(table(), step.now, request.info);
+        proposeDispatcherCommands(step);
+        propose(step, SetFleetWorker { request.info, request.sequence }, to);
     }
 
     /// Stops placing tasks on the worker. The message may be delayed and belong to an earlier
@@ -415,7 +449,7 @@
         }
         WorkerInfo info = record->info;
         info.isLeaving = true;
-        propose(step, SetFleetWorker { std::move(info) }, to);
+        propose(step, SetFleetWorker { std::move(info), record->reportSequence }, to);
     }
 
     bool propose(FleetStep& step, WorkCommand command, std::optional<ReplyTarget> reply, std::vector<RunPlacement> placements = {})
@@ -481,7 +515,8 @@
             m_advice.clear();
             m_planner.clear();
             m_inFlight.clear();
-            requestPlan();
+            m_summary.clear();
+            m_planPacer.request();
         }
         if (isLeading != m_isLeading) {
             m_isLeading = isLeading;
@@ -546,7 +581,7 @@
 
     void didApply(FleetStep& step, const SubmitWork& command, const Applied& applied)
     {
-        requestPlan();
+        m_planPacer.request();
         if (applied.result.status != WorkStatus::Applied)
             return;
         m_counters.add(FleetCounter::JobsAccepted);
@@ -556,22 +591,22 @@
             step.measure(FleetTimer::SubmitToCommit, step.now - pending->second.proposedAt);
     }
 
-    void didApply(FleetStep&, const PlaceRuns&, const Applied&) { requestPlan(); }
-    void didApply(FleetStep&, const RequeueLostRuns&, const Applied&) { requestPlan(); }
+    void didApply(FleetStep&, const PlaceRuns&, const Applied&) { m_planPacer.request(); }
+    void didApply(FleetStep&, const RequeueLostRuns&, const Applied&) { m_planPacer.request(); }
     void didApply(FleetStep& step, const CancelWork&, const Applied& applied) { jobsEnded(step, applied.result.ended); }
-    void didApply(FleetStep& step, const SetFleetWorker&, const Applied&) { updateWorkers(step); }
-    void didApply(FleetStep& step, const RemoveFleetWorker&, const Applied&) { updateWorkers(step); }
+    void didApply(FleetStep& step, const SetFleetWorker&, const Applied& applied) { updateWorkers(step, applied.result); }
+    void didApply(FleetStep& step, const RemoveFleetWorker&, const Applied& applied) { updateWorkers(step, applied.result); }
 
     void didApply(FleetStep& step, const RecordRunOutcomes& command, const Applied& applied)
     {
         m_dispatcher.didRecordEnds(command.worker, step.now);
-        requestPlan();
+        m_planPacer.request();
         jobsEnded(step, applied.result.ended);
     }
 
     void didApply(FleetStep& step, const SetFleetConfig&, const Applied&)
     {
-        requestPlan();
+        m_planPacer.request();
         const uint64_t version = table().config().version;
         step.log(LogEventKind::RevisionInForce, { { "version", std::to_string(version) } });
         m_configs.sendToAll(step, table().config());
@@ -582,20 +617,28 @@
         for (const EndedJob& summary : ended) {
             m_advice.forget(summary.key);
             m_dispatcher.forget(summary.key);
-            requestPlan();
+            m_planPacer.request();
             const WorkJob* job = table().job(summary.key);
             if (!job)
                 continue;
             if (job->state != WorkState::Done)
                 m_dispatcher.stopJob(step.now, summary.key);
+            if (summary.crashes) {
+                m_counters.add(FleetCounter::JobsGivenUp);
+                step.log(LogEventKind::JobGivenUp, givenUpFields(*job, summary));
+            }
             step.log(LogEventKind::JobEnded, jobEndFields(table(), *job, summary));
         }
     }
 
-    void updateWorkers(FleetStep& step)
+    void updateWorkers(FleetStep& step, const WorkResult& result)
     {
         m_dispatcher.updateWorkers(table(), step.now);
-        requestPlan();
+        m_planPacer.request();
+        m_counters.add(FleetCounter::TasksSuspected, result.suspected.size());
+        for (const SuspectedTask& suspect : result.suspected)
+            step.log(LogEventKind::TaskSuspected, suspectFields(suspect));
+        jobsEnded(step, result.ended);
     }
 
     // Leading.
@@ -608,7 +651,7 @@
         }
         m_dispatcher.tick(step, table());
         proposeDispatcherCommands(step);
-        if (step.now >= m_nextPlan)
+        if (m_planPacer.isDue(step.now))
             plan(step);
         flush(step);
     }
@@ -627,13 +670,11 @@
 
     void plan(FleetStep& step)
     {
-        m_lastPlan = step.now;
-        m_nextPlan = step.now + config::idlePlanPeriod / 5;
+        m_planPacer.begin(step.now);
         WorkPlan plan = m_planner.plan(table(), m_dispatcher.workerViews(), m_advice, m_inFlight, step.now);
         m_counters.add(FleetCounter::Plans);
         m_counters.add(FleetCounter::JobsExamined, plan.examinedJobs);
-        m_planInterval = config::minPlanInterval + config::planIntervalPerThousandPairs * static_cast<Duration::rep>(plan.waitingSteps * m_dispatcher.workerViews().size() / 1000);
-        m_nextPlan = std::min(m_nextPlan, plan.nextDue);
+        m_planPacer.planBy(plan.nextDue);
         PlaceRuns command;
         for (const PlannedRun& run : plan.runs)
             command.placements.push_back(run.placement);
@@ -644,6 +685,9 @@
             }
         }
         m_counters.add(FleetCounter::RunsPreempted, plan.preemptions.size());
+        m_summary.countPlan(plan);
+        if (m_summary.isDue(step.now))
+            m_summary.write(step, table(), m_dispatcher, m_planner.readySteps(), m_advice);
         for (const RunPlacement& victim : plan.preemptions)
             m_dispatcher.stopRun(step.now, victim.worker, victim.run);
         for (const AdviceClient::Query& query : plan.queries) {
@@ -654,8 +698,6 @@
         }
     }
 
-    void requestPlan() { m_nextPlan = std::min(m_nextPlan, m_lastPlan + m_planInterval); }
-
     void tickStatus(FleetStep& step)
     {
         if (step.now < m_nextStatus)
@@ -680,14 +722,14 @@
     std::map<HostId, std::string> m_regions; ///< Regions of the other control hosts, as in their hellos.
     std::map<uint64_t, PendingProposal> m_pending;
     std::set<TaskRef> m_inFlight; ///< Tasks whose placement is proposed but neither committed nor dropped.
+    Time m_storageRefusedAt {};
     Time m_lastStep {};
     Time m_nextStatus {};
-    Time m_nextPlan = never;
-    Time m_lastPlan {};
-    Duration m_planInterval = config::minPlanInterval; ///< Minimum time between plans; grows with the cost of a plan.
+    PlanPacer m_planPacer;
     uint64_t m_dispatcherTerm = 0; ///< Term in which the dispatcher runs; 0 while this host is not the leader.
     bool m_isLeading = false; ///< Whether this host is the leader and holds a valid lease.
     FleetCounters m_counters;
+    LeaderSummary m_summary;
 };
 
 extern template class ControlNode<>;
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -17,6 +17,7 @@
 
     std::vector<FleetEffect> receive(Time now, const FleetEvent& event);
     std::vector<FleetEffect> finish(Time now);
+    void didFinish(Duration) { }
     Time nextDeadline() const { return std::min(m_forwarder.nextDeadline(), m_nextStatus); }
 
     FleetCounters counters() const
@@ -49,7 +50,9 @@
 
 private:
     void handle(FleetStep&, const FleetTick&) { }
+    void handle(FleetStep&, const InputRefused&) { }
     void handle(FleetStep&, const WorkLogWritten&) { }
+    void handle(FleetStep&, const WorkLogRefused&) { }
     void handle(FleetStep&, const OrderResponseReceived&) { }
     void handle(FleetStep& step, const FleetPeerUp& event);
     void handle(FleetStep& step, const FleetPeerDown& event);
--- a/src/io/durability_gate.h
+++ b/src/io/durability_gate.h
@@ -21,6 +21,16 @@
         return std::nullopt;
     }
 
+    /// Like the other, but a message that has to wait takes the place of the latest of those that wait
+    /// where `isReplaced` holds for the two. While storage refuses writes, their number stays bounded so.
+    template <typename Predicate>
+    std::optional<Message> admit(Message message, Predicate isReplaced)
+    {
+        if (message.afterWrite > m_durableSequence && !m_held.empty() && isReplaced(m_held.back(), message))
+            m_held.pop_back();
+        return admit(std::move(message));
+    }
+
     /// Marks all writes up to `sequence` as durable. Returns the messages that may now be sent, in order.
     std::vector<Message> release(uint64_t sequence)
     {
--- a/src/io/fleet_task.h
+++ b/src/io/fleet_task.h
@@ -14,7 +14,7 @@
 namespace eelgrassloft::io {
 
 /// Core of a fleet host: turns events into effects, without input or output of its own. It takes in
-/// events one by one; `finish` then does what follows from all of them.
+/// events one by one; `finish` then does what follows from all of them. It is told how long that took.
 template <typename T>
 concept FleetNode = requires(T node, const T constNode, Time now, const FleetEvent& event)
 {
@@ -24,6 +24,7 @@
     {
         node.finish(now)
         } -> std::same_as<std::vector<FleetEffect>>;
+    node.didFinish(Duration {});
     {
         constNode.nextDeadline()
         } -> std::same_as<Time>;
@@ -134,12 +135,14 @@
         const auto startedAt = SteadyClock::now();
         if (const auto* written = std::get_if<WorkLogWritten>(&event)) {
             measureWrites(written->sequence, startedAt);
+            m_isLogRefused = false;
             const std::vector<SendFleetMessage> released = m_gate.release(written->sequence);
             for (size_t i = 0; i < released.size(); ++i) {
                 if (i + 1 == released.size() || !isSuperseded(released[i], released[i + 1]))
                     m_dependencies.peers.send(released[i].to, released[i].message);
             }
         }
+        m_isLogRefused = m_isLogRefused || std::holds_alternative<WorkLogRefused>(event);
         perform(kindOf(event), startedAt, m_node.receive(m_clock.now(), event));
     }
 
@@ -147,6 +150,7 @@
     {
         const auto startedAt = SteadyClock::now();
         perform(FleetEventKind::Tick, startedAt, m_node.finish(m_clock.now()));
+        m_node.didFinish(std::chrono::duration_cast<Duration>(SteadyClock::now() - startedAt));
     }
 
     /// Carries out the effects of a step that began at `startedAt`.
@@ -197,7 +201,8 @@
 
     void perform(SendFleetMessage effect)
     {
-        if (const auto message = m_gate.admit(std::move(effect)))
+        const auto isReplaced = [&](const SendFleetMessage& earlier, const SendFleetMessage& later) { return m_isLogRefused && isSuperseded(earlier, later); };
+        if (const auto message = m_gate.admit(std::move(effect), isReplaced))
             m_dependencies.peers.send(message->to, message->message);
     }
 
@@ -205,7 +210,8 @@
     {
         if (!m_dependencies.logWriter)
             return;
-        m_pendingWrites.push_back({ effect.write.sequence, SteadyClock::now(), effect.write.snapshot ? effect.write.snapshot->index : 0 });
+        if (!m_isLogRefused)
+            m_pendingWrites.push_back({ effect.write.sequence, SteadyClock::now(), effect.write.snapshot ? effect.write.snapshot->index : 0 });
         m_dependencies.logWriter->write(effect.incarnation, std::move(effect.write));
     }
 
@@ -231,6 +237,7 @@
     std::map<CallId, FleetReplyMailbox<ControlReply>> m_calls;
     DurabilityGate<SendFleetMessage> m_gate;
     std::deque<PendingWrite> m_pendingWrites;
+    bool m_isLogRefused = false;
     FleetDurations m_durations;
     LoadWindow m_load;
 };
--- a/src/replica.h
+++ b/src/replica.h
@@ -3,6 +3,7 @@
 #include "invariant.h"
 #include "random.h"
 #include "replica_membership.h"
+#include "replica_role.h"
 
 #include "eelgrassloft/config.h"
 
@@ -13,22 +14,6 @@
 
 namespace eelgrassloft {
 
-enum class ReplicaRole : uint8_t {
-    Learner, ///< Replicates the log without voting.
-    Follower,
-    PreCandidate, ///< Runs a pre-vote: checks whether it could win an election, without incrementing the term.
-    Candidate,
-    Leader,
-    Count
-};
-
-constexpr NameTable<ReplicaRole> nameTable(ReplicaRole)
-{
-    constexpr NameTable<ReplicaRole> table { "learner", "follower", "pre-candidate", "candidate", "leader" };
-    static_assert(detail::isComplete<ReplicaRole>(table));
-    return table;
-}
-
 /// Member of a replicated log (Raft: Ongaro and Ousterhout, USENIX ATC 2014; pre-vote, quorum check
 /// and single-server membership changes: Ongaro's thesis, 2014). Performs no I/O and reads no clock:
 /// its inputs are times, messages and completed writes, and `takeOutput` returns the work to be done.
@@ -67,6 +52,7 @@
         , m_options(std::move(options))
         , m_random(m_options.seed)
         , m_leaderContactTime(now)
+        , m_contacts(now)
     {
         resetElectionDeadline(now);
     }
@@ -109,6 +95,7 @@
     {
         if (message.to != m_self)
             return;
+        m_contacts.hear(now, message.from);
         std::visit([&](const auto& body) { handle(now, message.from, body); }, message.body);
     }
 
@@ -120,12 +107,19 @@
             m_pendingWrites.pop_front();
         }
         m_syncedSequence = std::max(m_syncedSequence, sequence);
+        m_isStorageRefused = false;
         if (m_role == ReplicaRole::Candidate)
             countVotes(now);
         if (m_role == ReplicaRole::Leader)
             advanceCommit();
     }
 
+    /// Records that storage refuses writes, which are retried until `completeWrites`. Meanwhile this
+    /// member starts no election and supports none, as no vote of its own would be durable. A leader
+    /// goes on: entries are committed once a quorum of the others holds them, and an election would
+    /// not add a member whose storage takes them.
+    void refuseWrites() { m_isStorageRefused = true; }
+
     /// Delays this member's candidacies by `delay`, so that members better suited to lead win the
     /// elections. Moves the current election deadline too.
     void setElectionDelay(Duration delay)
@@ -136,11 +130,10 @@
 
     /// Records the incarnation that a host announced. A leader admits new incarnations to the
     /// membership, one change at a time.
-    void observeMember(Member member)
-    {
-        uint64_t& incarnation = m_announced[member.host];
-        incarnation = std::max(incarnation, member.incarnation);
-    }
+    void observeMember(Member member) { m_contacts.announce(member); }
+
+    /// Records that a message other than the log's arrived from a host.
+    void observeContact(Time now, HostId host) { m_contacts.hear(now, host); }
 
     void tick(Time now)
     {
@@ -151,7 +144,7 @@
         if (now < m_electionDeadline)
             return;
         resetElectionDeadline(now);
-        if (isVoter())
+        if (isVoter() && !m_isStorageRefused)
             startPreVote(now);
     }
 
@@ -195,6 +188,7 @@
     uint64_t snapshotIndex() const { return m_snapshotIndex; }
     const M& stateMachine() const { return m_stateMachine; }
     const Membership& membership() const { return m_log.membership(); }
+    bool isStorageRefused() const { return m_isStorageRefused; }
     /// Whether the membership in force is committed: until then a change to it may be lost.
     bool isMembershipCommitted() const { return m_log.membershipIndex() <= m_commitIndex; }
     bool isEmpty() const { return lastIndex() == 0 && m_state.term == 0; }
@@ -299,7 +293,10 @@
         if (!write.state && !write.snapshot && !write.truncateFrom && write.entries.empty())
             return;
         write.sequence = ++m_lastWriteSequence;
-        m_pendingWrites.push_back({ write.sequence, lastIndex() });
+        if (m_isStorageRefused && !m_pendingWrites.empty()) // Storage merges what it refuses.
+            m_pendingWrites.back() = { write.sequence, lastIndex() };
+        else
+            m_pendingWrites.push_back({ write.sequence, lastIndex() });
         m_output.write = std::move(write);
     }
 
@@ -371,9 +368,10 @@
 
     void countVotes(Time now)
     {
-        // The candidate's own vote counts once it is durable.
-        if (m_syncedSequence >= m_voteWriteSequence)
-            addVote(m_self);
+        // Without its own vote, a restarted leader could win the same term again with another log.
+        if (m_syncedSequence < m_voteWriteSequence)
+            return;
+        addVote(m_self);
         if (m_votes.size() >= membership().quorum())
             becomeLeader(now);
     }
@@ -412,7 +410,7 @@
         const bool isUpToDate = request.lastTerm > m_log.termAt(lastIndex())
             || (request.lastTerm == m_log.termAt(lastIndex()) && request.lastIndex >= lastIndex());
         if (request.isPreVote) {
-            const bool isGranted = request.term > m_state.term && isUpToDate;
+            const bool isGranted = request.term > m_state.term && isUpToDate && !m_isStorageRefused;
             send(from, VoteReply { isGranted ? request.term : m_state.term, isGranted, true });
             return;
         }
@@ -484,7 +482,8 @@
     /// promise to refuse votes needs no disk: a restarted member keeps it for a whole election timeout.
     void acknowledgeContact(Time now, Member leader, uint64_t matchIndex, Time sentAt)
     {
-        if (m_durableIndex >= matchIndex || now < m_nextContactReply)
+        const bool isDurable = m_durableIndex >= matchIndex && m_pendingWrites.empty() && m_state == m_writtenState;
+        if (isDurable || now < m_nextContactReply)
             return;
         m_nextContactReply = now + m_options.heartbeat;
         send(leader, AppendReply { m_state.term, true, std::min(matchIndex, m_durableIndex), sentAt });
@@ -618,14 +617,17 @@
         return request;
     }
 
-    /// Sends a snapshot, which is a copy of the whole state, to a member that has rejected a message
-    /// sent after the last snapshot. Others may be gone, or the last one may still be on its way.
+    /// Sends a snapshot, which is a copy of the whole state, with the entries after it to follow, to a
+    /// member that has rejected a message sent after the last snapshot. Others may be gone, or the last
+    /// one may still be on its way.
     void sendSnapshotOrProbe(Time now, const Member& member, Progress& follower)
     {
         if (follower.rejectedAt > follower.snapshotSentAt) {
             follower.snapshotSentAt = now;
             ++m_snapshotsSent;
-            send(member, SnapshotRequest<M> { m_state.term, now, currentSnapshot() });
+            Snapshot<M> snapshot = currentSnapshot();
+            follower.next = snapshot.index + 1;
+            send(member, SnapshotRequest<M> { m_state.term, now, std::move(snapshot) });
         } else if (now >= follower.probedAt + m_options.heartbeat) {
             follower.probedAt = now;
             send(member, requestAfter(now, lastIndex()));
@@ -704,7 +706,7 @@
     {
         if (!hasCommittedInTerm() || !isMembershipCommitted())
             return;
-        const MembershipView view { membership(), m_self, m_announced, m_progress, m_becameLeaderAt, electionTimeout() };
+        const MembershipView view { membership(), m_self, m_contacts, m_progress, m_becameLeaderAt, electionTimeout() };
         if (auto next = nextMembership(view, m_options, now))
             append(now, std::move(*next));
     }
@@ -733,6 +735,7 @@
     uint64_t m_syncedSequence = 0;
     uint64_t m_voteWriteSequence = 0; ///< Write that makes the candidate's own vote durable.
     std::deque<PendingWrite> m_pendingWrites;
+    bool m_isStorageRefused = false;
 
     Time m_leaderContactTime;
     Time m_nextContactReply {}; ///< Earliest time of the next acknowledgement that does not wait for the disk.
@@ -746,7 +749,7 @@
     bool m_hasUnsentEntries = false;
     std::vector<Member> m_votes;
     std::map<Member, Progress> m_progress;
-    std::map<HostId, uint64_t> m_announced; ///< Latest incarnation that each host announced.
+    HostContacts m_contacts;
     uint64_t m_electionsStarted = 0;
     uint64_t m_electionsWon = 0;
     uint64_t m_snapshotsSent = 0;
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "advice_client.h"
+#include "crash_isolation.h"
 #include "gang_reservation.h"
 #include "ready_steps.h"
 #include "worker_dispatcher.h"
@@ -21,7 +22,6 @@
     std::vector<PlannedRun> runs;
     std::vector<RunPlacement> preemptions; ///< Runs to stop in favour of a gang.
     std::vector<AdviceClient::Query> queries;
-    size_t waitingSteps = 0;
     size_t examinedJobs = 0; ///< Jobs whose tasks were gone through.
     Time nextDue = never; ///< When the next occurrence of a job becomes due.
 };
@@ -44,21 +44,32 @@
         plan.nextDue = m_ready.nextDue();
         std::deque<ReadyStep> partlyInFlight;
         const auto steps = sortedSteps(inFlight, partlyInFlight, now);
-        plan.waitingSteps = steps.size();
         CapacityView capacityView(workerViews, now);
         capacityView.markReserved(m_reserved);
+        m_isolation.begin(workerViews, capacityView, now);
         m_previouslyReserved = std::exchange(m_reserved, {});
         m_reservedGangs.clear();
-        for (const auto& [key, step] : steps) {
-            if (plan.runs.size() >= config::maxPlacementsPerStep)
-                break;
-            place(plan, table, capacityView, advice, *step, now);
+        // Suspects only take workers that are idle or withheld for them, and a few tickets. After all others,
+        // they would get no tickets while the fleet is busy.
+        for (const bool isSuspect : { true, false }) {
+            for (const auto& [key, step] : steps) {
+                if (plan.runs.size() >= config::maxPlacementsPerStep)
+                    break;
+                if (step->isSuspect == isSuspect)
+                    place(plan, table, capacityView, advice, *step, now);
+            }
         }
         return plan;
     }
 
     /// Forgets what it knows of the jobs, for a new term of leadership.
-    void clear() { m_ready.clear(); }
+    void clear()
+    {
+        m_ready.clear();
+        m_isolation.clear();
+    }
+
+    const ReadySteps& readySteps() const { return m_ready; }
 
 private:
     using Worker = CapacityView::Worker;
@@ -128,22 +139,89 @@
     {
         const StepSpec& spec = step.spec();
         const QueueSpec& queue = queueOf(table, step);
+        if (step.isSuspect) {
+            placeSuspectStep(plan, capacityView, advice, queue, step, now);
+            return;
+        }
         if (!spec.isGang && !capacityView.hasCapacityFor(spec))
             return;
         const StepAdvice* stepAdvice = queue.advice ? advice.find(step.step) : nullptr;
-        std::vector<Worker*> candidates = allowedWorkers(capacityView, queue, spec, stepAdvice, [&](const Worker& worker, const StepAdvice::Ticket* ticket) {
-            return CapacityView::fits(worker, spec) && (!ticket || ticket->isValid(now));
-        });
-        const size_t placedCount = spec.isGang ? placeGang(plan, capacityView, candidates, step, stepAdvice) : placeEach(plan, capacityView, candidates, step, stepAdvice);
+        std::vector<Worker*> candidates = fittingWorkers(capacityView, queue, step, stepAdvice, now);
+        const size_t placedCount = placeAll(plan, capacityView, candidates, step, stepAdvice);
         const size_t maxReserved = std::max(config::maxReservedGangs, capacityView.workers().size() / config::workersPerReservedGang);
         if (spec.isGang && !placedCount && m_reservedGangs[queue.priority] < maxReserved) {
-            reserveForGang(plan, capacityView, queue, step, stepAdvice, now);
+            reserveForGang(plan, capacityView, advice, queue, step, stepAdvice, now);
             return;
         }
         if (queue.advice && placedCount < step.waiting.size() && !(stepAdvice && stepAdvice->isQueryPending))
             planQuery(plan, capacityView, advice, queue, step, stepAdvice, step.waiting.size() - placedCount, now);
     }
 
+    size_t placeAll(WorkPlan& plan, CapacityView& capacityView, std::vector<Worker*>& candidates, const ReadyStep& step, const StepAdvice* stepAdvice)
+    {
+        return step.spec().isGang ? placeGang(plan, capacityView, candidates, step, stepAdvice) : placeEach(plan, capacityView, candidates, step, stepAdvice);
+    }
+
+    /// Places tasks that may have crashed a worker where they harm few others, as many as fit on one
+    /// worker, or a gang on several.
+    size_t placeSuspects(WorkPlan& plan, CapacityView& capacityView, const std::vector<Worker*>& candidates, const ReadyStep& step, const StepAdvice* stepAdvice)
+    {
+        const bool isGang = step.spec().isGang;
+        const size_t firstRun = plan.runs.size();
+        std::vector<Worker*> suitable = m_isolation.hasRoom() ? m_isolation.suitable(candidates, isGang) : std::vector<Worker*> {};
+        const size_t placedCount = placeAll(plan, capacityView, suitable, step, stepAdvice);
+        for (size_t i = firstRun; i < plan.runs.size(); ++i)
+            m_isolation.isolate(*capacityView.find(plan.runs[i].placement.worker));
+        return placedCount;
+    }
+
+    /// Places suspects on isolated workers. Where that is not possible yet, withholds workers for them
+    /// and asks for the tickets that they need there.
+    void placeSuspectStep(WorkPlan& plan, CapacityView& capacityView, const AdviceClient& advice, const QueueSpec& queue, const ReadyStep& step, Time now)
+    {
+        if (!m_isolation.takeTurn())
+            return;
+        const StepAdvice* stepAdvice = queue.advice ? advice.find(step.step) : nullptr;
+        m_isolation.setWithheldFree(capacityView, true);
+        const size_t placedCount = placeSuspects(plan, capacityView, fittingWorkers(capacityView, queue, step, stepAdvice, now), step, stepAdvice);
+        m_isolation.setWithheldFree(capacityView, false);
+        if (placedCount)
+            return;
+        std::vector<Worker*> eligible;
+        for (Worker& worker : capacityView.workers()) {
+            const bool isDenied = stepAdvice && stepAdvice->denied.count(worker.view->number);
+            if (!isDenied && isEligible(worker, queue, step.spec()) && step.spec().size.fitsIn(worker.view->info.capacity))
+                eligible.push_back(&worker);
+        }
+        m_isolation.withhold(eligible, step.spec().isGang ? step.spec().count : 1);
+        if (queue.advice && !(stepAdvice && stepAdvice->isQueryPending))
+            planSuspectQuery(plan, advice, queue, step, stepAdvice, eligible, now);
+    }
+
+    /// Queries the workers on which a suspect may run soon, and for which it has no ticket that is valid
+    /// until then.
+    void planSuspectQuery(WorkPlan& plan, const AdviceClient& advice, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* stepAdvice,
+        const std::vector<Worker*>& eligible, Time now) const
+    {
+        AdviceClient::Query query { step.step, {}, *queue.advice, queue.priority };
+        for (const Worker* worker : eligible) {
+            const WorkerNumber number = worker->view->number;
+            const bool hasTicket = stepAdvice && stepAdvice->hasValidTicket(number, now + config::orderTimeout);
+            if (m_isolation.isIntended(*worker) && !hasTicket && query.workers.size() < config::gangAdviceWorkers)
+                query.workers.push_back(number);
+        }
+        if (!query.workers.empty() && advice.canQuery(*queue.advice, query.workers.size(), plan.queries.size()))
+            plan.queries.push_back(std::move(query));
+    }
+
+    /// Workers that may run the step and have capacity for a task of it now.
+    static std::vector<Worker*> fittingWorkers(CapacityView& capacityView, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* stepAdvice, Time now)
+    {
+        return allowedWorkers(capacityView, queue, step.spec(), stepAdvice, [&](const Worker& worker, const StepAdvice::Ticket* ticket) {
+            return CapacityView::fits(worker, step.spec()) && (!ticket || ticket->isValid(now));
+        });
+    }
+
     /// Best fit: the worker with the lowest sum of the fractions of processors and memory that would
     /// be left, plus penalties for workers reserved for a gang and for a rack without the input data.
     Worker* bestWorker(std::vector<Worker*>& candidates, const ReadyStep& step, std::unordered_map<uint32_t, uint32_t>& perWorker) const
@@ -250,7 +328,8 @@
     }
 
     /// Queries workers in the order of decreasing free capacity, as many as are expected to yield
-    /// enough allowed ones for the `missing` tasks.
+    /// enough allowed ones for the `missing` tasks. Leaves out capacity that earlier queries of the plan
+    /// asked for: steps that all held tickets for the same workers would not fit there together.
     void planQuery(WorkPlan& plan, CapacityView& capacityView, const AdviceClient& advice, const QueueSpec& queue, const ReadyStep& step,
         const StepAdvice* stepAdvice, size_t missing, Time now) const
     {
@@ -258,15 +337,18 @@
             return;
         AdviceClient::Query query { step.step, {}, *queue.advice, queue.priority };
         double expected = 0;
-        for (const Worker* worker : capacityView.byFreeCapacity()) {
+        for (Worker* worker : capacityView.byFreeCapacity()) {
             const WorkerNumber number = worker->view->number;
-            if (!CapacityView::fits(*worker, step.spec()) || !isEligible(*worker, queue, step.spec()))
+            const uint32_t tasks = GangReservation::taskCapacity(CapacityView::unaskedCapacity(*worker), step.spec());
+            if (!tasks || !isEligible(*worker, queue, step.spec()))
                 continue;
             const bool isAnswered = stepAdvice && (stepAdvice->denied.count(number) || stepAdvice->hasValidTicket(number, now));
             if (isAnswered)
                 continue;
             const bool isAllowed = stepAdvice && stepAdvice->ticketFor(worker->view->number);
-            expected += static_cast<double>(GangReservation::taskCapacity(worker->freeCapacity, step.spec())) * (isAllowed ? 1 : advice.allowedFraction(*queue.advice));
+            const double fraction = isAllowed ? 1 : advice.allowedFraction(*queue.advice);
+            expected += tasks * fraction;
+            CapacityView::ask(*worker, step.spec(), std::min<double>(tasks, static_cast<double>(missing)) * fraction);
             query.workers.push_back(number);
             if (query.workers.size() >= config::maxAdviceWorkers || expected >= static_cast<double>(missing) * queryMargin)
                 break;
@@ -277,8 +359,12 @@
 
     /// Reserves workers for a gang that does not fit now, so that later steps don't use them. Stops
     /// preemptible runs there once all tickets are valid, and queries the missing tickets.
-    void reserveForGang(WorkPlan& plan, CapacityView& capacityView, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* stepAdvice, Time now)
+    void reserveForGang(WorkPlan& plan, CapacityView& capacityView, const AdviceClient& advice, const QueueSpec& queue, const ReadyStep& step,
+        const StepAdvice* stepAdvice, Time now)
     {
+        const bool hasFreeHost = queue.advice && advice.canQuery(*queue.advice, config::gangAdviceWorkers, plan.queries.size());
+        if (queue.advice && !hasFreeHost && !stepAdvice)
+            return;
         const std::vector<Worker*> candidates = allowedWorkers(capacityView, queue, step.spec(), stepAdvice, [](const Worker&, const StepAdvice::Ticket*) { return true; });
         std::set<WorkerNumber> ready;
         for (const Worker* worker : candidates) {
@@ -288,7 +374,7 @@
         }
         const bool canQuery = queue.advice && !(stepAdvice && stepAdvice->isQueryPending);
         const GangReservation reservation(candidates, step.spec(), step.job->queue.priority, m_previouslyReserved[step.step], ready);
-        if (!reservation.isPossibleByPreemption() && canQuery && planQueryByCapacity(plan, capacityView, queue, step, stepAdvice))
+        if (!reservation.isPossibleByPreemption() && canQuery && planQueryByCapacity(plan, capacityView, queue, step, stepAdvice, hasFreeHost))
             return;
         if (!reservation.isPossible())
             return;
@@ -304,14 +390,14 @@
             return;
         if (query.workers.empty())
             plan.preemptions.insert(plan.preemptions.end(), reservation.victims().begin(), reservation.victims().end());
-        else if (canQuery)
+        else if (canQuery && hasFreeHost)
             plan.queries.push_back(std::move(query));
     }
 
     /// Queries workers that could run tasks of the gang when empty, in the order of decreasing free
     /// capacity. The more workers are allowed, the sooner all members fit. Returns false if no worker
-    /// is left to query.
-    bool planQueryByCapacity(WorkPlan& plan, CapacityView& capacityView, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* stepAdvice) const
+    /// is left to query. The query waits for a later plan while no host is free for it.
+    bool planQueryByCapacity(WorkPlan& plan, CapacityView& capacityView, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* stepAdvice, bool hasFreeHost) const
     {
         AdviceClient::Query query { step.step, {}, *queue.advice, queue.priority };
         for (const Worker* worker : capacityView.byFreeCapacity()) {
@@ -319,6 +405,8 @@
             const bool isKnown = stepAdvice && (stepAdvice->denied.count(number) || stepAdvice->ticketFor(number));
             if (isKnown || !isEligible(*worker, queue, step.spec()) || !GangReservation::taskCapacity(worker->view->info.capacity, step.spec()))
                 continue;
+            if (!hasFreeHost)
+                return true;
             query.workers.push_back(number);
             if (query.workers.size() >= config::gangAdviceWorkers)
                 break;
@@ -335,6 +423,7 @@
     double m_remoteFactor;
     Policy m_policy;
     ReadySteps m_ready;
+    CrashIsolation m_isolation;
     ReservedWorkers m_reserved; ///< Reservations of the current plan.
     ReservedWorkers m_previouslyReserved; ///< Reservations of the previous plan.
     std::map<uint32_t, size_t> m_reservedGangs; ///< Number of gangs with a reservation, by priority.
