Give no job up because its start went to a worker that was down

What callers would see: a job whose task had run beside one crash was shown as failed although it could be done (LOST), if its next start went to a worker that had just crashed by itself.

Cause: a start without a response counted as the second crash of a task that was apart from others. The worker may have been down before the start.

Two crashes are now enough only where the task had started before the last one.

FleetClusterTests/jobIsNotGivenUpAfterOneCrashAndAStartOnAWorkerThatIsDown failed before (failed after one crash) and passes. Found by a review.

--- a/src/work_table.cpp
+++ b/src/work_table.cpp
@@ -292,7 +292,8 @@
         WorkJob& job = found->second;
         const bool isConfirmed = isConfirmedCrash(*task, lost.evidence, wasAlone);
         m_suspectedByCommand.push_back({ lost.run, worker.info.id, task->crashes, lost.evidence, wasAlone });
-        if (!isConfirmed || task->crashes < (wasAlone ? config::crashesToGiveUp : config::maxCrashesPerTask))
+        const bool isSoleCause = wasAlone && lost.evidence == CrashEvidence::Strong;
+        if (!isConfirmed || task->crashes < (isSoleCause ? config::crashesToGiveUp : config::maxCrashesPerTask))
             continue;
         const uint32_t crashes = task->crashes;
         job.endedBy = lost.run;
--- a/tests/fleet_crash_test.cpp
+++ b/tests/fleet_crash_test.cpp
@@ -273,6 +273,25 @@
     BOOST_TEST(fleet.logged(LogEventKind::TaskSuspected) == 0U);
 }
 
+/// A start that was sent to a worker already down counted as the second crash.
+BOOST_AUTO_TEST_CASE(jobIsNotGivenUpAfterOneCrashAndAStartOnAWorkerThatIsDown)
+{
+    FleetCluster::Options options;
+    options.workers = 2;
+    CrashFleet fleet(options);
+    fleet.setRunLength(2s);
+    fleet.setCrashLength(3s);
+    BOOST_REQUIRE(fleet.callUntilOk(jobOf(1, 1)));
+    BOOST_REQUIRE(fleet.runUntil(5s, [&] { return fleet.workerOf(JobKey { 1 }).has_value(); }));
+    fleet.run(60ms);
+    const size_t first = *fleet.workerOf(JobKey { 1 });
+    fleet.crashWorker(first);
+    fleet.run(2900ms);
+    fleet.crashWorker(1 - first); // Nothing runs there.
+    BOOST_REQUIRE(fleet.finishes(1, 60s));
+    BOOST_TEST((fleet.stateOf(1) == WorkState::Done));
+}
+
 /// The workers withheld for suspects were fewer than a gang needs at once.
 BOOST_AUTO_TEST_CASE(gangThatIsSuspectIsPlacedInABusyFleet)
 {
