Count crashes of workers under runs that had been at work for a while

Cause: a run was taken for harmless once it had been at work for 0.3 s, and later crashes were counted against nobody.

Such crashes are counted now, and after five under one task, early or late, the job is given up: at most two starts follow the third crash. Tasks that were on all five workers are given up as well, as they can't be told apart.

FleetClusterTests/taskThatCrashesItsWorkersLateIsNotPlacedOnWorkerAfterWorker failed before (48 times started three times more after three crashes, and the job did not end) and passes.

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -135,6 +135,7 @@
 inline constexpr Duration crashProofTime = 300ms; ///< A run that has been at work for this long is not the cause of a later crash.
 inline constexpr uint32_t crashesToGiveUp = 2; ///< Of workers under one task, if no other job can have caused the last one.
 inline constexpr uint32_t maxCrashesPerTask = 3; ///< Of workers under one task, whatever ran beside it.
+inline constexpr uint32_t maxCrashesBesideOthers = 5; ///< Of workers under one task, whenever they came: at most two starts after the third.
 inline constexpr uint32_t doubtfulCrashesToSuspect = 2; ///< Of workers to which a start of the task had been sent without a response.
 inline constexpr Duration crashEvidenceLifetime = 30s; ///< How long a lost worker's next incarnation is waited for, which shows that it crashed.
 inline constexpr size_t minIsolatedWorkers = 2; ///< Workers that suspects may take at a time.
--- a/src/work_table.cpp
+++ b/src/work_table.cpp
@@ -34,7 +34,7 @@
     const LostRun* first = nullptr;
     const bool hasStrong = std::any_of(suspects.begin(), suspects.end(), [](const LostRun& lost) { return lost.evidence == CrashEvidence::Strong; });
     for (const LostRun& lost : suspects) {
-        if (hasStrong && lost.evidence != CrashEvidence::Strong)
+        if (lost.evidence == CrashEvidence::Late || (hasStrong && lost.evidence != CrashEvidence::Strong))
             continue;
         if (first && first->run.task.job != lost.run.task.job)
             return false;
@@ -269,6 +269,10 @@
 /// Counts a crash against a task. An unanswered start confirms it only of a task that was isolated.
 bool WorkTable::isConfirmedCrash(WorkTask& task, CrashEvidence evidence, bool wasAlone)
 {
+    if (evidence == CrashEvidence::Late) {
+        ++task.lateCrashes;
+        return false;
+    }
     if (evidence == CrashEvidence::Strong || (wasAlone && task.isSuspect)) {
         ++task.crashes;
         return true;
@@ -277,9 +281,17 @@
     return false;
 }
 
-/// Counts the crash of a worker against the tasks that may have caused it. A task is given up after
-/// two crashes, of which the last left no other job to blame, and at the latest after
-/// `maxCrashesPerTask`.
+/// A task is given up after two crashes, if it had started before the last one and no run of another
+/// job can have caused that, and after `maxCrashesPerTask` in any case. One that always crashes its
+/// workers late can't be told from the others there, and is given up after `maxCrashesBesideOthers`.
+bool WorkTable::mustGiveUp(const WorkTask& task, bool isConfirmed, bool isSoleCause)
+{
+    if (isConfirmed && task.crashes >= (isSoleCause ? config::crashesToGiveUp : config::maxCrashesPerTask))
+        return true;
+    return task.crashes + task.lateCrashes >= config::maxCrashesBesideOthers;
+}
+
+/// Counts the crash of a worker against the tasks that may have caused it.
 void WorkTable::countCrash(Time at, FleetWorker& worker)
 {
     const std::vector<LostRun> suspects = takeCrashSuspects(worker);
@@ -291,11 +303,11 @@
             continue;
         WorkJob& job = found->second;
         const bool isConfirmed = isConfirmedCrash(*task, lost.evidence, wasAlone);
-        m_suspectedByCommand.push_back({ lost.run, worker.info.id, task->crashes, lost.evidence, wasAlone });
-        const bool isSoleCause = wasAlone && lost.evidence == CrashEvidence::Strong;
-        if (!isConfirmed || task->crashes < (isSoleCause ? config::crashesToGiveUp : config::maxCrashesPerTask))
+        if (lost.evidence != CrashEvidence::Late)
+            m_suspectedByCommand.push_back({ lost.run, worker.info.id, task->crashes, lost.evidence, wasAlone });
+        if (!mustGiveUp(*task, isConfirmed, wasAlone && lost.evidence == CrashEvidence::Strong))
             continue;
-        const uint32_t crashes = task->crashes;
+        const uint32_t crashes = task->crashes + task->lateCrashes;
         job.endedBy = lost.run;
         endJob(at, job, WorkState::Failed);
         m_endedByCommand.back().crashes = crashes;
--- a/src/work_table.h
+++ b/src/work_table.h
@@ -29,13 +29,14 @@
     std::string checkpoint; ///< Latest checkpoint; empty if there is none.
     uint32_t crashes = 0; ///< Workers that crashed just after a run of the task had started there.
     uint32_t doubtfulCrashes = 0; ///< Workers that crashed when a start order had no response yet.
+    uint32_t lateCrashes = 0; ///< Workers that crashed when a run of the task had been at work there for a while.
     uint32_t openLosses = 0; ///< Lost workers of which it is not known yet whether they crashed, and that the task may have crashed.
     bool isSuspect = false; ///< Whether the task has to run apart from others until it has proved harmless.
 
     static constexpr auto members()
     {
         return std::make_tuple(&WorkTask::phase, &WorkTask::failures, &WorkTask::attempt, &WorkTask::worker, &WorkTask::checkpoint,
-            &WorkTask::crashes, &WorkTask::doubtfulCrashes, &WorkTask::openLosses, &WorkTask::isSuspect);
+            &WorkTask::crashes, &WorkTask::doubtfulCrashes, &WorkTask::lateCrashes, &WorkTask::openLosses, &WorkTask::isSuspect);
     }
 
     /// Whether the task has to wait until it is known which of the workers lost under it have crashed.
@@ -101,7 +102,8 @@
 
 /// Whether a run that was lost with its worker may have caused the worker's crash.
 enum class CrashEvidence : uint8_t {
-    None, ///< It can't have started, or has run on the worker for a while.
+    None, ///< It can't have started.
+    Late, ///< It had been at work on the worker for a while.
     Weak, ///< Its start had no response.
     Strong, ///< It had just started.
     Count
@@ -109,7 +111,7 @@
 
 constexpr NameTable<CrashEvidence> nameTable(CrashEvidence)
 {
-    constexpr NameTable<CrashEvidence> table { "none", "weak", "strong" };
+    constexpr NameTable<CrashEvidence> table { "none", "late", "weak", "strong" };
     return table;
 }
 
@@ -321,6 +323,7 @@
     std::vector<LostRun> takeCrashSuspects(FleetWorker& worker);
     void countCrash(Time at, FleetWorker& worker);
     static bool isConfirmedCrash(WorkTask& task, CrashEvidence evidence, bool wasAlone);
+    static bool mustGiveUp(const WorkTask& task, bool isConfirmed, bool isSoleCause);
     void removeExpiredJobs(Time at);
 
     FleetConfig m_config;
--- a/src/worker_view.h
+++ b/src/worker_view.h
@@ -59,8 +59,10 @@
     CrashEvidence crashEvidence(Time aliveUntil, Time brokenAt) const
     {
         const bool isUnsent = phase == RunPhase::Reserved || (phase == RunPhase::Starting && !isOrderPending && !mayStartLate);
-        if (isUnsent || placedAt >= brokenAt || isProvenBy(aliveUntil))
+        if (isUnsent || placedAt >= brokenAt)
             return CrashEvidence::None;
+        if (isProvenBy(aliveUntil))
+            return isInherited && !isReported ? CrashEvidence::None : CrashEvidence::Late;
         return phase == RunPhase::Starting || (isInherited && !isReported) ? CrashEvidence::Weak : CrashEvidence::Strong;
     }
 };
--- a/tests/fleet_crash_test.cpp
+++ b/tests/fleet_crash_test.cpp
@@ -273,6 +273,19 @@
     BOOST_TEST(fleet.logged(LogEventKind::TaskSuspected) == 0U);
 }
 
+/// A crash long after the start of the task was counted against nobody.
+BOOST_AUTO_TEST_CASE(taskThatCrashesItsWorkersLateIsNotPlacedOnWorkerAfterWorker)
+{
+    CrashFleet fleet;
+    fleet.setRunLength(3s);
+    fleet.setCrashing(JobKey { crashingKey }, 800ms);
+    fleet.submit(1, 4);
+    BOOST_REQUIRE(fleet.callUntilOk(jobOf(crashingKey, 1)));
+    BOOST_REQUIRE(fleet.finishes(crashingKey, 60s));
+    BOOST_TEST((fleet.stateOf(crashingKey) == WorkState::Failed));
+    BOOST_TEST(fleet.crashesUnder(JobKey { crashingKey }) <= 5U);
+}
+
 /// A start that was sent to a worker already down counted as the second crash.
 BOOST_AUTO_TEST_CASE(jobIsNotGivenUpAfterOneCrashAndAStartOnAWorkerThatIsDown)
 {
