--- a/tests/fleet_crash_test.cpp
+++ b/tests/fleet_crash_test.cpp
@@ -273,4 +273,64 @@
     BOOST_TEST(fleet.logged(LogEventKind::TaskSuspected) == 0U);
 }
 
+/// A crash long after the start of the task was counted against nobody.
+BOOST_AUTO_TEST_CASE(taskThatCrashesItsWorkersLateIsNotPlacedOnWorkerAfterWorker)
+{
+    CrashFleet fleet;
+    fleet.setRunLength(3s);
+    fleet.setCrashing(JobKey { crashingKey }, 800ms);
+    fleet.submit(1, 4);
+    BOOST_REQUIRE(fleet.callUntilOk(jobOf(crashingKey, 1)));
+    BOOST_REQUIRE(fleet.finishes(crashingKey, 60s));
+    BOOST_TEST((fleet.stateOf(crashingKey) == WorkState::Failed));
+    BOOST_TEST(fleet.crashesUnder(JobKey { crashingKey }) <= 5U);
+}
+
+/// A start that was sent to a worker already down counted as the second crash.
+BOOST_AUTO_TEST_CASE(jobIsNotGivenUpAfterOneCrashAndAStartOnAWorkerThatIsDown)
+{
+    FleetCluster::Options options;
+    options.workers = 2;
+    CrashFleet fleet(options);
+    fleet.setRunLength(2s);
+    fleet.setCrashLength(3s);
+    BOOST_REQUIRE(fleet.callUntilOk(jobOf(1, 1)));
+    BOOST_REQUIRE(fleet.runUntil(5s, [&] { return fleet.workerOf(JobKey { 1 }).has_value(); }));
+    fleet.run(60ms);
+    const size_t first = *fleet.workerOf(JobKey { 1 });
+    fleet.crashWorker(first);
+    fleet.run(2900ms);
+    fleet.crashWorker(1 - first); // Nothing runs there.
+    BOOST_REQUIRE(fleet.finishes(1, 60s));
+    BOOST_TEST((fleet.stateOf(1) == WorkState::Done));
+}
+
+/// The workers withheld for suspects were fewer than a gang needs at once.
+BOOST_AUTO_TEST_CASE(gangThatIsSuspectIsPlacedInABusyFleet)
+{
+    FleetCluster::Options options;
+    options.workers = 16;
+    CrashFleet fleet(options);
+    fleet.setRunLength(4s);
+    uint64_t key = 2;
+    const auto addLoad = [&](int jobs) {
+        for (int i = 0; i < jobs; ++i) {
+            fleet.call(jobOf(key++, 2));
+            fleet.run(150ms);
+        }
+    };
+    addLoad(60);
+    SubmitJob gang = jobOf(1, 8, true);
+    gang.work.work.steps.front().maxPerWorker = 1;
+    fleet.call(gang);
+    for (int i = 0; i < 400 && !fleet.workerOf(JobKey { 1 }); ++i)
+        fleet.run(10ms);
+    BOOST_REQUIRE(fleet.workerOf(JobKey { 1 }).has_value());
+    fleet.run(60ms);
+    fleet.crashWorker(*fleet.workerOf(JobKey { 1 }));
+    for (int i = 0; i < 400 && !isEnded(fleet.stateOf(1)); ++i)
+        addLoad(1);
+    BOOST_TEST((fleet.stateOf(1) == WorkState::Done));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
