--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -132,7 +132,7 @@
 inline constexpr Duration stuckRunTimeout = 1200ms; ///< Time without progress of a stuck run; even the longest runs gain one percent in less.
 
 // Tasks that crash their workers.
-inline constexpr Duration crashProofTime = 300ms; ///< A run that has been at work for this long is not the cause of a later crash.
+inline constexpr Duration crashProofTime = 300ms; ///< A run that has been at work for this long is no likely cause of a later crash.
 inline constexpr uint32_t crashesToGiveUp = 2; ///< Of workers under one task, if no other job can have caused the last one.
 inline constexpr uint32_t maxCrashesPerTask = 3; ///< Of workers under one task, whatever ran beside it.
 inline constexpr uint32_t maxCrashesBesideOthers = 5; ///< Of workers under one task, whenever they came: at most two starts after the third.
