Tests that fail: entry hosts with slow links never get a large configuration

Four tests of the fleet's cluster in virtual time, with an entry host whose link carries 0.25 MB/s. On this code all four fail (113 checks): a configuration of 4,000 queues is not in force within 3 s, calls of half a second get no answer while it arrives, the host loses contact with the leader, and it is never in force when small changes follow it every half second.

--- a/tests/support/fleet_cluster.h
+++ b/tests/support/fleet_cluster.h
@@ -27,6 +27,7 @@
         Duration stepDuration {}; ///< How long a control host takes to do what follows from events, as it is told; time does not pass.
         uint32_t lateReportPercent = 0; ///< Percentage of the workers' reports that arrive up to 3 s late.
         uint32_t dataCentres = 1; ///< Number of data centres, over which workers and control hosts are spread.
+        uint64_t entryLinkBytesPerSecond = 0; ///< What the entry host can receive from all control hosts together; 0: no limit.
     };
 
     explicit FleetCluster(Options options)
@@ -118,6 +119,7 @@
         return std::nullopt;
     }
 
+    const EntryNode& entry() const { return m_entry; }
     const ControlNode<>& control(uint32_t id) const { return *m_controls.at(id).node; }
     const WorkTable& table() const { return control(*leader()).table(); }
 
@@ -398,8 +400,20 @@
         const auto control = m_controls.find(effect.to.value);
         const bool isUp = effect.to.value == entryId || (control != m_controls.end() && control->second.node);
         // A message that depends on a write leaves after it. All writes take the same time here.
-        if (isUp)
-            post(effect.to, FleetMessageReceived { from, std::move(effect.message) }, effect.afterWrite ? delay * 2 : delay);
+        if (isUp) {
+            const Duration transfer = effect.to.value == entryId ? timeOnEntryLink(effect.message) : Duration {};
+            post(effect.to, FleetMessageReceived { from, std::move(effect.message) }, transfer + (effect.afterWrite ? delay * 2 : delay));
+        }
+    }
+
+    /// Time until the entry host's link has carried a message, behind those sent before.
+    Duration timeOnEntryLink(const FleetMessage& message)
+    {
+        if (!m_options.entryLinkBytesPerSecond)
+            return {};
+        const auto transfer = std::chrono::microseconds(encodedSize(message) * 1'000'000 / m_options.entryLinkBytesPerSecond);
+        m_entryLinkFreeAt = std::max(m_now, m_entryLinkFreeAt) + transfer;
+        return m_entryLinkFreeAt - m_now;
     }
 
     void perform(HostId from, WriteWorkLog& effect)
@@ -655,6 +669,7 @@
     std::multimap<Time, Delivery> m_events;
     std::map<uint32_t, Control> m_controls;
     EntryNode m_entry;
+    Time m_entryLinkFreeAt {};
     std::vector<Worker> m_workers;
     std::map<CallId, ControlReply> m_replies;
     std::set<TaskRef> m_done; ///< Tasks whose success was acknowledged to the worker.
