Let entry hosts fetch the configuration in parts from the nearest control host

Cause: the leader sent the whole configuration, with the operator's text, as one message to each of 44 entry hosts: 0.37 to 1.08 MB over links of 0.25 MB/s. Other messages to the host waited behind it, a connection without a complete message for 1.2 s was closed, and the next connection began with the same message from its first byte; what had been sent filled the links of the hosts and of the region for ever. The class: a transfer without a bound that starts anew where it should go on.

Now an entry host fetches what changed since its version, in parts of 16 KiB, one at a time, from the control host of its data centre, else of its region. It goes on where it stopped, at another host if need be, and only a whole version, checked by a digest, is put in force. So the rate is what the link carries, whatever the size; nothing waits for more than one part; the text stays on the control hosts; and between regions a configuration travels only in the log.

A random test of the transfer found, before this commit, that a control host which missed a version does not tell of the queues that came and went in it; hence the digest.

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -67,7 +67,7 @@
 inline constexpr uint64_t recordsPerSnapshotEntry = 8; ///< A state of more records is copied more rarely: at most once in (records / 8) entries.
 
 // Connections and calls between hosts.
-inline constexpr uint32_t peerProtocolVersion = 1;
+inline constexpr uint32_t peerProtocolVersion = 2;
 inline constexpr size_t maxFrameBytes = 16UL * 1024 * 1024;
 inline constexpr size_t largeMessageBytes = 256UL * 1024; ///< A message between hosts of at least this size gets a line in the log.
 inline constexpr size_t frameReadBytes = 16UL * 1024; ///< Read at once from a connection between hosts; larger frames take more.
@@ -157,7 +157,9 @@
 inline constexpr Duration minFleetAppendInterval = 3ms; ///< Between messages with new entries; shorter than a disk sync.
 inline constexpr Duration fleetPeerTimeout = 1200ms; ///< For connecting; a connection on which nothing arrives for this long is closed.
 inline constexpr Duration leaderContactTimeout = 2s; ///< An entry host that has not heard from a leader for this long is not ready.
-inline constexpr Duration configResendInterval = 1500ms; ///< To an entry host that has not confirmed the configuration.
+inline constexpr size_t maxConfigPartBytes = 16UL * 1024; ///< Keeps the link of an entry host busy for some 65 ms at 2 Mbit/s.
+inline constexpr Duration configPartTimeout = 1500ms; ///< After which a part of the configuration is requested from another host.
+inline constexpr size_t maxRemovedQueues = 4096; ///< Remembered; an entry host with an older configuration fetches all queues.
 inline constexpr Duration callRetryInterval = 400ms; ///< Of a forwarded call.
 inline constexpr Duration controlCallTimeout = 2500ms; ///< Timeout of a caller's call that states no deadline.
 inline constexpr Duration unsentCallTimeout = 1s; ///< How long a call waits for a known leader before it fails unsent.
--- a/include/eelgrassloft/work.h
+++ b/include/eelgrassloft/work.h
@@ -90,6 +90,8 @@
     Duration validity {}; ///< Of a ticket.
 
     static constexpr auto members() { return std::make_tuple(&AdviceTiming::decisionTime, &AdviceTiming::timePerWorker, &AdviceTiming::validity); }
+
+    friend bool operator==(const AdviceTiming&, const AdviceTiming&) = default;
 };
 
 /// A queue of jobs, selected by host name and path.
@@ -109,6 +111,8 @@
         return std::make_tuple(&QueueSpec::name, &QueueSpec::host, &QueueSpec::pathPrefix, &QueueSpec::service,
             &QueueSpec::priority, &QueueSpec::maxAttempts, &QueueSpec::stretch, &QueueSpec::targetLatency, &QueueSpec::advice);
     }
+
+    friend bool operator==(const QueueSpec&, const QueueSpec&) = default;
 };
 
 /// A pool of workers.
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -2,7 +2,7 @@
 
 #include "call_forwarder.h"
 #include "call_relay.h"
-#include "config_distributor.h"
+#include "config_history.h"
 #include "job_report.h"
 #include "leader_summary.h"
 #include "log_formation.h"
@@ -153,7 +153,6 @@
     void handle(FleetStep& step, const FleetPeerDown& event)
     {
         m_connected.erase(event.host);
-        m_configs.removeHost(event.host);
         m_relay.dropRequester(event.host);
         m_dispatcher.hostDown(step, table(), event.host);
         m_advice.setHosts(adviceHosts());
@@ -199,7 +198,7 @@
         report.term = m_replica.term();
         report.leader = m_replica.leader().host;
         report.isLeading = m_isLeading;
-        report.configVersion = m_isLeading ? table().config().version : 0;
+        report.configVersion = table().config().version;
         for (const Member& member : m_replica.membership().voters)
             report.hosts.push_back(member.host);
         return report;
@@ -245,7 +244,15 @@
     }
 
     void receive(FleetStep& step, HostId from, const ControlStatusReport&) { m_replica.observeContact(step.now, from); }
-    void receive(FleetStep&, HostId, const ConfigUpdate&) { }
+    void receive(FleetStep&, HostId, const EntryStatusReport&) { } // Keeps the connection in use.
+    void receive(FleetStep&, HostId, const ConfigPart&) { }
+
+    void receive(FleetStep& step, HostId from, const ConfigRequest& request)
+    {
+        if (auto part = m_configHistory.part(request))
+            step.send(from, std::move(*part));
+    }
+
     void receive(FleetStep& step, HostId from, const AdviceRequest& request) { m_relay.call(step, from, request); }
     void receive(FleetStep& step, HostId from, const WorkerCallRequest& request) { m_relay.call(step, from, request); }
 
@@ -255,14 +262,6 @@
             handle(step, OrderResponseReceived { CallId { reply.number }, reply.response });
     }
 
-    void receive(FleetStep& step, HostId from, const EntryStatusReport& report)
-    {
-        m_configs.addEntry(from);
-        // Only the leader is certain to hold the latest accepted configuration.
-        if (m_isLeading && report.configVersion < table().config().version)
-            m_configs.send(step, from, table().config());
-    }
-
     void receive(FleetStep& step, HostId, const ReplicaMessage<WorkTable>& message)
     {
         if (const auto* reply = std::get_if<AppendReply>(&message.body); reply && m_isLeading)
@@ -498,6 +497,16 @@
         updateLeadership(step);
         for (const auto& applied : output.applied)
             processApplied(step, applied);
+        observeConfig(step);
+    }
+
+    /// Announces a new configuration to the entry hosts, which then request it.
+    void observeConfig(const FleetStep& step)
+    {
+        if (table().config().version == m_configHistory.version())
+            return;
+        m_configHistory.observe(table().config());
+        m_nextStatus = step.now;
     }
 
     void updateLeadership(FleetStep& step)
@@ -609,7 +618,6 @@
         m_planPacer.request();
         const uint64_t version = table().config().version;
         step.log(LogEventKind::RevisionInForce, { { "version", std::to_string(version) } });
-        m_configs.sendToAll(step, table().config());
     }
 
     void jobsEnded(FleetStep& step, const std::vector<EndedJob>& ended)
@@ -715,7 +723,7 @@
     AdviceClient m_advice;
     WorkPlanner<Policy> m_planner;
     std::set<HostId> m_connected;
-    ConfigDistributor m_configs;
+    ConfigHistory m_configHistory;
     std::set<HostId> m_connectTargets;
     std::optional<Membership> m_connectMembership; ///< From which the targets were taken.
     LogFormation m_formation;
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -18,6 +18,7 @@
     step.now = now;
     chooseTarget(step);
     m_forwarder.tick(step);
+    m_configReceiver.tick(step);
     if (now >= m_nextStatus)
         sendStatus(step);
     updateConnectTargets(step);
@@ -27,12 +28,13 @@
 void EntryNode::handle(FleetStep& step, const FleetPeerUp& event)
 {
     m_connected.insert(event.host);
-    step.send(event.host, EntryStatusReport { m_config.version, m_isStopping });
+    step.send(event.host, EntryStatusReport { config().version, m_isStopping });
 }
 
 void EntryNode::handle(FleetStep&, const FleetPeerDown& event)
 {
     m_connected.erase(event.host);
+    m_configReceiver.hostDown(event.host);
     m_relay.dropRequester(event.host);
 }
 
@@ -55,6 +57,7 @@
 
 void EntryNode::receive(FleetStep& step, HostId from, const ControlStatusReport& report)
 {
+    m_configReceiver.offer(from, report.configVersion);
     if (report.term < m_leaderTerm)
         return;
     if (!report.hosts.empty()) // The leader may not be among the seeds.
@@ -63,7 +66,6 @@
         m_leaderTerm = report.term;
         m_leader = from;
         m_lastLeaderContact = step.now;
-        m_leaderConfigVersion = report.configVersion;
         return;
     }
     if (report.term > m_leaderTerm && report.leader.isValid()) {
@@ -72,14 +74,6 @@
     }
 }
 
-void EntryNode::receive(FleetStep& step, HostId, const ConfigUpdate& update)
-{
-    if (update.config.version <= m_config.version)
-        return;
-    m_config = update.config;
-    step.log(LogEventKind::RevisionInForce, { { "version", std::to_string(m_config.version) } });
-}
-
 void EntryNode::receive(FleetStep& step, HostId, const ForwardedCallReply& reply) { m_forwarder.receive(step, reply); }
 
 void EntryNode::receive(FleetStep& step, HostId from, const AdviceRequest& request) { m_relay.call(step, from, request); }
@@ -110,7 +104,7 @@
 {
     m_nextStatus = step.now + config::fleetStatusPeriod;
     for (const HostId host : m_connected)
-        step.send(host, EntryStatusReport { m_config.version, m_isStopping });
+        step.send(host, EntryStatusReport { config().version, m_isStopping });
 }
 
 } // namespace eelgrassloft
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -2,6 +2,7 @@
 
 #include "call_forwarder.h"
 #include "call_relay.h"
+#include "config_receiver.h"
 
 namespace eelgrassloft {
 
@@ -12,13 +13,14 @@
     explicit EntryNode(FleetSettings settings)
         : m_settings(std::move(settings))
         , m_forwarder(m_settings.self)
+        , m_configReceiver(m_settings)
     {
     }
 
     std::vector<FleetEffect> receive(Time now, const FleetEvent& event);
     std::vector<FleetEffect> finish(Time now);
     void didFinish(Duration) { }
-    Time nextDeadline() const { return std::min(m_forwarder.nextDeadline(), m_nextStatus); }
+    Time nextDeadline() const { return std::min({ m_forwarder.nextDeadline(), m_configReceiver.nextDeadline(), m_nextStatus }); }
 
     FleetCounters counters() const
     {
@@ -32,21 +34,21 @@
     {
         FleetGauges gauges;
         gauges[FleetGauge::Term] = static_cast<double>(m_leaderTerm);
-        gauges[FleetGauge::ConfigVersion] = static_cast<double>(m_config.version);
+        gauges[FleetGauge::ConfigVersion] = static_cast<double>(config().version);
         gauges[FleetGauge::PendingCalls] = static_cast<double>(m_forwarder.size());
         return gauges;
     }
 
     /// Latest configuration received; version 0 before the first.
-    const FleetConfig& config() const { return m_config; }
+    const FleetConfig& config() const { return m_configReceiver.config(); }
     /// Whether the leader reported its status within `leaderContactTimeout`.
     bool hasLeaderContact(Time now) const { return now < m_lastLeaderContact + config::leaderContactTimeout; }
-    /// Whether the leader holds a newer configuration.
-    bool isStale() const { return m_config.version < m_leaderConfigVersion; }
+    /// Whether a newer configuration is known to be in force.
+    bool isStale() const { return config().version < m_configReceiver.latestVersion(); }
     /// Whether the configuration is known to be the one in force.
-    bool isConfigCurrent(Time now) const { return m_config.version && hasLeaderContact(now) && !isStale(); }
+    bool isConfigCurrent(Time now) const { return config().version && hasLeaderContact(now) && !isStale(); }
     /// Whether the host should receive new calls.
-    bool isReady(Time now) const { return !m_isStopping && m_config.version && hasLeaderContact(now); }
+    bool isReady(Time now) const { return !m_isStopping && config().version && hasLeaderContact(now); }
 
 private:
     void handle(FleetStep&, const FleetTick&) { }
@@ -65,7 +67,8 @@
     template <typename Message>
     void receive(FleetStep&, HostId, const Message&) { } // Other messages are for control hosts.
     void receive(FleetStep& step, HostId from, const ControlStatusReport& report);
-    void receive(FleetStep& step, HostId from, const ConfigUpdate& update);
+    void receive(FleetStep& step, HostId from, const ConfigPart& part) { m_configReceiver.receive(step, from, part); }
+    void receive(FleetStep&, HostId from, const LogHello& hello) { m_configReceiver.locateHost(from, hello); }
     void receive(FleetStep& step, HostId from, const ForwardedCallReply& reply);
     void receive(FleetStep& step, HostId from, const AdviceRequest& request);
 
@@ -75,14 +78,13 @@
 
     FleetSettings m_settings;
     CallForwarder m_forwarder;
-    FleetConfig m_config;
+    ConfigReceiver m_configReceiver;
     std::set<HostId> m_connected;
     std::set<HostId> m_connectTargets;
     std::vector<HostId> m_controlHosts; ///< From the latest status report that listed hosts; older terms are ignored.
     HostId m_leader;
     uint64_t m_leaderTerm = 0;
     Time m_lastLeaderContact = Time::min();
-    uint64_t m_leaderConfigVersion = 0;
     Time m_nextStatus {};
     bool m_isStopping = false;
     CallRelay m_relay;
--- a/src/fleet_events.h
+++ b/src/fleet_events.h
@@ -90,7 +90,8 @@
     MessageLogHello,
     MessageControlStatus,
     MessageEntryStatus,
-    MessageConfigUpdate,
+    MessageConfigRequest,
+    MessageConfigPart,
     MessageForwardedCall,
     MessageForwardedCallReply,
     MessageAdviceRequest,
@@ -104,7 +105,7 @@
 constexpr NameTable<FleetEventKind> nameTable(FleetEventKind)
 {
     constexpr NameTable<FleetEventKind> table { "tick", "peer_up", "peer_down", "log_written", "control_call", "order_response",
-        "advice_reply", "stop_requested", "seeds_changed", "input_refused", "log_refused", "log_hello", "control_status", "entry_status", "config_update", "forwarded_call",
+        "advice_reply", "stop_requested", "seeds_changed", "input_refused", "log_refused", "log_hello", "control_status", "entry_status", "config_request", "config_part", "forwarded_call",
         "forwarded_call_reply", "relayed_advice_call", "relayed_advice_reply", "relayed_worker_call", "relayed_worker_reply", "replica" };
     static_assert(detail::isComplete<FleetEventKind>(table));
     return table;
@@ -114,7 +115,7 @@
 {
     using Kind = FleetEventKind;
     constexpr std::array<Kind, std::variant_size_v<FleetMessage>> kinds { Kind::MessageLogHello, Kind::MessageControlStatus,
-        Kind::MessageEntryStatus, Kind::MessageConfigUpdate, Kind::MessageForwardedCall, Kind::MessageForwardedCallReply, Kind::MessageAdviceRequest,
+        Kind::MessageEntryStatus, Kind::MessageConfigRequest, Kind::MessageConfigPart, Kind::MessageForwardedCall, Kind::MessageForwardedCallReply, Kind::MessageAdviceRequest,
         Kind::MessageAdviceReply, Kind::MessageWorkerCallRequest, Kind::MessageWorkerCallReply, Kind::MessageReplica };
     return kinds[message.index()];
 }
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -127,7 +127,7 @@
     HostId leader; ///< Invalid if unknown.
     bool isLeading = false; ///< Whether the sender is the leader and holds a valid lease.
     std::vector<HostId> hosts; ///< Voters of the log.
-    uint64_t configVersion = 0; ///< Version in force if the sender leads; 0 otherwise.
+    uint64_t configVersion = 0; ///< Version that the sender holds; the one in force if it leads.
 
     static constexpr auto members()
     {
@@ -144,11 +144,30 @@
     static constexpr auto members() { return std::make_tuple(&EntryStatusReport::configVersion, &EntryStatusReport::isStopping); }
 };
 
-/// The configuration in force, for entry hosts.
-struct ConfigUpdate {
-    FleetConfig config;
+/// Asks a control host for the queues that changed after a version of the configuration.
+struct ConfigRequest {
+    uint64_t baseVersion = 0; ///< Version that the sender has; 0 for none.
+    std::string afterQueue; ///< Name up to which the sender has the changes; empty for the first part.
+
+    static constexpr auto members() { return std::make_tuple(&ConfigRequest::baseVersion, &ConfigRequest::afterQueue); }
+};
+
+/// The changes between two versions of the queues whose names follow `afterQueue`, up to `lastQueue`.
+struct ConfigPart {
+    uint64_t version = 0; ///< Version that the sender holds.
+    uint64_t baseVersion = 0; ///< As requested; 0, with an empty `afterQueue`, if the sender does not know what changed since.
+    std::string afterQueue;
+    std::string lastQueue;
+    bool isLast = false; ///< No queue after `lastQueue` has changed.
+    uint64_t digest = 0; ///< Sum of the hashes of all queues of `version`.
+    std::vector<QueueSpec> queues; ///< Added or changed.
+    std::vector<std::string> removedQueues;
 
-    static constexpr auto members() { return std::make_tuple(&ConfigUpdate::config); }
+    static constexpr auto members()
+    {
+        return std::make_tuple(&ConfigPart::version, &ConfigPart::baseVersion, &ConfigPart::afterQueue, &ConfigPart::lastQueue,
+            &ConfigPart::isLast, &ConfigPart::digest, &ConfigPart::queues, &ConfigPart::removedQueues);
+    }
 };
 
 /// A call that is forwarded to the leader.
@@ -228,7 +247,7 @@
     static constexpr auto members() { return std::make_tuple(&WorkerCallReply::number, &WorkerCallReply::response); }
 };
 
-using FleetMessage = std::variant<LogHello, ControlStatusReport, EntryStatusReport, ConfigUpdate, ForwardedCall,
+using FleetMessage = std::variant<LogHello, ControlStatusReport, EntryStatusReport, ConfigRequest, ConfigPart, ForwardedCall,
     ForwardedCallReply, AdviceRequest, AdviceReply, WorkerCallRequest, WorkerCallReply, ReplicaMessage<WorkTable>>;
 
 } // namespace eelgrassloft
--- a/tests/entry_node_test.cpp
+++ b/tests/entry_node_test.cpp
@@ -29,11 +29,14 @@
 
     std::vector<FleetEffect> receive(HostId from, FleetMessage message) { return stepNode(node, start, FleetMessageReceived { from, std::move(message) }); }
 
-    void receiveConfig(uint64_t version)
+    /// Answers the host's request for what changed after `baseVersion`.
+    void receiveConfig(HostId from, uint64_t version, uint64_t baseVersion)
     {
-        FleetConfig config;
-        config.version = version;
-        receive(seed, ConfigUpdate { config });
+        ConfigPart part;
+        part.version = version;
+        part.baseVersion = baseVersion;
+        part.isLast = true;
+        receive(from, part);
     }
 
     EntryNode node;
@@ -63,12 +66,14 @@
 BOOST_AUTO_TEST_CASE(configIsCurrentOnceItMatchesTheLeaders)
 {
     Entry entry;
-    entry.receiveConfig(68);
+    entry.receive(seed, statusOf(false, 68));
+    entry.receiveConfig(seed, 68, 0);
+    BOOST_TEST(entry.node.config().version == 68U);
     BOOST_TEST(!entry.node.isConfigCurrent(start)); // No status of the leader was received yet.
     entry.receive(leader, statusOf(true, 71));
     BOOST_TEST(entry.node.isStale());
     BOOST_TEST(!entry.node.isConfigCurrent(start));
-    entry.receiveConfig(71);
+    entry.receiveConfig(leader, 71, 68);
     BOOST_TEST(!entry.node.isStale());
     BOOST_TEST(entry.node.isConfigCurrent(start));
 }
