Include what two headers of the I/O layer use

They relied on the precompiled header, so that a build without it failed: duration_summary.h (Boost's accumulators use std::ostringstream without including <sstream>) and http_client.h. No change of logic. The build with CMAKE_DISABLE_PRECOMPILE_HEADERS=ON failed before and passes now.

--- a/src/io/duration_summary.h
+++ b/src/io/duration_summary.h
@@ -1,5 +1,8 @@
 #pragma once
 
+// <sstream> has to come before Boost 1.74's extended_p_square_quantile.hpp, which does not include it.
+#include <sstream>
+
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -7,6 +7,8 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace eelgrassloft::io {
 
