Say why a connection between hosts ended, and count what it drops

Of a lost connection the log gave the host alone: neither why it ended, nor what was on its way. Both networks now share PeerConnection, which knows the reason (DisconnectReason), the bytes of the frame in progress and its size, the time since the last byte, the bytes that the socket has not taken, and the messages that a full queue dropped. They stand in link-down and peer-disconnected; link-not-made and peer-not-connected are new, for connections that end before or in their handshake. Dropped messages were not counted by a fleet's host at all; they are now, with a line each time that the count of a connection doubles, and three gauges tell the drops and the queued bytes. The line peer-silent is gone: it is a reason.

What ends a connection has not changed.

--- a/src/io/fleet_peer_network.cpp
+++ b/src/io/fleet_peer_network.cpp
@@ -1,11 +1,14 @@
 #include "io/fleet_peer_network.h"
 
-#include "io/frames.h"
 #include "io/listen.h"
+#include "io/metrics_text.h"
+#include "io/peer_connection.h"
 #include "io/record_codec.h"
 
 #include "eelgrassloft/config.h"
 
+#include <algorithm>
+#include <bit>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -33,33 +36,26 @@
 
 } // namespace
 
-struct FleetPeerNetwork::Connection {
-    Connection(tcp::socket socketValue, HostId initiatorValue)
-        : socket(std::move(socketValue))
-        , reader(socket)
+struct FleetPeerNetwork::Connection : PeerConnection<> {
+    Connection(tcp::socket socket, Duration timeout, HostId initiatorValue)
+        : PeerConnection(std::move(socket), timeout)
         , initiator(initiatorValue)
-        , outgoing(socket.get_executor(), config::peerMailboxCapacity)
-        , inactivityTimer(socket.get_executor())
     {
     }
 
-    tcp::socket socket;
-    FrameReader reader;
     HostId host; ///< Known after the handshake.
     HostId initiator;
     uint64_t incarnation = 0; ///< Of the other host's process.
-    Mailbox<std::string> outgoing;
-    asio::steady_timer inactivityTimer;
-    std::chrono::steady_clock::time_point lastReceivedAt = std::chrono::steady_clock::now();
-    bool isOpen = true;
+    uint64_t receivedDropped = 0; ///< Messages that the core's mailbox did not take.
 };
 
-FleetPeerNetwork::FleetPeerNetwork(asio::io_context& context, HostId self, uint16_t port, FleetMailbox& nodeMailbox, EventLog& log)
+FleetPeerNetwork::FleetPeerNetwork(asio::io_context& context, HostId self, uint16_t port, FleetMailbox& nodeMailbox, EventLog& log, Duration timeout)
     : m_context(context)
     , m_self(self)
     , m_port(port)
     , m_nodeMailbox(nodeMailbox)
     , m_log(log)
+    , m_timeout(timeout)
     , m_acceptor(context)
     , m_incarnation(static_cast<uint64_t>(std::chrono::system_clock::now().time_since_epoch().count()))
 {
@@ -86,11 +82,42 @@
 void FleetPeerNetwork::send(HostId to, const FleetMessage& message)
 {
     const auto found = m_connections.find(to);
-    if (found == m_connections.end())
+    if (found == m_connections.end()) {
+        ++m_droppedMessages;
         return;
+    }
+    Connection& connection = *found->second;
     const std::string payload = encode(message);
     logIfLarge("large-message-sent", to, payload.size());
-    found->second->outgoing.tryPush(encodeFrame(payload), isUrgent(kindOf(message)));
+    if (!connection.send(encodeFrame(payload), isUrgent(kindOf(message))))
+        countDropped("message-dropped", connection, connection.dropped());
+}
+
+size_t FleetPeerNetwork::queuedBytes(HostId host) const
+{
+    const auto found = m_connections.find(host);
+    return found == m_connections.end() ? 0 : found->second->queuedBytes();
+}
+
+std::string FleetPeerNetwork::metricsText() const
+{
+    size_t longest = 0;
+    size_t total = 0;
+    for (const auto& [host, connection] : m_connections) {
+        longest = std::max(longest, connection->queuedBytes());
+        total += connection->queuedBytes();
+    }
+    return gaugeText("link_messages_dropped", static_cast<double>(m_droppedMessages)) + gaugeText("link_queued_bytes", static_cast<double>(total))
+        + gaugeText("link_longest_queue_bytes", static_cast<double>(longest));
+}
+
+/// Counts a message that a full queue did not take: the `onConnection`-th of its connection. A burst
+/// of them gives few lines in the log.
+void FleetPeerNetwork::countDropped(const char* event, const Connection& connection, uint64_t onConnection)
+{
+    ++m_droppedMessages;
+    if (std::has_single_bit(onConnection))
+        m_log.write(event, { { "host", addressText(connection.host) }, { "dropped", std::to_string(onConnection) }, { "queuedBytes", std::to_string(connection.queuedBytes()) } });
 }
 
 /// Other messages to the host wait behind a large one.
@@ -120,7 +147,7 @@
         if (!m_connections.count(host)) {
             auto socket = std::make_shared<tcp::socket>(m_context);
             // A host that cannot be reached does not refuse the connection: the attempt needs a timeout.
-            timer.expires_after(config::fleetPeerTimeout);
+            timer.expires_after(m_timeout);
             timer.async_wait([socket](const error_code& error) {
                 if (!error)
                     socket->close();
@@ -143,12 +170,9 @@
     FleetHandshake own;
     own.host = m_self;
     own.incarnation = m_incarnation;
-    const std::string frame = encodeFrame(encode(own));
-    error_code error;
-    co_await asio::async_write(connection->socket, asio::buffer(frame), asio::redirect_error(use_awaitable, error));
-    if (error)
+    if (!co_await connection->write(encodeFrame(encode(own))))
         co_return HostId {};
-    const auto payload = co_await connection->reader.read(maxHandshakeBytes);
+    const auto payload = co_await connection->read(maxHandshakeBytes);
     if (!payload)
         co_return HostId {};
     RecordDecoder decoder;
@@ -173,7 +197,7 @@
         const bool isPreferred = connection->incarnation != existing->second->incarnation || connection->initiator <= existing->second->initiator;
         if (!isPreferred)
             return false;
-        closeConnection(existing->second);
+        closeConnection(existing->second, DisconnectReason::Replaced);
     }
     m_connections[connection->host] = connection;
     return true;
@@ -183,83 +207,80 @@
 {
     error_code error;
     socket.set_option(tcp::no_delay(true), error);
-    const int timeout = static_cast<int>(config::fleetPeerTimeout / std::chrono::milliseconds(1));
+    const std::string remote = socket.remote_endpoint(error).address().to_string();
+    const int timeout = static_cast<int>(m_timeout / std::chrono::milliseconds(1));
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
-    const auto connection = std::make_shared<Connection>(std::move(socket), expected.isValid() ? m_self : HostId {});
-    asio::co_spawn(m_context, closeWhenInactive(connection), asio::detached); // Also closes a connection whose handshake does not arrive.
+    const auto connection = std::make_shared<Connection>(std::move(socket), m_timeout, expected.isValid() ? m_self : HostId {});
+    asio::co_spawn(m_context, closeWhenSilent(connection), asio::detached); // Also closes a connection whose handshake does not arrive.
     connection->host = co_await exchangeHandshakes(connection, expected);
     if (!expected.isValid())
         connection->initiator = connection->host;
-    if (!connection->host.isValid() || !connection->isOpen || !registerConnection(connection)) {
-        closeConnection(connection);
+    if (!connection->host.isValid() || !connection->isOpen()) {
+        closeConnection(connection, connection->readFailure().value_or(DisconnectReason::NotIdentified));
+        logClosed("link-not-made", remote, *connection);
+        co_return;
+    }
+    if (!registerConnection(connection)) {
+        closeConnection(connection, DisconnectReason::Replaced);
         co_return;
     }
     m_nodeMailbox.tryPush(FleetEvent(FleetPeerUp { connection->host }));
     m_log.write("link-up", { { "host", addressText(connection->host) } });
     asio::co_spawn(m_context, writeLoop(connection), asio::detached);
-    co_await readLoop(connection);
-    closeConnection(connection);
+    const DisconnectReason reason = co_await readLoop(connection);
+    closeConnection(connection, reason);
 }
 
-awaitable<void> FleetPeerNetwork::readLoop(std::shared_ptr<Connection> connection)
+awaitable<DisconnectReason> FleetPeerNetwork::readLoop(std::shared_ptr<Connection> connection)
 {
     RecordDecoder decoder;
-    while (connection->isOpen) {
-        const auto payload = co_await connection->reader.read(config::maxFrameBytes);
-        if (!payload || !connection->isOpen)
-            co_return;
-        connection->lastReceivedAt = std::chrono::steady_clock::now();
+    while (connection->isOpen()) {
+        const auto payload = co_await connection->read(config::maxFrameBytes);
+        if (!payload || !connection->isOpen())
+            break;
         logIfLarge("large-message-received", connection->host, payload->size());
         auto message = decoder.decode<FleetMessage>(*payload);
         if (!message) {
             m_log.writeError("link-message-unreadable", decoder.lastError());
-            co_return;
+            co_return DisconnectReason::UnreadableMessage;
         }
         FleetEvent event = FleetMessageReceived { connection->host, std::move(*message) };
         const bool isEventUrgent = isUrgent(kindOf(event)); // A leader whose acknowledgements wait behind calls loses its lease.
-        m_nodeMailbox.tryPush(std::move(event), isEventUrgent);
+        if (!m_nodeMailbox.tryPush(std::move(event), isEventUrgent))
+            countDropped("received-message-dropped", *connection, ++connection->receivedDropped);
     }
+    co_return connection->readFailure().value_or(DisconnectReason::ClosedByPeer);
 }
 
 awaitable<void> FleetPeerNetwork::writeLoop(std::shared_ptr<Connection> connection)
 {
-    while (auto frame = co_await connection->outgoing.pop()) {
-        std::string batch = std::move(*frame);
-        while (auto next = connection->outgoing.tryPop())
-            batch += *next;
-        error_code error;
-        co_await asio::async_write(connection->socket, asio::buffer(batch), asio::redirect_error(use_awaitable, error));
-        if (error)
-            break;
-    }
-    closeConnection(connection);
+    co_await connection->writeQueued();
+    closeConnection(connection, DisconnectReason::WriteFailed);
 }
 
-awaitable<void> FleetPeerNetwork::closeWhenInactive(std::shared_ptr<Connection> connection)
+awaitable<void> FleetPeerNetwork::closeWhenSilent(std::shared_ptr<Connection> connection)
 {
-    while (connection->isOpen) {
-        connection->inactivityTimer.expires_at(connection->lastReceivedAt + config::fleetPeerTimeout);
-        error_code error;
-        co_await connection->inactivityTimer.async_wait(asio::redirect_error(use_awaitable, error));
-        if (connection->isOpen && std::chrono::steady_clock::now() >= connection->lastReceivedAt + config::fleetPeerTimeout)
-            closeConnection(connection);
-    }
+    co_await connection->waitForSilence();
+    closeConnection(connection, DisconnectReason::Silent);
 }
 
-void FleetPeerNetwork::closeConnection(std::shared_ptr<Connection> connection)
+void FleetPeerNetwork::closeConnection(std::shared_ptr<Connection> connection, DisconnectReason reason)
 {
-    if (!std::exchange(connection->isOpen, false))
+    if (!connection->close(reason))
         return;
-    error_code ignored;
-    connection->socket.close(ignored);
-    connection->outgoing.close();
-    connection->inactivityTimer.cancel();
     const auto found = m_connections.find(connection->host);
     if (found == m_connections.end() || found->second != connection)
         return;
     m_connections.erase(found);
     m_nodeMailbox.tryPush(FleetEvent(FleetPeerDown { connection->host }));
-    m_log.write("link-down", { { "host", addressText(connection->host) } });
+    logClosed("link-down", addressText(connection->host), *connection);
+}
+
+void FleetPeerNetwork::logClosed(const char* event, const std::string& host, const Connection& connection)
+{
+    std::vector<LogField> fields = connection.closeFields();
+    fields.insert(fields.begin(), { "host", host });
+    m_log.write(event, fields);
 }
 
 } // namespace eelgrassloft::io
--- a/src/io/fleet_task.h
+++ b/src/io/fleet_task.h
@@ -128,7 +128,7 @@
         query.reply->tryPush(std::move(lookup));
     }
 
-    void handle(ReadMetrics query) { query.reply->tryPush(fleetMetricsText(m_node.counters(), m_node.gauges(), m_durations)); }
+    void handle(ReadMetrics query) { query.reply->tryPush(fleetMetricsText(m_node.counters(), m_node.gauges(), m_durations) + m_dependencies.peers.metricsText()); }
 
     void receive(const FleetEvent& event)
     {
--- a/src/io/frames.h
+++ b/src/io/frames.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "io/asio.h"
+#include "io/disconnect_reason.h"
 
 #include "eelgrassloft/config.h"
 
 #include <boost/endian/conversion.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <optional>
 #include <string>
 #include <utility>
@@ -24,6 +26,7 @@
 
 /// Reads the frames of a connection. Takes all that has arrived with one read, so that the backlog of
 /// a busy host stands where it can be ordered by urgency, and not in the socket.
+template <typename Clock = std::chrono::steady_clock>
 class FrameReader {
 public:
     explicit FrameReader(tcp::socket& socket)
@@ -33,31 +36,46 @@
     }
 
     /// Returns the payload of the next frame, or nothing if the connection ended or the payload is
-    /// larger than `maxBytes`.
+    /// larger than `maxBytes`; `failure` says which.
     awaitable<std::optional<std::string>> read(size_t maxBytes)
     {
         while (true) {
             if (m_end - m_begin >= sizeof(uint32_t)) {
-                const size_t payloadBytes = boost::endian::load_big_u32(reinterpret_cast<const unsigned char*>(m_buffer.data() + m_begin));
-                if (payloadBytes > maxBytes)
+                const size_t bytes = payloadBytes();
+                if (bytes > maxBytes) {
+                    m_failure = DisconnectReason::FrameTooLarge;
                     co_return std::nullopt;
-                if (m_end - m_begin >= sizeof(uint32_t) + payloadBytes) {
-                    std::string payload(m_buffer, m_begin + sizeof(uint32_t), payloadBytes);
-                    m_begin += sizeof(uint32_t) + payloadBytes;
+                }
+                if (m_end - m_begin >= sizeof(uint32_t) + bytes) {
+                    std::string payload(m_buffer, m_begin + sizeof(uint32_t), bytes);
+                    m_begin += sizeof(uint32_t) + bytes;
                     co_return payload;
                 }
-                makeRoom(sizeof(uint32_t) + payloadBytes);
+                makeRoom(sizeof(uint32_t) + bytes);
             } else {
                 makeRoom(sizeof(uint32_t));
             }
-            error_code error;
-            m_end += co_await m_socket.async_read_some(asio::buffer(m_buffer.data() + m_end, m_buffer.size() - m_end), asio::redirect_error(use_awaitable, error));
-            if (error)
+            m_end += co_await m_socket.async_read_some(asio::buffer(m_buffer.data() + m_end, m_buffer.size() - m_end), asio::redirect_error(use_awaitable, m_error));
+            if (m_error) {
+                m_failure = m_error == asio::error::eof ? DisconnectReason::ClosedByPeer : DisconnectReason::ReadFailed;
                 co_return std::nullopt;
+            }
+            m_lastByteAt = Clock::now();
         }
     }
 
+    std::optional<DisconnectReason> failure() const { return m_failure; }
+    error_code error() const { return m_error; }
+    typename Clock::time_point lastByteAt() const { return m_lastByteAt; }
+
+    /// Bytes that have arrived of the frame in progress.
+    size_t frameBytes() const { return m_end - m_begin; }
+    /// Size of the frame in progress; 0 if it is not known yet.
+    size_t ofFrameBytes() const { return frameBytes() < sizeof(uint32_t) ? 0 : sizeof(uint32_t) + payloadBytes(); }
+
 private:
+    size_t payloadBytes() const { return boost::endian::load_big_u32(reinterpret_cast<const unsigned char*>(m_buffer.data() + m_begin)); }
+
     /// Makes room for a frame of `frameBytes` that begins at `m_begin`.
     void makeRoom(size_t frameBytes)
     {
@@ -73,6 +91,9 @@
     std::string m_buffer;
     size_t m_begin = 0; ///< First byte that has not been returned.
     size_t m_end = 0; ///< End of the bytes that have arrived.
+    typename Clock::time_point m_lastByteAt = Clock::now();
+    std::optional<DisconnectReason> m_failure;
+    error_code m_error;
 };
 
 } // namespace eelgrassloft::io
--- a/src/io/peer_network.cpp
+++ b/src/io/peer_network.cpp
@@ -1,10 +1,12 @@
 #include "io/peer_network.h"
 
-#include "io/frames.h"
 #include "io/listen.h"
+#include "io/peer_connection.h"
 #include "io/record_codec.h"
 
+#include <bit>
 #include <netinet/tcp.h>
+#include <numeric>
 #include <sys/socket.h>
 
 namespace eelgrassloft::io {
@@ -29,29 +31,22 @@
 
 } // namespace
 
-struct PeerNetwork::Connection {
-    explicit Connection(tcp::socket socketValue)
-        : socket(std::move(socketValue))
-        , reader(socket)
-        , outgoing(socket.get_executor(), config::peerMailboxCapacity)
-        , inactivityTimer(socket.get_executor())
+struct PeerNetwork::Connection : PeerConnection<> {
+    Connection(tcp::socket socket, Duration timeout)
+        : PeerConnection(std::move(socket), timeout)
     {
     }
 
-    tcp::socket socket;
-    FrameReader reader;
     HostId host; ///< Known after the handshake.
-    Mailbox<std::string> outgoing;
-    asio::steady_timer inactivityTimer;
-    std::chrono::steady_clock::time_point lastReceivedAt = std::chrono::steady_clock::now();
-    bool isOpen = true;
+    uint64_t receivedDropped = 0; ///< Messages that the core's mailbox did not take.
 };
 
-PeerNetwork::PeerNetwork(asio::io_context& context, const NodeSettings& settings, NodeMailbox& nodeMailbox, EventLog& log)
+PeerNetwork::PeerNetwork(asio::io_context& context, const NodeSettings& settings, NodeMailbox& nodeMailbox, EventLog& log, Duration timeout)
     : m_context(context)
     , m_settings(settings)
     , m_nodeMailbox(nodeMailbox)
     , m_log(log)
+    , m_timeout(timeout)
     , m_acceptor(context)
 {
 }
@@ -78,14 +73,34 @@
         timer->cancel();
     const auto connections = m_connections;
     for (const auto& [host, connection] : connections)
-        closeConnection(connection);
+        closeConnection(connection, DisconnectReason::ShutDown);
 }
 
 void PeerNetwork::send(HostId to, const PeerMessage& message)
 {
     const auto found = m_connections.find(to);
-    if (found == m_connections.end() || !found->second->outgoing.tryPush(encodeFrame(encode(message)), isUrgent(message)))
+    if (found == m_connections.end()) {
         ++m_droppedMessages;
+        return;
+    }
+    Connection& connection = *found->second;
+    if (!connection.send(encodeFrame(encode(message)), isUrgent(message)))
+        countDropped("message-dropped", connection, connection.dropped());
+}
+
+size_t PeerNetwork::queuedBytes() const
+{
+    const auto add = [](size_t sum, const auto& entry) { return sum + entry.second->queuedBytes(); };
+    return std::accumulate(m_connections.begin(), m_connections.end(), size_t {}, add);
+}
+
+/// Counts a message that a full queue did not take: the `onConnection`-th of its connection. A burst
+/// of them gives few lines in the log.
+void PeerNetwork::countDropped(const char* event, const Connection& connection, uint64_t onConnection)
+{
+    ++m_droppedMessages;
+    if (std::has_single_bit(onConnection))
+        m_log.write(event, { { "host", std::to_string(connection.host.value) }, { "dropped", std::to_string(onConnection) }, { "queuedBytes", std::to_string(connection.queuedBytes()) } });
 }
 
 awaitable<void> PeerNetwork::acceptLoop()
@@ -131,11 +146,9 @@
     PeerHandshake own;
     own.cluster = m_settings.cluster;
     own.host = m_settings.self;
-    const std::string frame = encodeFrame(encode(own));
-    error_code error;
-    co_await asio::async_write(connection.socket, asio::buffer(frame), asio::redirect_error(use_awaitable, error));
-    const auto payload = co_await connection.reader.read(maxHandshakeBytes);
-    if (error || !payload)
+    const bool isSent = co_await connection.write(encodeFrame(encode(own)));
+    const auto payload = co_await connection.read(maxHandshakeBytes);
+    if (!isSent || !payload)
         co_return expected ? std::nullopt : std::optional<HostId>(reject("no handshake received"));
     RecordDecoder decoder;
     const auto handshake = decoder.decode<PeerHandshake>(*payload);
@@ -155,87 +168,71 @@
 {
     error_code error;
     socket.set_option(tcp::no_delay(true), error);
-    const int timeout = static_cast<int>(config::peerTimeout / std::chrono::milliseconds(1));
+    const int timeout = static_cast<int>(m_timeout / std::chrono::milliseconds(1));
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
-    const auto connection = std::make_shared<Connection>(std::move(socket));
-    asio::co_spawn(m_context, closeWhenInactive(connection), asio::detached); // Also closes a connection whose handshake does not arrive.
+    const auto connection = std::make_shared<Connection>(std::move(socket), m_timeout);
+    asio::co_spawn(m_context, closeWhenSilent(connection), asio::detached); // Also closes a connection whose handshake does not arrive.
     const auto host = co_await exchangeHandshakes(*connection, expected);
     if (!host || m_isStopping) {
-        closeConnection(connection);
+        closeConnection(connection, m_isStopping ? DisconnectReason::ShutDown : connection->readFailure().value_or(DisconnectReason::NotIdentified));
+        m_log.write("peer-not-connected", connection->closeFields());
         co_return;
     }
     const auto existing = m_connections.find(*host);
     if (existing != m_connections.end())
-        closeConnection(existing->second);
+        closeConnection(existing->second, DisconnectReason::Replaced);
     connection->host = *host;
     m_connections[*host] = connection;
     m_nodeMailbox.tryPush(Event(PeerUp { *host }));
     m_log.write("peer-connected", { { "host", std::to_string(host->value) } });
     asio::co_spawn(m_context, writeLoop(connection), asio::detached);
-    co_await readLoop(connection);
-    closeConnection(connection);
+    const DisconnectReason reason = co_await readLoop(connection);
+    closeConnection(connection, reason);
 }
 
-awaitable<void> PeerNetwork::readLoop(std::shared_ptr<Connection> connection)
+awaitable<DisconnectReason> PeerNetwork::readLoop(std::shared_ptr<Connection> connection)
 {
     RecordDecoder decoder;
-    while (connection->isOpen) {
-        const auto payload = co_await connection->reader.read(config::maxFrameBytes);
-        if (!payload || !connection->isOpen)
-            co_return;
-        connection->lastReceivedAt = std::chrono::steady_clock::now();
+    while (connection->isOpen()) {
+        const auto payload = co_await connection->read(config::maxFrameBytes);
+        if (!payload || !connection->isOpen())
+            break;
         auto message = decoder.decode<PeerMessage>(*payload);
         if (!message) {
             reject("unreadable message: " + decoder.lastError().message);
-            co_return;
+            co_return DisconnectReason::UnreadableMessage;
         }
         const bool isMessageUrgent = isUrgent(*message);
         if (!m_nodeMailbox.tryPush(Event(PeerMessageReceived { connection->host, std::move(*message) }), isMessageUrgent))
-            ++m_droppedMessages;
+            countDropped("received-message-dropped", *connection, ++connection->receivedDropped);
     }
+    co_return connection->readFailure().value_or(DisconnectReason::ClosedByPeer);
 }
 
 awaitable<void> PeerNetwork::writeLoop(std::shared_ptr<Connection> connection)
 {
-    while (auto frame = co_await connection->outgoing.pop()) {
-        std::string batch = std::move(*frame);
-        while (auto next = connection->outgoing.tryPop())
-            batch += *next;
-        error_code error;
-        co_await asio::async_write(connection->socket, asio::buffer(batch), asio::redirect_error(use_awaitable, error));
-        if (error)
-            break;
-    }
-    closeConnection(connection);
+    co_await connection->writeQueued();
+    closeConnection(connection, DisconnectReason::WriteFailed);
 }
 
-awaitable<void> PeerNetwork::closeWhenInactive(std::shared_ptr<Connection> connection)
+awaitable<void> PeerNetwork::closeWhenSilent(std::shared_ptr<Connection> connection)
 {
-    while (connection->isOpen) {
-        connection->inactivityTimer.expires_at(connection->lastReceivedAt + config::peerTimeout);
-        error_code error;
-        co_await connection->inactivityTimer.async_wait(asio::redirect_error(use_awaitable, error));
-        if (connection->isOpen && std::chrono::steady_clock::now() >= connection->lastReceivedAt + config::peerTimeout) {
-            m_log.write("peer-silent", { { "host", std::to_string(connection->host.value) } });
-            closeConnection(connection);
-        }
-    }
+    co_await connection->waitForSilence();
+    closeConnection(connection, DisconnectReason::Silent);
 }
 
-void PeerNetwork::closeConnection(const std::shared_ptr<Connection>& connection)
+void PeerNetwork::closeConnection(std::shared_ptr<Connection> connection, DisconnectReason reason)
 {
-    if (!std::exchange(connection->isOpen, false))
+    if (!connection->close(reason))
         return;
-    error_code ignored;
-    connection->socket.close(ignored);
-    connection->outgoing.close();
-    connection->inactivityTimer.cancel();
     const auto found = m_connections.find(connection->host);
     if (found == m_connections.end() || found->second != connection)
         return;
     m_connections.erase(found);
     m_nodeMailbox.tryPush(Event(PeerDown { connection->host }));
-    m_log.write("peer-disconnected", { { "host", std::to_string(connection->host.value) } });
+    std::vector<LogField> fields = connection->closeFields();
+    fields.insert(fields.begin(), { "host", std::to_string(connection->host.value) });
+    m_log.write("peer-disconnected", fields);
 }
 
 } // namespace eelgrassloft::io
--- a/src/io/peer_network.h
+++ b/src/io/peer_network.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "io/asio.h"
+#include "io/disconnect_reason.h"
 #include "io/event_log.h"
 #include "io/mailbox.h"
 #include "io/node_messages.h"
@@ -17,7 +18,8 @@
 /// invalid handshake or message is disconnected and counted.
 class PeerNetwork {
 public:
-    PeerNetwork(asio::io_context& context, const NodeSettings& settings, NodeMailbox& nodeMailbox, EventLog& log);
+    /// A connection on which nothing arrives for `timeout` is closed.
+    PeerNetwork(asio::io_context& context, const NodeSettings& settings, NodeMailbox& nodeMailbox, EventLog& log, Duration timeout = config::peerTimeout);
 
     /// Starts listening and connecting. Returns an error if the port cannot be opened.
     std::optional<Error> start();
@@ -28,6 +30,8 @@
 
     uint64_t rejectedPeers() const { return m_rejectedPeers; }
     uint64_t droppedMessages() const { return m_droppedMessages; }
+    /// Bytes of messages that the connections have not taken yet.
+    size_t queuedBytes() const;
 
 private:
     struct Connection;
@@ -37,16 +41,18 @@
     awaitable<void> serveAccepted(tcp::socket socket);
     awaitable<void> runConnection(tcp::socket socket, std::optional<HostId> expected);
     awaitable<std::optional<HostId>> exchangeHandshakes(Connection& connection, std::optional<HostId> expected);
-    awaitable<void> readLoop(std::shared_ptr<Connection> connection);
+    awaitable<DisconnectReason> readLoop(std::shared_ptr<Connection> connection);
     awaitable<void> writeLoop(std::shared_ptr<Connection> connection);
-    awaitable<void> closeWhenInactive(std::shared_ptr<Connection> connection);
-    void closeConnection(const std::shared_ptr<Connection>& connection);
+    awaitable<void> closeWhenSilent(std::shared_ptr<Connection> connection);
+    void closeConnection(std::shared_ptr<Connection> connection, DisconnectReason reason);
+    void countDropped(const char* event, const Connection& connection, uint64_t onConnection);
     std::nullopt_t reject(const std::string& reason);
 
     asio::io_context& m_context;
     const NodeSettings& m_settings;
     NodeMailbox& m_nodeMailbox;
     EventLog& m_log;
+    Duration m_timeout;
     tcp::acceptor m_acceptor;
     std::map<HostId, std::shared_ptr<Connection>> m_connections;
     std::vector<std::shared_ptr<asio::steady_timer>> m_connectTimers;
