Count bytes and not frames as signs of life of a connection between hosts

Cause: a connection was closed if no frame was complete within the timeout (1.2 s, eelgrassd 2 s). The next connection began with the same frame, from its first byte, and ended the same way. Fix: the time of the last byte counts, in PeerConnection, which both networks use. Before a connection is closed the socket is asked for unread bytes: a host whose event loop was busy must not take its own delay for the other's silence. A connection on which nothing arrives, also within a frame, is closed after the same time as before.

--- a/src/io/peer_connection.h
+++ b/src/io/peer_connection.h
@@ -33,13 +33,7 @@
     size_t queuedBytes() const { return m_outgoing.bytes() + m_unwrittenBytes; }
 
     /// Returns the payload of the next frame, or nothing if there is none for `readFailure`.
-    awaitable<std::optional<std::string>> read(size_t maxBytes)
-    {
-        auto payload = co_await m_reader.read(maxBytes);
-        if (payload)
-            m_lastFrameAt = Clock::now();
-        co_return payload;
-    }
+    awaitable<std::optional<std::string>> read(size_t maxBytes) { return m_reader.read(maxBytes); }
 
     std::optional<DisconnectReason> readFailure() const { return m_reader.failure(); }
 
@@ -69,13 +63,16 @@
         }
     }
 
-    /// Returns once the other end has been silent for the timeout, or the connection is closed.
+    /// Returns once no byte has arrived for the timeout, or the connection is closed. Bytes count and not
+    /// frames: a large frame takes longer than the timeout on a slow link.
     awaitable<void> waitForSilence()
     {
-        while (isOpen() && Clock::now() < m_lastFrameAt + m_timeout) {
-            m_silenceTimer.expires_at(m_lastFrameAt + m_timeout);
+        auto heardAt = m_reader.lastByteAt();
+        while (isOpen() && Clock::now() < heardAt + m_timeout) {
+            m_silenceTimer.expires_at(heardAt + m_timeout);
             error_code ignored;
             co_await m_silenceTimer.async_wait(asio::redirect_error(use_awaitable, ignored));
+            heardAt = hasUnreadBytes() ? Clock::now() : m_reader.lastByteAt();
         }
     }
 
@@ -110,12 +107,18 @@
     }
 
 private:
+    /// Whether bytes have arrived that a busy host has not read yet.
+    bool hasUnreadBytes() const
+    {
+        error_code ignored;
+        return m_socket.available(ignored) > 0;
+    }
+
     tcp::socket m_socket;
     FrameReader<Clock> m_reader;
     SendQueue m_outgoing;
     Timer m_silenceTimer;
     Duration m_timeout;
-    typename Clock::time_point m_lastFrameAt = Clock::now();
     size_t m_unwrittenBytes = 0; ///< Taken from the queue, and not yet by the socket.
     error_code m_writeError;
     std::optional<DisconnectReason> m_closeReason;
