--- a/src/io/fleet_peer_network.cpp
+++ b/src/io/fleet_peer_network.cpp
@@ -9,8 +9,6 @@
 
 #include <algorithm>
 #include <bit>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 namespace eelgrassloft::io {
 
@@ -206,10 +204,7 @@
 awaitable<void> FleetPeerNetwork::runConnection(tcp::socket socket, HostId expected)
 {
     error_code error;
-    socket.set_option(tcp::no_delay(true), error);
     const std::string remote = socket.remote_endpoint(error).address().to_string();
-    const int timeout = static_cast<int>(m_timeout / std::chrono::milliseconds(1));
-    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
     const auto connection = std::make_shared<Connection>(std::move(socket), m_timeout, expected.isValid() ? m_self : HostId {});
     asio::co_spawn(m_context, closeWhenSilent(connection), asio::detached); // Also closes a connection whose handshake does not arrive.
     connection->host = co_await exchangeHandshakes(connection, expected);
--- a/src/io/peer_connection.h
+++ b/src/io/peer_connection.h
@@ -5,6 +5,8 @@
 
 #include "eelgrassloft/effects.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <vector>
 
 namespace eelgrassloft::io {
@@ -24,6 +26,7 @@
         , m_silenceTimer(m_socket.get_executor())
         , m_timeout(timeout)
     {
+        setSocketOptions();
     }
 
     bool isOpen() const { return !m_closeReason; }
@@ -107,6 +110,16 @@
     }
 
 private:
+    void setSocketOptions()
+    {
+        error_code ignored;
+        m_socket.set_option(tcp::no_delay(true), ignored);
+        setTcpOption(TCP_USER_TIMEOUT, static_cast<int>(m_timeout / std::chrono::milliseconds(1)));
+        setTcpOption(TCP_NOTSENT_LOWAT, config::unsentSocketBytes); // What waits in the socket can't be overtaken.
+    }
+
+    void setTcpOption(int option, int value) { ::setsockopt(m_socket.native_handle(), IPPROTO_TCP, option, &value, sizeof(value)); }
+
     /// Whether bytes have arrived that a busy host has not read yet.
     bool hasUnreadBytes() const
     {
--- a/src/io/peer_network.cpp
+++ b/src/io/peer_network.cpp
@@ -5,9 +5,7 @@
 #include "io/record_codec.h"
 
 #include <bit>
-#include <netinet/tcp.h>
 #include <numeric>
-#include <sys/socket.h>
 
 namespace eelgrassloft::io {
 
@@ -166,10 +164,6 @@
 
 awaitable<void> PeerNetwork::runConnection(tcp::socket socket, std::optional<HostId> expected)
 {
-    error_code error;
-    socket.set_option(tcp::no_delay(true), error);
-    const int timeout = static_cast<int>(m_timeout / std::chrono::milliseconds(1));
-    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
     const auto connection = std::make_shared<Connection>(std::move(socket), m_timeout);
     asio::co_spawn(m_context, closeWhenSilent(connection), asio::detached); // Also closes a connection whose handshake does not arrive.
     const auto host = co_await exchangeHandshakes(*connection, expected);
--- a/tests/slow_frame_test.cpp
+++ b/tests/slow_frame_test.cpp
@@ -2,6 +2,7 @@
 #include "io/peer_connection.h"
 #include "io/peer_network.h"
 #include "io/record_codec.h"
+#include "support/socket_pair.h"
 #include "support/test_clock.h"
 
 #include <boost/test/unit_test.hpp>
@@ -15,21 +16,6 @@
 constexpr Duration timeout = 100ms; // Of networks in real time; no test depends on its length.
 constexpr int parts = 16; // Of a frame that takes four timeouts.
 
-/// Two ends of a connection on loopback.
-struct SocketPair {
-    explicit SocketPair(asio::io_context& context)
-        : far(context)
-        , near(context)
-    {
-        tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
-        far.connect(acceptor.local_endpoint());
-        acceptor.accept(near);
-    }
-
-    tcp::socket far;
-    tcp::socket near;
-};
-
 /// A connection in the time of the test clock, with the tasks that its owner runs.
 struct ConnectionFixture {
     asio::io_context context;
