Let slow HTTP requests and responses go on as long as their bytes move

A response had 10 s in all, so that one of 1 MB on a link shared with others was cut, and asked for again from its first byte. On a fleet's host a request had 60 s from the end of the one before: a configuration whose first byte came at second 59 was cut after one second. Responses of both daemons and requests of a fleet's host now end 10 s after their last byte (httpStallTimeout); an idle connection ends after 60 s as before. The limit of eelgrassd for a complete request of a caller (10 s, answered as slow-caller) is documented and stays.

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -20,7 +20,8 @@
 inline constexpr size_t maxCallerConnections = 1024; ///< Open at a time on one host.
 inline constexpr Duration defaultRequestTimeout = 10s;
 inline constexpr Duration maxRequestTimeout = 10min;
-inline constexpr Duration callerReadTimeout = 10s; ///< For a complete request to arrive, and for a response to be sent.
+inline constexpr Duration callerReadTimeout = 10s; ///< For a complete request to arrive.
+inline constexpr Duration httpStallTimeout = 10s; ///< A request or response of which nothing moves for this long ends its connection.
 inline constexpr Duration callerIdleTimeout = 60s; ///< Between two requests on one connection.
 inline constexpr Duration claimSettleGrace = 500ms; ///< Time after a request's deadline before its unsettled claim expires.
 
--- a/src/io/http_listener.h
+++ b/src/io/http_listener.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "io/http_types.h"
+#include "io/http_transfer.h"
 #include "io/listen.h"
 #include "io/scoped_count.h"
 
@@ -97,9 +97,7 @@
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<uint32_t>(m_limits.headerBytes));
         parser.body_limit(m_limits.bodyBytes);
-        error_code error;
-        stream.expires_after(config::callerIdleTimeout);
-        co_await http::async_read(stream, buffer, parser, asio::redirect_error(use_awaitable, error));
+        error_code error = co_await receiveRequest(stream, buffer, parser, config::callerIdleTimeout, config::httpStallTimeout);
         const bool isUnreadable = error == http::error::header_limit || error == http::error::body_limit
             || (error.category() == http::make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream && error != http::error::partial_message);
         if (error && !isUnreadable)
@@ -118,8 +116,7 @@
         isPersistent = isPersistent && !m_isClosing;
         response.keep_alive(isPersistent);
         response.prepare_payload();
-        stream.expires_after(config::callerReadTimeout);
-        co_await http::async_write(stream, response, asio::redirect_error(use_awaitable, error));
+        error = co_await sendResponse(stream, response, config::httpStallTimeout);
         co_return isPersistent && !error;
     }
 
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "hash.h"
 #include "io/http_messages.h"
+#include "io/http_transfer.h"
 #include "io/listen.h"
 #include "io/manifest_json.h"
 #include "io/scoped_count.h"
@@ -125,8 +126,7 @@
     if (m_connectionCount > config::maxCallerConnections) {
         HttpResponse response = refuse(RefusalReason::TooManyConnections, {});
         response.prepare_payload();
-        stream.expires_after(config::callerReadTimeout);
-        co_await http::async_write(stream, response, asio::redirect_error(use_awaitable, error));
+        co_await sendResponse(stream, response, config::httpStallTimeout);
     } else {
         beast::flat_buffer buffer;
         while (co_await serveRequest(stream, buffer)) { }
@@ -166,8 +166,7 @@
     }
     response.keep_alive(isPersistent);
     response.prepare_payload();
-    stream.expires_after(config::callerReadTimeout);
-    co_await http::async_write(stream, response, asio::redirect_error(use_awaitable, error));
+    error = co_await sendResponse(stream, response, config::httpStallTimeout);
     co_return isPersistent && !error;
 }
 
