--- a/src/io/duration_summary.h
+++ b/src/io/duration_summary.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <sstream> // The headers of Boost.Accumulators use it without including it.
+// <sstream> has to come before Boost 1.74's extended_p_square_quantile.hpp, which does not include it.
+#include <sstream>
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
