Include what the sources use, so that they build without precompiled headers

With CMAKE_DISABLE_PRECOMPILE_HEADERS=ON duration_summary.cpp failed, as Boost's quantiles use std::ostringstream without including it, and http_client.cpp, as its header used std::optional without <optional>.

--- a/src/io/duration_summary.cpp
+++ b/src/io/duration_summary.cpp
@@ -3,7 +3,6 @@
 #include "io/metrics_text.h"
 
 #include <array>
-#include <sstream>
 
 namespace eelgrassloft::io {
 
--- a/src/io/duration_summary.h
+++ b/src/io/duration_summary.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <sstream> // Boost's quantiles use it without including it.
+
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace eelgrassloft::io {
 
