Log each change of an entry host's readiness with what decided it

Entry hosts failed their checks by turns, and their logs said nothing of when and why. The new line readiness-changed states from, to, the age of the leader's last report, the term, the host's own and the leader's version and the connected control hosts.

--- a/include/eelgrassloft/effects.h
+++ b/include/eelgrassloft/effects.h
@@ -54,6 +54,7 @@
     StorageRestored,
     TaskSuspected,
     JobGivenUp,
+    ReadinessChanged,
     Count
 };
 
@@ -64,7 +65,7 @@
         "worker-lost", "worker-set-aside", "time-leap", "draining",
         "log-formed", "membership-changed", "incarnation-changed", "job-ended", "job-accepted", "call-unanswered", "order-refused",
         "run-failed", "run-lost", "worker-silent", "worker-back", "advice-unanswered",
-        "leader-summary", "storage-refused", "storage-restored", "task-suspected", "job-given-up" };
+        "leader-summary", "storage-refused", "storage-restored", "task-suspected", "job-given-up", "readiness-changed" };
     static_assert(detail::isComplete<LogEventKind>(table));
     return table;
 }
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -4,6 +4,18 @@
 
 namespace eelgrassloft {
 
+namespace {
+
+std::string hostsText(const std::set<HostId>& hosts)
+{
+    std::string text;
+    for (const HostId host : hosts)
+        text += (text.empty() ? "" : ",") + std::to_string(host.value);
+    return text.empty() ? "none" : text;
+}
+
+} // namespace
+
 std::vector<FleetEffect> EntryNode::receive(Time now, const FleetEvent& event)
 {
     FleetStep step;
@@ -20,6 +32,7 @@
     m_forwarder.tick(step);
     if (now >= m_nextStatus)
         sendStatus(step);
+    logReadiness(step);
     updateConnectTargets(step);
     return std::move(step.effects);
 }
@@ -113,4 +126,15 @@
         step.send(host, EntryStatusReport { m_config.version, m_isStopping });
 }
 
+void EntryNode::logReadiness(FleetStep& step)
+{
+    const bool isNowReady = isReady(step.now);
+    if (isNowReady == m_wasReady)
+        return;
+    const auto text = [](bool value) { return std::string(value ? "ready" : "not-ready"); };
+    const bool hadContact = m_lastLeaderContact != Time::min();
+    step.log(LogEventKind::ReadinessChanged, { { "from", text(m_wasReady) }, { "to", text(isNowReady) }, { "contactMs", hadContact ? std::to_string((step.now - m_lastLeaderContact) / std::chrono::milliseconds(1)) : "none" }, { "term", std::to_string(m_leaderTerm) }, { "version", std::to_string(m_config.version) }, { "leaderVersion", std::to_string(m_leaderConfigVersion) }, { "connected", hostsText(m_connected) } });
+    m_wasReady = isNowReady;
+}
+
 } // namespace eelgrassloft
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -72,6 +72,7 @@
     void updateConnectTargets(FleetStep& step);
     void chooseTarget(FleetStep& step);
     void sendStatus(FleetStep& step);
+    void logReadiness(FleetStep& step);
 
     FleetSettings m_settings;
     CallForwarder m_forwarder;
@@ -85,6 +86,7 @@
     uint64_t m_leaderConfigVersion = 0;
     Time m_nextStatus {};
     bool m_isStopping = false;
+    bool m_wasReady = false; ///< At the latest `finish`.
     CallRelay m_relay;
 };
 
--- a/tests/entry_node_test.cpp
+++ b/tests/entry_node_test.cpp
@@ -44,6 +44,22 @@
     return { 3, leader, isLeading, { seed, leader }, configVersion };
 }
 
+using Fields = std::vector<std::pair<std::string, std::string>>;
+
+/// Fields of the first log line of the kind; none if there is no such line.
+Fields fieldsOf(const std::vector<FleetEffect>& effects, LogEventKind kind)
+{
+    Fields fields;
+    for (const FleetEffect& effect : effects) {
+        const auto* event = std::get_if<LogEvent>(&effect);
+        if (!event || event->kind != kind || !fields.empty())
+            continue;
+        for (const LogField& field : event->fields)
+            fields.emplace_back(field.key, field.value);
+    }
+    return fields;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(EntryNodeTests)
@@ -73,4 +89,18 @@
     BOOST_TEST(entry.node.isConfigCurrent(start));
 }
 
+/// Entry hosts were unready by turns and their logs said nothing of it.
+BOOST_AUTO_TEST_CASE(changeOfReadinessIsLoggedWithItsCause)
+{
+    Entry entry;
+    entry.receiveConfig(68);
+    const std::vector<FleetEffect> up = entry.receive(leader, statusOf(true, 71));
+    BOOST_TEST((fieldsOf(up, LogEventKind::ReadinessChanged) == Fields { { "from", "not-ready" }, { "to", "ready" }, { "contactMs", "0" }, { "term", "3" }, { "version", "68" }, { "leaderVersion", "71" }, { "connected", "1" } }));
+    BOOST_TEST(fieldsOf(entry.receive(leader, statusOf(true, 71)), LogEventKind::ReadinessChanged).empty());
+    const Time later = start + config::leaderContactTimeout;
+    BOOST_TEST((entry.node.nextDeadline() <= later));
+    const std::vector<FleetEffect> down = stepNode(entry.node, later, FleetTick {});
+    BOOST_TEST((fieldsOf(down, LogEventKind::ReadinessChanged) == Fields { { "from", "ready" }, { "to", "not-ready" }, { "contactMs", "2000" }, { "term", "3" }, { "version", "68" }, { "leaderVersion", "71" }, { "connected", "1" } }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
