Ask the leader for a call's queue while the configuration in force is not known

Callers: an entry host that knew of a newer configuration than its own answered every call with 503 for as long as the newer one was on its way, also questions about accepted jobs; with a large configuration and a full link for many seconds. A host without a configuration did so too. And a host that had heard of no leader for any time took a call as its old configuration says, if that had the queue.

Now the lookup of a call's queue is a call to the core (find-queue). EntryNode answers it itself while its configuration is known to be in force. Otherwise it is forwarded like the other calls, and the leader answers from its table while it holds its lease: a queue, or for certain none. Without a connected control host the answer is 503 at once; a leader out of reach ends as 503 within the call's deadline. One lookup a call, no memory of answers, so no host goes back. The front end no longer decides anything on versions, and the lookup shares the call's deadline.

--- a/src/control_node.h
+++ b/src/control_node.h
@@ -7,6 +7,7 @@
 #include "leader_summary.h"
 #include "log_formation.h"
 #include "plan_pacer.h"
+#include "queue_lookup.h"
 #include "replica.h"
 #include "work_planner.h"
 #include "worker_dispatcher.h"
@@ -411,6 +412,8 @@
             propose(step, SetFleetConfig { request.config }, to);
     }
 
+    void process(FleetStep& step, const ReplyTarget& to, const FindQueueInForce& request) { sendReply(step, to, lookUpQueue(table().config(), request.address)); }
+
     void process(FleetStep& step, const ReplyTarget& to, const GetConfig&)
     {
         const FleetConfig& config = table().config();
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -97,6 +97,26 @@
 
 void EntryNode::receive(FleetStep& step, HostId from, const AdviceRequest& request) { m_relay.call(step, from, request); }
 
+void EntryNode::handle(FleetStep& step, const ControlCallReceived& event)
+{
+    if (const auto* find = std::get_if<FindQueueInForce>(&event.request))
+        findQueue(step, event, find->address);
+    else
+        m_forwarder.add(step, event);
+}
+
+/// Answers from the host's own configuration while that is known to be in force, otherwise asks the
+/// leader.
+void EntryNode::findQueue(FleetStep& step, const ControlCallReceived& event, const QueueAddress& address)
+{
+    if (isConfigCurrent(step.now))
+        step.emit(SendControlReply { event.call, lookUpQueue(m_config, address) });
+    else if (m_connected.empty())
+        step.emit(SendControlReply { event.call, { ControlStatus::NotAccepted, {}, 0, {} } });
+    else
+        m_forwarder.add(step, event);
+}
+
 void EntryNode::handle(FleetStep& step, const AdviceReplyReceived& event) { m_relay.handleResponse(step, event.call, event.reply); }
 
 /// Forwards calls to the leader if it is connected, otherwise to any control host, which forwards
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -2,6 +2,7 @@
 
 #include "call_forwarder.h"
 #include "call_relay.h"
+#include "queue_lookup.h"
 
 namespace eelgrassloft {
 
@@ -57,7 +58,7 @@
     void handle(FleetStep& step, const FleetPeerUp& event);
     void handle(FleetStep& step, const FleetPeerDown& event);
     void handle(FleetStep& step, const FleetMessageReceived& event);
-    void handle(FleetStep& step, const ControlCallReceived& event) { m_forwarder.add(step, event); }
+    void handle(FleetStep& step, const ControlCallReceived& event);
     void handle(FleetStep& step, const AdviceReplyReceived& event);
     void handle(FleetStep& step, const FleetStopRequested& event);
     void handle(FleetStep& step, const SeedsChanged& event);
@@ -69,6 +70,7 @@
     void receive(FleetStep& step, HostId from, const ForwardedCallReply& reply);
     void receive(FleetStep& step, HostId from, const AdviceRequest& request);
 
+    void findQueue(FleetStep& step, const ControlCallReceived& event, const QueueAddress& address);
     void updateConnectTargets(FleetStep& step);
     void chooseTarget(FleetStep& step);
     void sendStatus(FleetStep& step);
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -8,6 +8,14 @@
 
 // Calls of callers, operators and workers, which may arrive at any host.
 
+/// Host name and path of a caller's request, which select its queue.
+struct QueueAddress {
+    std::string host;
+    std::string path;
+
+    static constexpr auto members() { return std::make_tuple(&QueueAddress::host, &QueueAddress::path); }
+};
+
 struct SubmitJob {
     SubmitWork work;
 
@@ -38,6 +46,13 @@
     static constexpr auto members() { return std::make_tuple(&PutConfig::config); }
 };
 
+/// Looks up the queue that serves an address in the configuration in force.
+struct FindQueueInForce {
+    QueueAddress address;
+
+    static constexpr auto members() { return std::make_tuple(&FindQueueInForce::address); }
+};
+
 struct GetConfig {
     static constexpr auto members() { return std::make_tuple(); }
 };
@@ -56,13 +71,13 @@
     static constexpr auto members() { return std::make_tuple(&DeregisterWorker::id); }
 };
 
-using ControlRequest = std::variant<SubmitJob, GetJobState, CancelJob, CountPendingJobs, PutConfig, GetConfig, ReportWorker, DeregisterWorker>;
+using ControlRequest = std::variant<SubmitJob, GetJobState, CancelJob, CountPendingJobs, PutConfig, GetConfig, ReportWorker, DeregisterWorker, FindQueueInForce>;
 
 /// Name of the call's kind, for logs.
 constexpr std::string_view callName(const ControlRequest& request)
 {
     constexpr std::array<std::string_view, std::variant_size_v<ControlRequest>> names { "submit-job", "get-job-state", "cancel-job",
-        "count-pending-jobs", "put-config", "get-config", "report-worker", "worker-gone" };
+        "count-pending-jobs", "put-config", "get-config", "report-worker", "worker-gone", "find-queue" };
     return names[request.index()];
 }
 
@@ -99,10 +114,11 @@
     WorkState state = WorkState::Queued; ///< State of the requested job.
     uint64_t count = 0; ///< Number of pending jobs.
     std::string text; ///< The configuration in force.
+    std::optional<QueueSpec> queue {}; ///< The requested queue.
 
     static constexpr auto members()
     {
-        return std::make_tuple(&ControlReply::status, &ControlReply::state, &ControlReply::count, &ControlReply::text);
+        return std::make_tuple(&ControlReply::status, &ControlReply::state, &ControlReply::count, &ControlReply::text, &ControlReply::queue);
     }
 };
 
--- a/src/io/fleet_mailbox.h
+++ b/src/io/fleet_mailbox.h
@@ -19,19 +19,9 @@
     FleetReplyMailbox<ControlReply> reply;
 };
 
-/// Reply to `FindQueue`: the queue, and how far the configuration with it can be trusted.
-struct QueueLookup {
-    bool isReady = false; ///< The host accepts new connections.
-    bool isConfigCurrent = false; ///< The configuration is confirmed to be in force.
-    bool isStale = false; ///< The leader is known to have a newer configuration.
-    std::optional<QueueSpec> queue;
-};
-
-/// Looks up the queue that serves a host name and path.
-struct FindQueue {
-    std::string host;
-    std::string path;
-    FleetReplyMailbox<QueueLookup> reply;
+/// Asks whether an entry host should receive new calls.
+struct ReadReadiness {
+    FleetReplyMailbox<bool> reply;
 };
 
 /// Requests the host's metrics as text.
@@ -40,7 +30,7 @@
 };
 
 /// A message to the `FleetTask`.
-using FleetTaskMessage = std::variant<FleetEvent, SubmitControl, FindQueue, ReadMetrics>;
+using FleetTaskMessage = std::variant<FleetEvent, SubmitControl, ReadReadiness, ReadMetrics>;
 
 /// A message in the mailbox, with the time of its arrival.
 struct FleetTaskDelivery {
--- a/src/io/fleet_task.h
+++ b/src/io/fleet_task.h
@@ -115,17 +115,12 @@
         receive(ControlCallReceived { call, std::move(submit.request), m_clock.now() + submit.timeout });
     }
 
-    void handle(FindQueue query)
+    void handle(ReadReadiness query)
     {
-        QueueLookup lookup;
-        if constexpr (requires { m_node.config(); }) {
-            lookup.isReady = m_node.isReady(m_clock.now());
-            lookup.isConfigCurrent = m_node.isConfigCurrent(m_clock.now());
-            lookup.isStale = m_node.isStale();
-            if (const QueueSpec* queue = m_node.config().queueAt(query.host, query.path))
-                lookup.queue = *queue;
-        }
-        query.reply->tryPush(std::move(lookup));
+        bool isReady = false;
+        if constexpr (requires { m_node.isReady(m_clock.now()); })
+            isReady = m_node.isReady(m_clock.now());
+        query.reply->tryPush(isReady);
     }
 
     void handle(ReadMetrics query) { query.reply->tryPush(fleetMetricsText(m_node.counters(), m_node.gauges(), m_durations)); }
--- a/tests/entry_node_test.cpp
+++ b/tests/entry_node_test.cpp
@@ -33,10 +33,17 @@
     {
         FleetConfig config;
         config.version = version;
+        config.queues.push_back({ "queue", "host", "/jobs/", "pool", 0, 4, 2, 400ms, {} });
         receive(seed, ConfigUpdate { config });
     }
 
+    std::vector<FleetEffect> find(const std::string& path, Time now = start)
+    {
+        return stepNode(node, now, ControlCallReceived { CallId { ++lastCall }, FindQueueInForce { { "host", path } }, now + 1s });
+    }
+
     EntryNode node;
+    uint64_t lastCall = 0;
 };
 
 ControlStatusReport statusOf(bool isLeading, uint64_t configVersion = 0)
@@ -44,6 +51,28 @@
     return { 3, leader, isLeading, { seed, leader }, configVersion };
 }
 
+/// Status of the reply to a call, if there is one.
+std::optional<ControlStatus> statusIn(const std::vector<FleetEffect>& effects)
+{
+    for (const FleetEffect& effect : effects) {
+        if (const auto* sent = std::get_if<SendControlReply>(&effect))
+            return sent->reply.status;
+    }
+    return std::nullopt;
+}
+
+/// Hosts to which calls are forwarded.
+std::vector<HostId> forwardedTo(const std::vector<FleetEffect>& effects)
+{
+    std::vector<HostId> hosts;
+    for (const FleetEffect& effect : effects) {
+        const auto* sent = std::get_if<SendFleetMessage>(&effect);
+        if (sent && std::holds_alternative<ForwardedCall>(sent->message))
+            hosts.push_back(sent->to);
+    }
+    return hosts;
+}
+
 using Fields = std::vector<std::pair<std::string, std::string>>;
 
 /// Fields of the first log line of the kind; none if there is no such line.
@@ -89,6 +118,39 @@
     BOOST_TEST(entry.node.isConfigCurrent(start));
 }
 
+BOOST_AUTO_TEST_CASE(queueIsLookedUpOnTheHostWhileItsConfigurationIsInForce)
+{
+    Entry entry;
+    entry.receiveConfig(68);
+    entry.receive(leader, statusOf(true, 68));
+    BOOST_TEST((statusIn(entry.find("/jobs/")) == ControlStatus::Ok));
+    BOOST_TEST((statusIn(entry.find("/other/")) == ControlStatus::UnknownQueue));
+    BOOST_TEST(forwardedTo(entry.find("/jobs/")).empty());
+}
+
+BOOST_AUTO_TEST_CASE(queueIsAskedForWhileItIsNotKnownWhichConfigurationIsInForce)
+{
+    Entry entry;
+    BOOST_TEST((forwardedTo(entry.find("/jobs/")) == std::vector<HostId> { seed })); // No configuration yet.
+    entry.receiveConfig(68);
+    BOOST_TEST((forwardedTo(entry.find("/jobs/")) == std::vector<HostId> { seed })); // No report of the leader yet.
+    stepNode(entry.node, start, FleetPeerUp { leader });
+    entry.receive(leader, statusOf(true, 71));
+    const std::vector<FleetEffect> effects = entry.find("/jobs/");
+    BOOST_TEST((forwardedTo(effects) == std::vector<HostId> { leader }));
+    BOOST_TEST(!statusIn(effects).has_value());
+    entry.receive(leader, statusOf(true, 68));
+    BOOST_TEST((forwardedTo(entry.find("/jobs/", start + config::leaderContactTimeout)) == std::vector<HostId> { leader })); // The report is too old.
+}
+
+BOOST_AUTO_TEST_CASE(lookupWithoutAControlHostEndsAtOnce)
+{
+    Entry entry;
+    entry.receiveConfig(68);
+    stepNode(entry.node, start, FleetPeerDown { seed });
+    BOOST_TEST((statusIn(entry.find("/jobs/")) == ControlStatus::NotAccepted));
+}
+
 /// Entry hosts were unready by turns and their logs said nothing of it.
 BOOST_AUTO_TEST_CASE(changeOfReadinessIsLoggedWithItsCause)
 {
--- a/tests/fleet_cluster_test.cpp
+++ b/tests/fleet_cluster_test.cpp
@@ -324,6 +324,76 @@
     BOOST_TEST((fleet.reply(call)->status == ControlStatus::NotAccepted));
 }
 
+/// A fleet whose entry host knows of version 2 and still holds version 1.
+struct FleetWithConfigOnItsWay : Fleet {
+    explicit FleetWithConfigOnItsWay(const FleetConfig& next)
+    {
+        BOOST_REQUIRE(callUntilOk(jobOf(1)));
+        loseConfigUpdates();
+        BOOST_REQUIRE(callUntilOk(PutConfig { next }));
+        run(1s);
+        BOOST_REQUIRE(entry().isStale());
+    }
+
+    /// Reply to a call within 500 ms; `Unavailable` if there is none.
+    ControlReply replyTo(ControlRequest request)
+    {
+        const CallId id = call(std::move(request));
+        runUntil(500ms, [&] { return reply(id).has_value(); });
+        return reply(id).value_or(ControlReply { ControlStatus::Unavailable, {}, 0, {} });
+    }
+
+    ControlReply find(const std::string& path) { return replyTo(FindQueueInForce { { "host", path } }); }
+};
+
+/// Hosts that knew of a newer configuration refused every call until it arrived, also questions about
+/// accepted jobs.
+BOOST_AUTO_TEST_CASE(questionAboutAJobIsAnsweredWhileAConfigurationIsOnItsWay)
+{
+    FleetWithConfigOnItsWay fleet(configOf(2));
+    const ControlReply found = fleet.find("/jobs/0000000000000001");
+    BOOST_TEST((found.status == ControlStatus::Ok));
+    BOOST_REQUIRE(found.queue.has_value());
+    BOOST_TEST(found.queue->name == "queue");
+    BOOST_TEST((fleet.replyTo(GetJobState { JobKey { 1 } }).status == ControlStatus::Ok));
+}
+
+BOOST_AUTO_TEST_CASE(droppedQueueIsNotUsedWhileTheNewConfigurationIsOnItsWay)
+{
+    FleetConfig next = configOf(2);
+    next.queues.front().pathPrefix = "/other/";
+    FleetWithConfigOnItsWay fleet(next);
+    BOOST_TEST((fleet.find("/jobs/").status == ControlStatus::UnknownQueue));
+}
+
+BOOST_AUTO_TEST_CASE(queueAddedByANewerConfigurationIsFoundWhileItIsOnItsWay)
+{
+    FleetConfig next = configOf(2);
+    next.queues.push_back(next.queues.front());
+    next.queues.back().name = "added";
+    next.queues.back().pathPrefix = "/added/";
+    FleetWithConfigOnItsWay fleet(next);
+    const ControlReply found = fleet.find("/added/");
+    BOOST_REQUIRE(found.queue.has_value());
+    BOOST_TEST(found.queue->name == "added");
+}
+
+/// Without the leader nobody knows whether the queue was dropped meanwhile.
+BOOST_AUTO_TEST_CASE(queueIsNotLookedUpInAnOldConfigurationWithoutALeader)
+{
+    Fleet fleet;
+    const uint32_t leader = *fleet.leader();
+    for (uint32_t id = 1; id <= FleetCluster::controlCount; ++id) {
+        if (id != leader % FleetCluster::controlCount + 1)
+            fleet.kill(id);
+    }
+    fleet.run(config::leaderContactTimeout);
+    const CallId call = fleet.call(FindQueueInForce { { "host", "/jobs/" } });
+    fleet.run(1500ms);
+    BOOST_REQUIRE(fleet.reply(call).has_value());
+    BOOST_TEST((fleet.reply(call)->status == ControlStatus::NotAccepted));
+}
+
 /// A fleet with more workers than the leader calls directly.
 struct LargeFleet : Fleet {
     LargeFleet()
--- a/tests/support/fleet_cluster.h
+++ b/tests/support/fleet_cluster.h
@@ -119,6 +119,7 @@
     }
 
     const ControlNode<>& control(uint32_t id) const { return *m_controls.at(id).node; }
+    const EntryNode& entry() const { return m_entry; }
     const WorkTable& table() const { return control(*leader()).table(); }
 
     // Faults.
@@ -157,6 +158,9 @@
             perform(HostId { id }, message);
     }
 
+    /// Loses all configurations that are sent to the entry host, as while a large one is on its way.
+    void loseConfigUpdates(bool isLossy = true) { m_losesConfigUpdates = isLossy; }
+
     void setUnresponsive(size_t worker, bool isUnresponsive = true) { m_workers[worker].isUnresponsive = isUnresponsive; }
     void setFailing(size_t worker, bool isFailing = true) { m_workers[worker].isFailing = isFailing; }
     bool isUp(uint32_t id) const { return m_controls.at(id).node.has_value(); }
@@ -396,6 +400,8 @@
         if (hold(from, effect))
             return;
         const auto control = m_controls.find(effect.to.value);
+        if (m_losesConfigUpdates && std::holds_alternative<ConfigUpdate>(effect.message))
+            return;
         const bool isUp = effect.to.value == entryId || (control != m_controls.end() && control->second.node);
         // A message that depends on a write leaves after it. All writes take the same time here.
         if (isUp)
@@ -665,6 +671,7 @@
     std::map<JobKey, size_t> m_jobCrashes;
     std::map<TaskRef, TaskCrashes> m_taskCrashes;
     size_t m_workerCrashes = 0;
+    bool m_losesConfigUpdates = false;
     Duration m_runLength = std::chrono::milliseconds(300);
     Duration m_crashLength = std::chrono::seconds(2);
     Time m_nextReport {};
