Keep to the version by which the leader answered a lookup

After a lookup in a newer version, a status report that had been held up in the network could name the host's older version as the leader's, and the host used its old configuration again. Replies to lookups now state the version, and the host's own configuration counts as stale until it has that version. delayedReportBringsNoOldQueueBack failed before. fleet_tests: no errors in 94 cases.

--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -93,7 +93,11 @@
     step.log(LogEventKind::RevisionInForce, { { "version", std::to_string(m_config.version) } });
 }
 
-void EntryNode::receive(FleetStep& step, HostId, const ForwardedCallReply& reply) { m_forwarder.receive(step, reply); }
+void EntryNode::receive(FleetStep& step, HostId, const ForwardedCallReply& reply)
+{
+    m_answeredVersion = std::max(m_answeredVersion, reply.reply.configVersion);
+    m_forwarder.receive(step, reply);
+}
 
 void EntryNode::receive(FleetStep& step, HostId from, const AdviceRequest& request) { m_relay.call(step, from, request); }
 
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -43,7 +43,7 @@
     /// Whether the leader reported its status within `leaderContactTimeout`.
     bool hasLeaderContact(Time now) const { return now < m_lastLeaderContact + config::leaderContactTimeout; }
     /// Whether the leader holds a newer configuration.
-    bool isStale() const { return m_config.version < m_leaderConfigVersion; }
+    bool isStale() const { return m_config.version < std::max(m_leaderConfigVersion, m_answeredVersion); }
     /// Whether the configuration is known to be the one in force.
     bool isConfigCurrent(Time now) const { return m_config.version && hasLeaderContact(now) && !isStale(); }
     /// Whether the host should receive new calls.
@@ -86,6 +86,7 @@
     uint64_t m_leaderTerm = 0;
     Time m_lastLeaderContact = Time::min();
     uint64_t m_leaderConfigVersion = 0;
+    uint64_t m_answeredVersion = 0; ///< Highest version by which the leader answered a lookup.
     Time m_nextStatus {};
     bool m_isStopping = false;
     bool m_wasReady = false; ///< At the latest `finish`.
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -115,10 +115,11 @@
     uint64_t count = 0; ///< Number of pending jobs.
     std::string text; ///< The configuration in force.
     std::optional<QueueSpec> queue {}; ///< The requested queue.
+    uint64_t configVersion = 0; ///< Version in which the queue was looked up; 0 in other replies.
 
     static constexpr auto members()
     {
-        return std::make_tuple(&ControlReply::status, &ControlReply::state, &ControlReply::count, &ControlReply::text, &ControlReply::queue);
+        return std::make_tuple(&ControlReply::status, &ControlReply::state, &ControlReply::count, &ControlReply::text, &ControlReply::queue, &ControlReply::configVersion);
     }
 };
 
--- a/src/queue_lookup.h
+++ b/src/queue_lookup.h
@@ -12,8 +12,8 @@
         return { ControlStatus::NotAccepted, {}, 0, {} };
     const QueueSpec* queue = config.queueAt(address.host, address.path);
     if (!queue)
-        return { ControlStatus::UnknownQueue, {}, 0, {} };
-    return { ControlStatus::Ok, {}, 0, {}, *queue };
+        return { ControlStatus::UnknownQueue, {}, 0, {}, {}, config.version };
+    return { ControlStatus::Ok, {}, 0, {}, *queue, config.version };
 }
 
 } // namespace eelgrassloft
--- a/tests/entry_node_test.cpp
+++ b/tests/entry_node_test.cpp
@@ -143,6 +143,20 @@
     BOOST_TEST((forwardedTo(entry.find("/jobs/", start + config::leaderContactTimeout)) == std::vector<HostId> { leader })); // The report is too old.
 }
 
+/// A status report that was held up in the network names an older version than the leader's last answer.
+BOOST_AUTO_TEST_CASE(delayedReportBringsNoOldQueueBack)
+{
+    Entry entry;
+    entry.receiveConfig(68);
+    entry.find("/jobs/");
+    entry.receive(seed, ForwardedCallReply { 1, Entry::settings().self, { ControlStatus::UnknownQueue, {}, 0, {}, {}, 71 } });
+    entry.receive(leader, statusOf(true, 68));
+    BOOST_TEST(!statusIn(entry.find("/jobs/")).has_value());
+    entry.receiveConfig(71);
+    entry.receive(leader, statusOf(true, 71));
+    BOOST_TEST((statusIn(entry.find("/jobs/")) == ControlStatus::Ok));
+}
+
 BOOST_AUTO_TEST_CASE(lookupWithoutAControlHostEndsAtOnce)
 {
     Entry entry;
