--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -4,6 +4,18 @@
 
 namespace eelgrassloft {
 
+namespace {
+
+std::string hostsText(const std::set<HostId>& hosts)
+{
+    std::string text;
+    for (const HostId host : hosts)
+        text += (text.empty() ? "" : ",") + std::to_string(host.value);
+    return text.empty() ? "none" : text;
+}
+
+} // namespace
+
 std::vector<FleetEffect> EntryNode::receive(Time now, const FleetEvent& event)
 {
     FleetStep step;
@@ -21,6 +33,7 @@
     m_configReceiver.tick(step);
     if (now >= m_nextStatus)
         sendStatus(step);
+    logReadiness(step);
     updateConnectTargets(step);
     return std::move(step.effects);
 }
@@ -74,10 +87,34 @@
     }
 }
 
-void EntryNode::receive(FleetStep& step, HostId, const ForwardedCallReply& reply) { m_forwarder.receive(step, reply); }
+void EntryNode::receive(FleetStep& step, HostId, const ForwardedCallReply& reply)
+{
+    m_answeredVersion = std::max(m_answeredVersion, reply.reply.configVersion);
+    m_forwarder.receive(step, reply);
+}
 
 void EntryNode::receive(FleetStep& step, HostId from, const AdviceRequest& request) { m_relay.call(step, from, request); }
 
+void EntryNode::handle(FleetStep& step, const ControlCallReceived& event)
+{
+    if (const auto* find = std::get_if<FindQueueInForce>(&event.request))
+        findQueue(step, event, find->address);
+    else
+        m_forwarder.add(step, event);
+}
+
+/// Answers from the host's own configuration while that is known to be in force, otherwise asks the
+/// leader.
+void EntryNode::findQueue(FleetStep& step, const ControlCallReceived& event, const QueueAddress& address)
+{
+    if (isConfigCurrent(step.now))
+        step.emit(SendControlReply { event.call, lookUpQueue(config(), address) });
+    else if (m_connected.empty())
+        step.emit(SendControlReply { event.call, { ControlStatus::NotAccepted, {}, 0, {} } });
+    else
+        m_forwarder.add(step, event);
+}
+
 void EntryNode::handle(FleetStep& step, const AdviceReplyReceived& event) { m_relay.handleResponse(step, event.call, event.reply); }
 
 /// Forwards calls to the leader if it is connected, otherwise to any control host, which forwards
@@ -107,4 +144,15 @@
         step.send(host, EntryStatusReport { config().version, m_isStopping });
 }
 
+void EntryNode::logReadiness(FleetStep& step)
+{
+    const bool isNowReady = isReady(step.now);
+    if (isNowReady == m_wasReady)
+        return;
+    const auto text = [](bool value) { return std::string(value ? "ready" : "not-ready"); };
+    const bool hadContact = m_lastLeaderContact != Time::min();
+    step.log(LogEventKind::ReadinessChanged, { { "from", text(m_wasReady) }, { "to", text(isNowReady) }, { "contactMs", hadContact ? std::to_string((step.now - m_lastLeaderContact) / std::chrono::milliseconds(1)) : "none" }, { "term", std::to_string(m_leaderTerm) }, { "version", std::to_string(config().version) }, { "latestVersion", std::to_string(m_configReceiver.latestVersion()) }, { "connected", hostsText(m_connected) } });
+    m_wasReady = isNowReady;
+}
+
 } // namespace eelgrassloft
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -3,6 +3,7 @@
 #include "call_forwarder.h"
 #include "call_relay.h"
 #include "config_receiver.h"
+#include "queue_lookup.h"
 
 namespace eelgrassloft {
 
@@ -44,7 +45,7 @@
     /// Whether the leader reported its status within `leaderContactTimeout`.
     bool hasLeaderContact(Time now) const { return now < m_lastLeaderContact + config::leaderContactTimeout; }
     /// Whether a newer configuration is known to be in force.
-    bool isStale() const { return config().version < m_configReceiver.latestVersion(); }
+    bool isStale() const { return config().version < std::max(m_configReceiver.latestVersion(), m_answeredVersion); }
     /// Whether the configuration is known to be the one in force.
     bool isConfigCurrent(Time now) const { return config().version && hasLeaderContact(now) && !isStale(); }
     /// Whether the host should receive new calls.
@@ -59,7 +60,7 @@
     void handle(FleetStep& step, const FleetPeerUp& event);
     void handle(FleetStep& step, const FleetPeerDown& event);
     void handle(FleetStep& step, const FleetMessageReceived& event);
-    void handle(FleetStep& step, const ControlCallReceived& event) { m_forwarder.add(step, event); }
+    void handle(FleetStep& step, const ControlCallReceived& event);
     void handle(FleetStep& step, const AdviceReplyReceived& event);
     void handle(FleetStep& step, const FleetStopRequested& event);
     void handle(FleetStep& step, const SeedsChanged& event);
@@ -72,9 +73,11 @@
     void receive(FleetStep& step, HostId from, const ForwardedCallReply& reply);
     void receive(FleetStep& step, HostId from, const AdviceRequest& request);
 
+    void findQueue(FleetStep& step, const ControlCallReceived& event, const QueueAddress& address);
     void updateConnectTargets(FleetStep& step);
     void chooseTarget(FleetStep& step);
     void sendStatus(FleetStep& step);
+    void logReadiness(FleetStep& step);
 
     FleetSettings m_settings;
     CallForwarder m_forwarder;
@@ -85,8 +88,10 @@
     HostId m_leader;
     uint64_t m_leaderTerm = 0;
     Time m_lastLeaderContact = Time::min();
+    uint64_t m_answeredVersion = 0; ///< Highest version by which the leader answered a lookup.
     Time m_nextStatus {};
     bool m_isStopping = false;
+    bool m_wasReady = false; ///< At the latest `finish`.
     CallRelay m_relay;
 };
 
--- a/tests/entry_node_test.cpp
+++ b/tests/entry_node_test.cpp
@@ -1,4 +1,5 @@
 #include "entry_node.h"
+#include "record_hash.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -29,17 +30,32 @@
 
     std::vector<FleetEffect> receive(HostId from, FleetMessage message) { return stepNode(node, start, FleetMessageReceived { from, std::move(message) }); }
 
-    /// Answers the host's request for what changed after `baseVersion`.
-    void receiveConfig(HostId from, uint64_t version, uint64_t baseVersion)
+    /// Lets the seed offer a version, and answer the host's request for it.
+    void receiveConfig(uint64_t version)
+    {
+        receive(seed, ControlStatusReport { 3, leader, false, { seed, leader }, version });
+        receiveConfigPart(seed, version);
+    }
+
+    /// Answers the host's request for what changed since its version.
+    void receiveConfigPart(HostId from, uint64_t version)
     {
         ConfigPart part;
         part.version = version;
-        part.baseVersion = baseVersion;
+        part.baseVersion = node.config().version;
         part.isLast = true;
+        part.queues.push_back({ "queue", "host", "/jobs/", "pool", 0, 4, 2, 400ms, {} });
+        part.digest = recordHash(part.queues.front());
         receive(from, part);
     }
 
+    std::vector<FleetEffect> find(const std::string& path, Time now = start)
+    {
+        return stepNode(node, now, ControlCallReceived { CallId { ++lastCall }, FindQueueInForce { { "host", path } }, now + 1s });
+    }
+
     EntryNode node;
+    uint64_t lastCall = 0;
 };
 
 ControlStatusReport statusOf(bool isLeading, uint64_t configVersion = 0)
@@ -47,6 +63,44 @@
     return { 3, leader, isLeading, { seed, leader }, configVersion };
 }
 
+/// Status of the reply to a call, if there is one.
+std::optional<ControlStatus> statusIn(const std::vector<FleetEffect>& effects)
+{
+    for (const FleetEffect& effect : effects) {
+        if (const auto* sent = std::get_if<SendControlReply>(&effect))
+            return sent->reply.status;
+    }
+    return std::nullopt;
+}
+
+/// Hosts to which calls are forwarded.
+std::vector<HostId> forwardedTo(const std::vector<FleetEffect>& effects)
+{
+    std::vector<HostId> hosts;
+    for (const FleetEffect& effect : effects) {
+        const auto* sent = std::get_if<SendFleetMessage>(&effect);
+        if (sent && std::holds_alternative<ForwardedCall>(sent->message))
+            hosts.push_back(sent->to);
+    }
+    return hosts;
+}
+
+using Fields = std::vector<std::pair<std::string, std::string>>;
+
+/// Fields of the first log line of the kind; none if there is no such line.
+Fields fieldsOf(const std::vector<FleetEffect>& effects, LogEventKind kind)
+{
+    Fields fields;
+    for (const FleetEffect& effect : effects) {
+        const auto* event = std::get_if<LogEvent>(&effect);
+        if (!event || event->kind != kind || !fields.empty())
+            continue;
+        for (const LogField& field : event->fields)
+            fields.emplace_back(field.key, field.value);
+    }
+    return fields;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(EntryNodeTests)
@@ -66,16 +120,76 @@
 BOOST_AUTO_TEST_CASE(configIsCurrentOnceItMatchesTheLeaders)
 {
     Entry entry;
-    entry.receive(seed, statusOf(false, 68));
-    entry.receiveConfig(seed, 68, 0);
+    entry.receiveConfig(68);
     BOOST_TEST(entry.node.config().version == 68U);
     BOOST_TEST(!entry.node.isConfigCurrent(start)); // No status of the leader was received yet.
     entry.receive(leader, statusOf(true, 71));
     BOOST_TEST(entry.node.isStale());
     BOOST_TEST(!entry.node.isConfigCurrent(start));
-    entry.receiveConfig(leader, 71, 68);
+    entry.receiveConfigPart(leader, 71);
     BOOST_TEST(!entry.node.isStale());
     BOOST_TEST(entry.node.isConfigCurrent(start));
 }
 
+BOOST_AUTO_TEST_CASE(queueIsLookedUpOnTheHostWhileItsConfigurationIsInForce)
+{
+    Entry entry;
+    entry.receiveConfig(68);
+    entry.receive(leader, statusOf(true, 68));
+    BOOST_TEST((statusIn(entry.find("/jobs/")) == ControlStatus::Ok));
+    BOOST_TEST((statusIn(entry.find("/other/")) == ControlStatus::UnknownQueue));
+    BOOST_TEST(forwardedTo(entry.find("/jobs/")).empty());
+}
+
+BOOST_AUTO_TEST_CASE(queueIsAskedForWhileItIsNotKnownWhichConfigurationIsInForce)
+{
+    Entry entry;
+    BOOST_TEST((forwardedTo(entry.find("/jobs/")) == std::vector<HostId> { seed })); // No configuration yet.
+    entry.receiveConfig(68);
+    BOOST_TEST((forwardedTo(entry.find("/jobs/")) == std::vector<HostId> { seed })); // No report of the leader yet.
+    stepNode(entry.node, start, FleetPeerUp { leader });
+    entry.receive(leader, statusOf(true, 71));
+    const std::vector<FleetEffect> effects = entry.find("/jobs/");
+    BOOST_TEST((forwardedTo(effects) == std::vector<HostId> { leader }));
+    BOOST_TEST(!statusIn(effects).has_value());
+    entry.receive(leader, statusOf(true, 68));
+    BOOST_TEST((forwardedTo(entry.find("/jobs/", start + config::leaderContactTimeout)) == std::vector<HostId> { leader })); // The report is too old.
+}
+
+/// A status report that was held up in the network names an older version than the leader's last answer.
+BOOST_AUTO_TEST_CASE(delayedReportBringsNoOldQueueBack)
+{
+    Entry entry;
+    entry.receiveConfig(68);
+    entry.find("/jobs/");
+    entry.receive(seed, ForwardedCallReply { 1, Entry::settings().self, { ControlStatus::UnknownQueue, {}, 0, {}, {}, 71 } });
+    entry.receive(leader, statusOf(true, 68));
+    BOOST_TEST(!statusIn(entry.find("/jobs/")).has_value());
+    entry.receiveConfig(71);
+    entry.receive(leader, statusOf(true, 71));
+    BOOST_TEST((statusIn(entry.find("/jobs/")) == ControlStatus::Ok));
+}
+
+BOOST_AUTO_TEST_CASE(lookupWithoutAControlHostEndsAtOnce)
+{
+    Entry entry;
+    entry.receiveConfig(68);
+    stepNode(entry.node, start, FleetPeerDown { seed });
+    BOOST_TEST((statusIn(entry.find("/jobs/")) == ControlStatus::NotAccepted));
+}
+
+/// Entry hosts were unready by turns and their logs said nothing of it.
+BOOST_AUTO_TEST_CASE(changeOfReadinessIsLoggedWithItsCause)
+{
+    Entry entry;
+    entry.receiveConfig(68);
+    const std::vector<FleetEffect> up = entry.receive(leader, statusOf(true, 71));
+    BOOST_TEST((fieldsOf(up, LogEventKind::ReadinessChanged) == Fields { { "from", "not-ready" }, { "to", "ready" }, { "contactMs", "0" }, { "term", "3" }, { "version", "68" }, { "latestVersion", "71" }, { "connected", "1" } }));
+    BOOST_TEST(fieldsOf(entry.receive(leader, statusOf(true, 71)), LogEventKind::ReadinessChanged).empty());
+    const Time later = start + config::leaderContactTimeout;
+    BOOST_TEST((entry.node.nextDeadline() <= later));
+    const std::vector<FleetEffect> down = stepNode(entry.node, later, FleetTick {});
+    BOOST_TEST((fieldsOf(down, LogEventKind::ReadinessChanged) == Fields { { "from", "ready" }, { "to", "not-ready" }, { "contactMs", "2000" }, { "term", "3" }, { "version", "68" }, { "latestVersion", "71" }, { "connected", "1" } }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
