Accept jobs by the address that their callers named

The leader took a job, or counted the pending ones, by the queue's name as the entry host gave it. Where a newer configuration serves another path or host under that name, or the path by another queue, the job went to the wrong queue until the entry host knew of the newer version. Both calls now carry host name and path, and the leader finds the queue in its own table; without them (as in tests) the name decides.

--- a/src/control_node.h
+++ b/src/control_node.h
@@ -367,8 +367,12 @@
         if (table().job(request.work.key)) {
             m_counters.add(FleetCounter::JobsResubmitted);
             sendReply(step, to, {});
+        } else if (const ControlReply found = findQueue(request.work.queue, request.address); found.queue) {
+            SubmitWork work = request.work;
+            work.queue = found.queue->name;
+            propose(step, std::move(work), to);
         } else {
-            propose(step, request.work, to);
+            sendReply(step, to, found);
         }
     }
 
@@ -389,8 +393,17 @@
 
     void process(FleetStep& step, const ReplyTarget& to, const CountPendingJobs& request)
     {
-        const bool isKnown = table().config().queue(request.queue) != nullptr;
-        sendReply(step, to, { isKnown ? ControlStatus::Ok : ControlStatus::UnknownQueue, {}, pendingCount(request.queue), {} });
+        const ControlReply found = findQueue(request.queue, request.address);
+        if (found.queue)
+            sendReply(step, to, { ControlStatus::Ok, {}, pendingCount(found.queue->name), {} });
+        else
+            sendReply(step, to, found);
+    }
+
+    /// Queue at the address, or of the name if the address is not known.
+    ControlReply findQueue(const std::string& queue, const std::optional<QueueAddress>& address) const
+    {
+        return address ? lookUpQueue(table().config(), *address) : lookUpQueue(table().config(), queue);
     }
 
     /// Number of the queue's jobs of which no run has started, including jobs whose placements no
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -18,8 +18,9 @@
 
 struct SubmitJob {
     SubmitWork work;
+    std::optional<QueueAddress> address {}; ///< If known, goes before the queue's name.
 
-    static constexpr auto members() { return std::make_tuple(&SubmitJob::work); }
+    static constexpr auto members() { return std::make_tuple(&SubmitJob::work, &SubmitJob::address); }
 };
 
 struct GetJobState {
@@ -36,8 +37,9 @@
 
 struct CountPendingJobs {
     std::string queue;
+    std::optional<QueueAddress> address {}; ///< If known, goes before the queue's name.
 
-    static constexpr auto members() { return std::make_tuple(&CountPendingJobs::queue); }
+    static constexpr auto members() { return std::make_tuple(&CountPendingJobs::queue, &CountPendingJobs::address); }
 };
 
 struct PutConfig {
--- a/src/queue_lookup.h
+++ b/src/queue_lookup.h
@@ -4,16 +4,27 @@
 
 namespace eelgrassloft {
 
+namespace detail {
+
+inline ControlReply lookupReply(const FleetConfig& config, const QueueSpec* queue)
+{
+    if (!queue)
+        return { ControlStatus::UnknownQueue, {}, 0, {}, {}, config.version };
+    return { ControlStatus::Ok, {}, 0, {}, *queue, config.version };
+}
+
+} // namespace detail
+
 /// Looks up the queue that serves an address in a configuration that is in force. `NotAccepted` if there
 /// is no configuration yet.
 inline ControlReply lookUpQueue(const FleetConfig& config, const QueueAddress& address)
 {
     if (!config.version)
         return { ControlStatus::NotAccepted, {}, 0, {} };
-    const QueueSpec* queue = config.queueAt(address.host, address.path);
-    if (!queue)
-        return { ControlStatus::UnknownQueue, {}, 0, {}, {}, config.version };
-    return { ControlStatus::Ok, {}, 0, {}, *queue, config.version };
+    return detail::lookupReply(config, config.queueAt(address.host, address.path));
 }
 
+/// Looks up a queue by its name.
+inline ControlReply lookUpQueue(const FleetConfig& config, const std::string& name) { return detail::lookupReply(config, config.queue(name)); }
+
 } // namespace eelgrassloft
--- a/tests/fleet_cluster_test.cpp
+++ b/tests/fleet_cluster_test.cpp
@@ -378,6 +378,26 @@
     BOOST_TEST(found.queue->name == "added");
 }
 
+/// The leader took jobs by the queue's name alone, though the name served another path by then.
+BOOST_AUTO_TEST_CASE(jobIsAcceptedByItsAddressInTheNewerConfiguration)
+{
+    FleetConfig next = configOf(2);
+    next.queues.front().pathPrefix = "/moved/";
+    next.queues.push_back(next.queues.front());
+    next.queues.back().name = "other";
+    next.queues.back().pathPrefix = "/jobs/b/";
+    FleetWithConfigOnItsWay fleet(next);
+    SubmitJob job = jobOf(2);
+    job.address = QueueAddress { "host", "/jobs/0000000000000002" };
+    BOOST_TEST((fleet.replyTo(job).status == ControlStatus::UnknownQueue));
+    BOOST_TEST(!fleet.table().job(JobKey { 2 }));
+    BOOST_TEST((fleet.replyTo(CountPendingJobs { "queue", job.address }).status == ControlStatus::UnknownQueue));
+    job.address->path = "/jobs/b/0000000000000002";
+    BOOST_TEST((fleet.replyTo(job).status == ControlStatus::Ok));
+    BOOST_REQUIRE(fleet.table().job(JobKey { 2 }));
+    BOOST_TEST(fleet.table().job(JobKey { 2 })->queue.name == "other");
+}
+
 /// Without the leader nobody knows whether the queue was dropped meanwhile.
 BOOST_AUTO_TEST_CASE(queueIsNotLookedUpInAnOldConfigurationWithoutALeader)
 {
