Send calls without an answer again seldom, and by another control host

Each forwarded call was sent again every 400 ms over the same live connection, up to seven times in 2.5 s, also those of a megabyte, so that a full link was filled further; and never by another host, so that a question whose target was silent ended without an answer though another control host was connected.

A call without an answer is now sent again after 0.8 s, then after twice as long each time (up to 5 s), by turns through another connected control host of the entry host. It is sent at once when the target changes or its connection is renewed (before, calls on a replaced connection waited for the next turn), and after a refusal 400 ms after the last attempt, as before: refusals come at once, so that repeating them at once would be a loop between two hosts.

Tests: with the former forwarder (trial) callWithoutAnAnswerIsSentAgainAfterGrowingTimes (2 and 5 sends in place of 1 and 2), callIsSentAgainAtOnceOverANewConnection and callWithoutAnAnswerGoesByAnotherControlHost fail; refusedCallIsSentAgainSoon passed before too.

--- a/src/call_forwarder.h
+++ b/src/call_forwarder.h
@@ -9,7 +9,9 @@
 namespace eelgrassloft {
 
 /// Forwards calls that arrive at a host other than the leader to the leader. Retries each until the
-/// leader replies or the deadline expires, which is safe as all calls are idempotent.
+/// leader replies or the deadline expires, which is safe as all calls are idempotent. A call without an
+/// answer is repeated seldom, as it may be large and still on its way; by turns it takes the way by
+/// another control host, if one is connected.
 class CallForwarder {
 public:
     explicit CallForwarder(HostId self)
@@ -21,8 +23,12 @@
     {
         const uint64_t number = m_nextNumber++;
         PendingCall& pending = m_pending[number];
-        pending = { called.call, std::move(called.request), called.deadline, {}, step.now, called.mayHaveRun ? 1U : 0U, 0 };
-        sendAttempt(step, number, pending);
+        pending.call = called.call;
+        pending.request = std::move(called.request);
+        pending.deadline = called.deadline;
+        pending.arrivedAt = step.now;
+        pending.uncertainAttempts = called.mayHaveRun ? 1 : 0;
+        sendAttempt(step, number, pending, m_target);
     }
 
     /// Sets the host to forward to: the leader, or one that may know it; invalid if there is none.
@@ -31,8 +37,17 @@
         if (target == m_target)
             return;
         m_target = target;
-        for (auto& [number, pending] : m_pending)
-            sendAttempt(step, number, pending);
+        sendAll(step);
+    }
+
+    /// Sets a host that may forward to the target; invalid if there is none.
+    void setRelay(HostId relay) { m_relay = relay; }
+
+    /// A connection that is replaced loses the calls on it.
+    void didConnect(FleetStep& step, HostId host)
+    {
+        if (host == m_target)
+            sendAll(step);
     }
 
     void receive(FleetStep& step, const ForwardedCallReply& message)
@@ -44,8 +59,12 @@
         if (message.reply.status == ControlStatus::NotAccepted && pending.uncertainAttempts)
             --pending.uncertainAttempts; // This attempt had no effect and won't have one.
         const bool isRetryable = message.reply.status == ControlStatus::Unavailable || message.reply.status == ControlStatus::NotAccepted;
-        if (isRetryable)
-            return; // Retried later; at the deadline, `tick` replies by whether another attempt may have had an effect.
+        if (isRetryable) {
+            // At the deadline, `tick` replies by whether another attempt may have had an effect.
+            pending.resendInterval = config::callResendInterval;
+            pending.nextAttempt = std::min(pending.nextAttempt, std::max(step.now, pending.sentAt + config::callRetryInterval));
+            return;
+        }
         ++m_replies[message.reply.status];
         step.emit(SendControlReply { found->second.call, message.reply });
         m_pending.erase(found);
@@ -65,7 +84,7 @@
                 continue;
             }
             if (pending.nextAttempt <= step.now)
-                sendAttempt(step, i->first, pending);
+                sendAttempt(step, i->first, pending, m_relay.isValid() && pending.sentTo == m_target ? m_relay : m_target);
             ++i;
         }
     }
@@ -100,6 +119,9 @@
         Time deadline {};
         Time nextAttempt {};
         Time arrivedAt {};
+        Time sentAt {}; ///< Of the latest attempt.
+        HostId sentTo; ///< Host of the latest attempt.
+        Duration resendInterval = config::callResendInterval; ///< After the next attempt.
         uint32_t uncertainAttempts = 0; ///< Attempts that may have taken effect.
         uint32_t attempts = 0;
     };
@@ -112,19 +134,32 @@
             { "open", std::to_string(pending.uncertainAttempts) }, { "target", m_target.isValid() ? std::to_string(m_target.value) : "none" } };
     }
 
-    void sendAttempt(FleetStep& step, uint64_t number, PendingCall& pending)
+    void sendAll(FleetStep& step)
+    {
+        for (auto& [number, pending] : m_pending) {
+            pending.resendInterval = config::callResendInterval;
+            sendAttempt(step, number, pending, m_target);
+        }
+    }
+
+    void sendAttempt(FleetStep& step, uint64_t number, PendingCall& pending, HostId to)
     {
         pending.nextAttempt = step.now + config::callRetryInterval;
-        if (!m_target.isValid())
+        if (!to.isValid())
             return;
+        pending.sentAt = step.now;
+        pending.sentTo = to;
+        pending.nextAttempt = step.now + pending.resendInterval;
+        pending.resendInterval = std::min(pending.resendInterval * 2, config::maxCallResendInterval);
         ++pending.uncertainAttempts;
         ++pending.attempts;
         ++m_forwardedCount;
-        step.send(m_target, ForwardedCall { number, 0, m_self, pending.request });
+        step.send(to, ForwardedCall { number, 0, m_self, pending.request });
     }
 
     HostId m_self;
     HostId m_target;
+    HostId m_relay;
     uint64_t m_nextNumber = 1;
     uint64_t m_forwardedCount = 0; ///< Attempts of all calls since the start.
     EnumArray<ControlStatus, uint64_t> m_replies; ///< Replies given to callers, by status.
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -146,6 +146,7 @@
     void handle(FleetStep& step, const FleetPeerUp& event)
     {
         m_connected.insert(event.host);
+        m_forwarder.didConnect(step, event.host);
         step.send(event.host, LogHello { m_replica.self().incarnation, m_replica.isEmpty(), m_settings.region, m_settings.dataCentre });
         step.send(event.host, status());
         m_advice.setHosts(adviceHosts());
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -40,6 +40,7 @@
 void EntryNode::handle(FleetStep& step, const FleetPeerUp& event)
 {
     m_connected.insert(event.host);
+    m_forwarder.didConnect(step, event.host);
     step.send(event.host, EntryStatusReport { m_config.version, m_isStopping });
 }
 
@@ -127,10 +128,14 @@
 /// them.
 void EntryNode::chooseTarget(FleetStep& step)
 {
+    HostId target;
     if (m_connected.count(m_leader))
-        m_forwarder.setTarget(step, m_leader);
-    else
-        m_forwarder.setTarget(step, m_connected.empty() ? HostId {} : *m_connected.begin());
+        target = m_leader;
+    else if (!m_connected.empty())
+        target = *m_connected.begin();
+    const auto relay = std::find_if(m_connected.begin(), m_connected.end(), [&](HostId host) { return host != target; });
+    m_forwarder.setRelay(relay == m_connected.end() ? HostId {} : *relay);
+    m_forwarder.setTarget(step, target);
 }
 
 void EntryNode::updateConnectTargets(FleetStep& step)
