Send large messages in fragments, and smaller ones between them

A message of 64 KB or more that isn't urgent (bulkMessageBytes) now goes in fragments of 16 KB. Each write takes urgent messages first, then small ones, then a fragment at least, so that small messages can't stop a large one. Each of the three kinds has its own 8 MB of room. A fragment is a frame whose length has its highest bit set and whose payload begins with the size of the message. The receiver refuses fragments that don't fit together (invalid-fragment).

Messages of the log are neither fragmented nor reordered: a heartbeat that overtakes the entries before it is rejected, and the leader sends them again. So a heartbeat still waits behind a large message of the log.

What callers of the two networks must know: a small message may now arrive before a large one that was sent first, so a status that names a configuration comes before the configuration itself.

--- a/src/io/disconnect_reason.h
+++ b/src/io/disconnect_reason.h
@@ -13,6 +13,7 @@
     ReadFailed,
     WriteFailed,
     FrameTooLarge,
+    InvalidFragment,
     UnreadableMessage,
     NotIdentified, ///< The handshake was refused.
     Replaced, ///< By another connection to the same host.
@@ -22,7 +23,7 @@
 
 constexpr NameTable<DisconnectReason> nameTable(DisconnectReason)
 {
-    constexpr NameTable<DisconnectReason> table { "silent", "closed-by-peer", "read-failed", "write-failed", "frame-too-large", "unreadable-message", "not-identified", "replaced", "shut-down" };
+    constexpr NameTable<DisconnectReason> table { "silent", "closed-by-peer", "read-failed", "write-failed", "frame-too-large", "invalid-fragment", "unreadable-message", "not-identified", "replaced", "shut-down" };
     static_assert(eelgrassloft::detail::isComplete<DisconnectReason>(table));
     return table;
 }
--- a/src/io/fleet_peer_network.cpp
+++ b/src/io/fleet_peer_network.cpp
@@ -85,9 +85,9 @@
         return;
     }
     Connection& connection = *found->second;
-    const std::string payload = encode(message);
+    std::string payload = encode(message);
     logIfLarge("large-message-sent", to, payload.size());
-    if (!connection.send(encodeFrame(payload), isUrgent(kindOf(message))))
+    if (!connection.send(std::move(payload), isUrgent(kindOf(message))))
         countDropped("message-dropped", connection, connection.dropped());
 }
 
--- a/src/io/peer_connection.h
+++ b/src/io/peer_connection.h
@@ -11,7 +11,7 @@
 
 namespace eelgrassloft::io {
 
-/// Connection to another host: its socket, the frames that wait to be sent, and whether the other end
+/// Connection to another host: its socket, the messages that wait to be sent, and whether the other end
 /// is silent. The tasks that read, write and watch for silence belong to the owner, who also closes it.
 template <typename Timer = asio::steady_timer>
 class PeerConnection {
@@ -35,13 +35,13 @@
     /// Bytes that the socket has not taken yet.
     size_t queuedBytes() const { return m_outgoing.bytes() + m_unwrittenBytes; }
 
-    /// Returns the payload of the next frame, or nothing if there is none for `readFailure`.
+    /// Returns the next message, or nothing if there is none for `readFailure`.
     awaitable<std::optional<std::string>> read(size_t maxBytes) { return m_reader.read(maxBytes); }
 
     std::optional<DisconnectReason> readFailure() const { return m_reader.failure(); }
 
-    /// Queues a frame. Returns false, and drops and counts it, if the queue is full.
-    bool send(std::string frame, bool isUrgent) { return m_outgoing.tryPush(std::move(frame), isUrgent); }
+    /// Queues a message. Returns false, and drops and counts it, if the queue is full.
+    bool send(std::string payload, bool isUrgent) { return m_outgoing.tryPush(std::move(payload), isUrgent); }
 
     /// Writes bytes past the queue. Returns false if the socket failed.
     awaitable<bool> write(std::string bytes)
@@ -102,8 +102,8 @@
             fields.push_back({ "error", m_writeError.message() });
         const auto silence = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_reader.lastByteAt());
         fields.push_back({ "silentMs", std::to_string(silence.count()) });
-        fields.push_back({ "frameBytes", std::to_string(m_reader.frameBytes()) });
-        fields.push_back({ "ofFrameBytes", std::to_string(m_reader.ofFrameBytes()) });
+        fields.push_back({ "arrivedBytes", std::to_string(m_reader.arrivedBytes()) });
+        fields.push_back({ "messageBytes", std::to_string(m_reader.messageBytes()) });
         fields.push_back({ "queuedBytes", std::to_string(queuedBytes()) });
         fields.push_back({ "dropped", std::to_string(dropped()) });
         return fields;
--- a/src/io/peer_network.cpp
+++ b/src/io/peer_network.cpp
@@ -82,7 +82,7 @@
         return;
     }
     Connection& connection = *found->second;
-    if (!connection.send(encodeFrame(encode(message)), isUrgent(message)))
+    if (!connection.send(encode(message), isUrgent(message)))
         countDropped("message-dropped", connection, connection.dropped());
 }
 
--- a/src/io/send_queue.h
+++ b/src/io/send_queue.h
@@ -1,68 +1,156 @@
 #pragma once
 
-#include "io/mailbox.h"
+#include "io/frames.h"
 
 #include "eelgrassloft/config.h"
+#include "eelgrassloft/name_table.h"
 
-#include <array>
-#include <string>
+#include <chrono>
+#include <deque>
 
 namespace eelgrassloft::io {
 
-/// Frames that wait to be sent on a connection, urgent ones first. Bounded in frames, and in bytes of
-/// urgent and of other frames, so that neither kind takes the other's room.
+/// Order in which the messages of a connection are sent.
+enum class SendPriority : uint8_t {
+    Urgent,
+    Normal,
+    Bulk, ///< Large messages, which go in fragments between the others.
+    Count
+};
+
+constexpr NameTable<SendPriority> nameTable(SendPriority)
+{
+    constexpr NameTable<SendPriority> table { "urgent", "normal", "bulk" };
+    static_assert(eelgrassloft::detail::isComplete<SendPriority>(table));
+    return table;
+}
+
+constexpr SendPriority sendPriorityOf(bool isUrgent, size_t payloadBytes)
+{
+    if (isUrgent) // The log's messages stay in order whatever their size: one that overtakes another is rejected.
+        return SendPriority::Urgent;
+    return payloadBytes < config::bulkMessageBytes ? SendPriority::Normal : SendPriority::Bulk;
+}
+
+/// Messages that wait to be sent on a connection, the first of each priority first. Bounded in messages,
+/// and in bytes of each priority, so that none takes another's room.
 class SendQueue {
 public:
     SendQueue(const asio::any_io_executor& executor, size_t capacity)
-        : m_frames(executor, capacity)
+        : m_wakeUp(executor, std::chrono::steady_clock::time_point::max())
+        , m_capacity(capacity)
     {
     }
 
-    /// Returns false, and drops and counts the frame, if the queue is full or closed. A frame of any size
-    /// is taken while no other of its kind waits.
-    bool tryPush(std::string frame, bool isUrgent)
+    /// Returns false, and drops and counts the message, if the queue is full or closed. A message of any
+    /// size is taken while no other of its priority waits.
+    bool tryPush(std::string payload, bool isUrgent)
     {
-        const size_t frameBytes = frame.size();
-        size_t& queued = m_bytes[isUrgent];
-        const bool hasRoom = !queued || queued + frameBytes <= config::maxQueuedPeerBytes;
-        if (!hasRoom || !m_frames.tryPush({ std::move(frame), isUrgent }, isUrgent)) {
+        Lane& lane = m_lanes[sendPriorityOf(isUrgent, payload.size())];
+        const bool hasRoom = lane.messages.empty() || lane.bytes + payload.size() <= config::maxQueuedPeerBytes;
+        if (m_isClosed || !hasRoom || size() >= m_capacity) {
             ++m_dropped;
             return false;
         }
-        queued += frameBytes;
+        lane.bytes += payload.size();
+        lane.messages.push_back(std::move(payload));
+        m_wakeUp.cancel_one();
         return true;
     }
 
-    /// Waits for frames and takes some of them, as few as `config::peerWriteBytes` allows. Returns nothing
-    /// once the queue is closed and empty.
+    /// Waits for messages and takes frames of some of them, about as many as `config::peerWriteBytes`
+    /// allows. Returns nothing once the queue is closed.
     awaitable<std::optional<std::string>> popBatch()
     {
-        auto frame = co_await m_frames.pop();
-        if (!frame)
-            co_return std::nullopt;
-        std::string batch;
-        while (frame) {
-            m_bytes[frame->isUrgent] -= frame->bytes.size();
-            batch.empty() ? batch = std::move(frame->bytes) : batch += frame->bytes;
-            frame = batch.size() < config::peerWriteBytes ? m_frames.tryPop() : std::nullopt;
+        while (!size() && !m_isClosed) {
+            error_code ignored;
+            co_await m_wakeUp.async_wait(asio::redirect_error(use_awaitable, ignored));
         }
-        co_return batch;
+        if (m_isClosed)
+            co_return std::nullopt;
+        co_return takeBatch();
     }
 
-    void close() { m_frames.close(); }
+    /// Refuses new messages and wakes the waiting task.
+    void close()
+    {
+        m_isClosed = true;
+        m_wakeUp.cancel();
+    }
+
+    size_t bytes() const
+    {
+        size_t sum = 0;
+        for (const Lane& lane : m_lanes.values)
+            sum += lane.bytes;
+        return sum;
+    }
 
-    size_t bytes() const { return m_bytes[false] + m_bytes[true]; }
     uint64_t dropped() const { return m_dropped; }
 
 private:
-    struct Frame {
-        std::string bytes;
-        bool isUrgent = false;
+    /// Messages of one priority.
+    struct Lane {
+        std::deque<std::string> messages;
+        size_t bytes = 0; ///< That are still to be sent.
+
+        void pop(size_t sentBytes)
+        {
+            bytes -= sentBytes;
+            messages.pop_front();
+        }
     };
 
-    Mailbox<Frame> m_frames;
-    std::array<size_t, 2> m_bytes {}; ///< Of frames that are not urgent, and of urgent ones.
+    std::string takeBatch()
+    {
+        std::string batch;
+        for (const SendPriority priority : { SendPriority::Urgent, SendPriority::Normal })
+            takeWhole(m_lanes[priority], batch);
+        Lane& bulk = m_lanes[SendPriority::Bulk];
+        if (!bulk.messages.empty()) // Small messages slow a large one down but don't stop it.
+            takeFragment(bulk, batch);
+        while (!bulk.messages.empty() && batch.size() < config::peerWriteBytes)
+            takeFragment(bulk, batch);
+        return batch;
+    }
+
+    static void takeWhole(Lane& lane, std::string& batch)
+    {
+        while (!lane.messages.empty() && batch.size() < config::peerWriteBytes) {
+            appendFrame(batch, lane.messages.front());
+            lane.pop(lane.messages.front().size());
+        }
+    }
+
+    void takeFragment(Lane& lane, std::string& batch)
+    {
+        const std::string& message = lane.messages.front();
+        const std::string_view piece = std::string_view(message).substr(m_fragmentBegin, config::bulkFragmentBytes);
+        const size_t pieceBytes = piece.size();
+        appendFragment(batch, piece, message.size());
+        m_fragmentBegin += pieceBytes;
+        if (m_fragmentBegin < message.size()) {
+            lane.bytes -= pieceBytes;
+        } else {
+            lane.pop(pieceBytes);
+            m_fragmentBegin = 0;
+        }
+    }
+
+    size_t size() const
+    {
+        size_t sum = 0;
+        for (const Lane& lane : m_lanes.values)
+            sum += lane.messages.size();
+        return sum;
+    }
+
+    asio::steady_timer m_wakeUp;
+    EnumArray<SendPriority, Lane> m_lanes;
+    size_t m_fragmentBegin = 0; ///< In the first bulk message.
+    size_t m_capacity;
     uint64_t m_dropped = 0;
+    bool m_isClosed = false;
 };
 
 } // namespace eelgrassloft::io
