--- a/tests/support/node_cluster.h
+++ b/tests/support/node_cluster.h
@@ -1,42 +1,10 @@
 #pragma once
 
-#include "../../examples/worker_model.h"
 #include "io/node_durability_gate.h"
-#include "node.h"
-
-#include <map>
-#include <set>
+#include "node_cluster_models.h"
 
 namespace eelgrassloft::testing {
 
-/// Topology and delays of a simulated cluster.
-struct NodeClusterOptions {
-    uint32_t dataCentres = 1;
-    uint32_t hostsPerDataCentre = 3;
-    uint32_t dataCentresPerRegion = 2;
-    Duration intraDataCentreDelay = std::chrono::microseconds(100); ///< One-way delay between hosts of a data centre.
-    Duration intraRegionDelay = std::chrono::microseconds(500); ///< One-way delay between data centres of a region.
-    Duration interRegionDelay = std::chrono::milliseconds(12); ///< One-way delay between regions.
-    Duration syncTime {}; ///< Time from a log write to its sync.
-    uint64_t seed = 1;
-    bool recordsTrace = false; ///< Records the number of effects of each step and the encoded size of each message, to compare runs.
-};
-
-/// Simulated upstream, which counts the requests that it runs.
-struct UpstreamModel {
-    UpstreamAnnouncement announcement;
-    std::string dataCentre;
-    Duration serviceTime = std::chrono::milliseconds(10);
-    bool refuses = false; ///< Refuses every request without starting it.
-    bool isUnresponsive = false; ///< Starts requests and never answers them.
-    bool losesAnswers = false; ///< Runs requests and closes the connection instead of answering.
-    bool isAnnouncing = true;
-    uint32_t running = 0;
-    uint32_t maxRunning = 0;
-    uint64_t started = 0;
-    std::map<std::string, uint32_t> startsByKey;
-};
-
 /// Discrete-event simulation of nodes with model workers and upstreams, in virtual time. Checks
 /// the invariants that span several nodes on every step.
 template <typename NodeType = Node<>>
@@ -184,21 +152,13 @@
     RequestId request(uint32_t host, const std::string& service, Duration timeout, const std::string& key = {}, uint64_t digest = 1, Duration ownServiceTime = {})
     {
         Request request { RequestId { m_nextRequest++ }, service, m_now + timeout, key.empty(), key, digest };
-        m_arrivals[request.id] = m_now;
-        m_keys[request.id] = key;
-        if (ownServiceTime != Duration {})
-            m_serviceTimes[request.id] = ownServiceTime;
+        m_requests.arrive(m_now, request, ownServiceTime);
         schedule(host, {}, Event(RequestArrived { request }));
         return request.id;
     }
 
-    const EndedRequest* ended(RequestId id) const
-    {
-        const auto found = m_ended.find(id);
-        return found == m_ended.end() ? nullptr : &found->second.request;
-    }
-
-    Duration latency(RequestId id) const { return m_ended.at(id).at - m_arrivals.at(id); }
+    const EndedRequest* ended(RequestId id) const { return m_requests.ended(id); }
+    Duration latency(RequestId id) const { return m_requests.latency(id); }
 
     // Operators.
 
@@ -234,18 +194,10 @@
     /// Disconnects a worker from all hosts, or connects it again.
     void setWorkerDisconnected(size_t i, bool isDisconnected) { m_workers[i]->isDisconnected = isDisconnected; }
 
-    const std::vector<examples::WorkerEvent>& workerEvents() const { return m_workerEvents; }
-    uint64_t countEvents(const std::string& what, const std::string& job) const
-    {
-        return static_cast<uint64_t>(std::count_if(m_workerEvents.begin(), m_workerEvents.end(), [&](const auto& event) { return event.what == what && event.job == job; }));
-    }
-
+    const std::vector<examples::WorkerEvent>& workerEvents() const { return m_tasks.events(); }
+    uint64_t countEvents(const std::string& what, const std::string& job) const { return m_tasks.count(what, job); }
     /// When a task of the job was last started.
-    Time startedAt(const std::string& job) const
-    {
-        const auto found = m_startTimes.find(job);
-        return found == m_startTimes.end() ? never : found->second;
-    }
+    Time startedAt(const std::string& job) const { return m_tasks.startedAt(job); }
 
     const std::vector<size_t>& trace() const { return m_trace; }
     void sendEvent(uint32_t host, Event event) { schedule(host, {}, std::move(event)); }
@@ -275,11 +227,6 @@
         CallId call; ///< Of the last report; replies to earlier ones are ignored.
     };
 
-    struct EndedAt {
-        EndedRequest request;
-        Time at {};
-    };
-
     enum class ActionKind : uint8_t {
         HostEvent,
         Announce,
@@ -308,16 +255,6 @@
         return action;
     }
 
-    uint32_t dataCentreOf(uint32_t host) const { return host / m_options.hostsPerDataCentre; }
-
-    Duration delay(uint32_t a, uint32_t b) const
-    {
-        if (dataCentreOf(a) == dataCentreOf(b))
-            return m_options.intraDataCentreDelay;
-        const bool isNear = dataCentreOf(a) / m_options.dataCentresPerRegion == dataCentreOf(b) / m_options.dataCentresPerRegion;
-        return isNear ? m_options.intraRegionDelay : m_options.interRegionDelay;
-    }
-
     bool isPartitioned(uint32_t a, uint32_t b) const { return m_partitions.contains({ std::min(a, b), std::max(a, b) }); }
 
     void startHost(uint32_t i, bool mayForm)
@@ -421,7 +358,7 @@
     void transmit(uint32_t i, const SendPeerMessage& effect)
     {
         if (!isPartitioned(i, effect.to.value))
-            schedule(effect.to.value, delay(i, effect.to.value), Event(PeerMessageReceived { HostId { i }, effect.message }), HostId { i });
+            schedule(effect.to.value, m_options.delay(i, effect.to.value), Event(PeerMessageReceived { HostId { i }, effect.message }), HostId { i });
     }
 
     void perform(uint32_t i, SendPeerMessage& effect)
@@ -443,14 +380,7 @@
     void perform(uint32_t, LogEvent&) { }
     void perform(uint32_t i, DrainFinished&) { m_hosts[i].hasDrained = true; }
 
-    void perform(uint32_t, AnswerCaller& effect)
-    {
-        const RequestId id = effect.ended.request;
-        requireInvariant(m_ended.try_emplace(id, EndedAt { effect.ended, m_now }).second, "a request is answered at most once");
-        if (effect.ended.outcome == Outcome::NotRun)
-            requireInvariant(!m_startedRequests.contains(id), "a request that was answered as not run was never started");
-    }
-
+    void perform(uint32_t, AnswerCaller& effect) { m_requests.end(m_now, effect.ended); }
     void perform(uint32_t, AnswerOperator& effect) { m_operatorReplies.emplace(effect.call, effect.reply); }
 
     // Upstreams.
@@ -484,22 +414,10 @@
             m_actions.emplace(m_now + m_options.intraDataCentreDelay * 2, std::move(completion));
             return;
         }
-        ++model.running;
-        model.maxRunning = std::max(model.maxRunning, model.running);
-        requireInvariant(model.running <= model.announcement.slots, "an upstream runs no more than its slots");
-        ++model.started;
-        m_startedRequests.insert(effect.request);
-        const std::string& key = m_keys[effect.request];
-        if (!key.empty())
-            requireInvariant(++model.startsByKey[key] && ++m_keyStarts[key] == 1, "a request with an idempotency key is started at most once");
-        if (model.isUnresponsive)
-            completion.event = AttemptFailed { effect.attempt, AttemptFailure::Unresponsive };
-        else if (model.losesAnswers)
-            completion.event = AttemptFailed { effect.attempt, AttemptFailure::AnswerLost };
-        else
-            completion.event = AttemptAnswered { effect.attempt, UpstreamResponse { 200, "text/plain", makeBlob("answer to " + std::to_string(effect.request.value)) } };
-        const auto own = m_serviceTimes.find(effect.request);
-        const Duration service = own == m_serviceTimes.end() ? model.serviceTime : own->second;
+        model.start(m_requests.keyOf(effect.request));
+        m_requests.start(effect.request);
+        completion.event = model.result(effect.attempt, effect.request);
+        const Duration service = m_requests.serviceTime(effect.request, model.serviceTime);
         const Duration time = model.isUnresponsive ? std::chrono::seconds(3) : service;
         m_actions.emplace(m_now + time, std::move(completion));
     }
@@ -567,17 +485,8 @@
 
     void recordWorkerEvents(WorkerHost& worker)
     {
-        for (examples::WorkerEvent& event : worker.model.takeEvents()) {
-            std::set<std::string>& runningOn = m_running[event.task];
-            if (event.what == "started") {
-                runningOn.insert(worker.model.name());
-                m_startTimes[event.job] = m_now;
-            } else {
-                runningOn.erase(worker.model.name());
-            }
-            requireInvariant(runningOn.size() <= 1, "a task runs on at most one worker at a time");
-            m_workerEvents.push_back(std::move(event));
-        }
+        for (examples::WorkerEvent& event : worker.model.takeEvents())
+            m_tasks.add(m_now, worker.model.name(), std::move(event));
     }
 
     NodeClusterOptions m_options;
@@ -589,16 +498,9 @@
     std::vector<std::unique_ptr<WorkerHost>> m_workers;
     std::multimap<Time, Action> m_actions;
     std::set<std::pair<uint32_t, uint32_t>> m_partitions;
-    std::map<RequestId, EndedAt> m_ended;
-    std::map<RequestId, Time> m_arrivals;
-    std::map<RequestId, std::string> m_keys;
-    std::map<RequestId, Duration> m_serviceTimes; ///< Service times of requests that override the upstream's.
-    std::set<RequestId> m_startedRequests;
-    std::map<std::string, uint32_t> m_keyStarts;
+    RequestRecords m_requests;
+    TaskRecords m_tasks;
     std::map<CallId, decltype(AnswerOperator::reply)> m_operatorReplies;
-    std::map<TaskId, std::set<std::string>> m_running;
-    std::map<std::string, Time> m_startTimes;
-    std::vector<examples::WorkerEvent> m_workerEvents;
     std::vector<size_t> m_trace;
     uint64_t m_nextIncarnation = 0;
     uint64_t m_nextRequest = 1;
