Take the views of the workers and the calls on the way out of the dispatcher

`WorkerViews` now keeps the views of all workers, the bookkeeping of the runs on them and when each is due; `WorkerCalls` keeps the calls on the way and the hosts that relay them; whether a run is stuck and whether a worker's failures call for a quarantine is decided in worker_view.h.

--- a/src/worker_dispatcher.h
+++ b/src/worker_dispatcher.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "fleet_events.h"
-#include "worker_routes.h"
-#include "worker_view.h"
+#include "worker_calls.h"
+#include "worker_views.h"
 
 #include <set>
 #include <utility>
@@ -17,7 +17,7 @@
 public:
     explicit WorkerDispatcher(const FleetSettings& settings)
         : m_settings(settings)
-        , m_routes(settings.region)
+        , m_calls(settings.region)
     {
     }
 
@@ -26,9 +26,9 @@
     void stop();
 
     /// Updates the views of the workers after some joined, changed or were removed.
-    void updateWorkers(const WorkTable& table, Time now);
+    void updateWorkers(const WorkTable& table, Time now) { m_workerViews.update(table, now); }
     /// Stops the remaining runs of a job that has ended.
-    void stopJob(Time now, JobKey job);
+    void stopJob(Time now, JobKey job) { m_workerViews.stopJob(now, job); }
     /// Whether a worker has confirmed a run of the job to this leader.
     bool hasStarted(JobKey job) const { return m_startedJobs.count(job) > 0; }
     void forget(JobKey job) { m_startedJobs.erase(job); }
@@ -37,87 +37,68 @@
     void endFormerIncarnations(const WorkTable& table, Time now, const WorkerInfo& info);
     /// Notes a report of a worker, changed or not. Returns false if it was sent before one that arrived
     /// earlier, and tells nothing new.
-    bool noteWorkerReport(WorkerNumber number, uint64_t sequence, Time now);
+    bool noteWorkerReport(WorkerNumber number, uint64_t sequence, Time now) { return m_workerViews.noteReport(number, sequence, now); }
 
     /// Notes that ends of a worker are durable; the next poll acknowledges them.
-    void didRecordEnds(WorkerNumber number, Time now) { schedule(now, number); }
+    void didRecordEnds(WorkerNumber number, Time now) { m_workerViews.schedule(now, number); }
 
     // Placements.
 
-    void reserve(const WorkTable& table, const RunPlacement& placement, std::string ticket);
+    void reserve(const WorkTable& table, const RunPlacement& placement, std::string ticket) { m_workerViews.reserve(table, placement, std::move(ticket)); }
     /// Starts the run of a placement that was committed, or frees its capacity if the placement did
     /// not apply.
-    void completePlacement(const WorkTable& table, Time now, const RunPlacement& placement);
-    void stopRun(Time now, WorkerNumber worker, const TaskRun& run);
+    void completePlacement(const WorkTable& table, Time now, const RunPlacement& placement) { m_workerViews.completePlacement(table, now, placement); }
+    void stopRun(Time now, WorkerNumber worker, const TaskRun& run) { m_workerViews.stopRun(now, worker, run); }
 
     // Hosts that may relay calls to workers.
 
-    void hostUp(HostId host, std::string dataCentre, std::string region) { m_routes.hostUp(host, std::move(dataCentre), std::move(region)); }
+    void hostUp(HostId host, std::string dataCentre, std::string region) { m_calls.hostUp(host, std::move(dataCentre), std::move(region)); }
     void hostDown(FleetStep& step, const WorkTable& table, HostId host);
 
     // Steps.
 
     void handleResponse(FleetStep& step, const WorkTable& table, CallId call, const OrderResponse& response);
     void tick(FleetStep& step, const WorkTable& table);
-    Time nextDeadline() const { return std::min(m_routes.nextDeadline(), m_schedule.empty() ? never : m_schedule.begin()->first); }
+    Time nextDeadline() const { return std::min(m_calls.nextDeadline(), m_workerViews.nextDeadline()); }
 
     /// Takes the log commands that result from the workers' responses.
     std::vector<WorkCommand> takeCommands() { return std::exchange(m_commands, {}); }
 
-    const std::map<WorkerNumber, WorkerView>& workerViews() const { return m_workerViews; }
+    const std::map<WorkerNumber, WorkerView>& workerViews() const { return m_workerViews.all(); }
     const FleetCounters& counters() const { return m_counters; }
 
 private:
-    struct Call {
-        WorkerNumber worker;
-        OrderKind kind = OrderKind::Poll;
-        TaskRun run;
-        Time sentAt {};
-        Duration timeout {};
-        uint64_t acknowledgedEnd = 0;
-    };
-
-    WorkerView* workerView(WorkerNumber number);
-    void addWorker(const WorkTable& table, const FleetWorker& record, WorkerNumber number, Time now, bool isNew);
-    void schedule(Time at, WorkerNumber worker) { m_schedule.insert({ at, worker }); }
-
-    void handleStartResponse(FleetStep& step, const WorkTable& table, WorkerView& workerView, const Call& call, const OrderResponse& response);
-    void handleStopResponse(FleetStep& step, WorkerView& workerView, const Call& call, const OrderResponse& response);
-    void handlePollResponse(FleetStep& step, const WorkTable& table, WorkerView& workerView, const Call& call, const OrderResponse& response);
+    void handleStartResponse(FleetStep& step, const WorkTable& table, WorkerView& workerView, const PendingWorkerCall& call, const OrderResponse& response);
+    void handleStopResponse(FleetStep& step, WorkerView& workerView, const PendingWorkerCall& call, const OrderResponse& response);
+    void handlePollResponse(FleetStep& step, const WorkTable& table, WorkerView& workerView, const PendingWorkerCall& call, const OrderResponse& response);
     void processEnds(FleetStep& step, const WorkTable& table, WorkerView& workerView, const std::vector<EndedRun>& ends);
-    void processActiveRuns(const WorkTable& table, WorkerView& workerView, Time now, const std::vector<ReportedRun>& running);
-    void requeueUnlisted(FleetStep& step, const WorkTable& table, WorkerView& workerView, Time pollSentAt, const OrderResponse& response);
+    void requeueUnlisted(FleetStep& step, WorkerView& workerView, Time pollSentAt, const OrderResponse& response);
     void stopStuckRuns(FleetStep& step, const WorkTable& table, WorkerView& workerView);
-    static void noteBrokenPoll(WorkerView& workerView, const Call& call, Time now);
+    static void noteBrokenPoll(WorkerView& workerView, const PendingWorkerCall& call, Time now);
     void quarantine(FleetStep& step, WorkerView& workerView);
-    void trackFailures(FleetStep& step, WorkerView& workerView, const EndedRun& end);
     void markStarted(const WorkTable& table, JobKey job);
     void handleUnansweredRelays(FleetStep& step, const WorkTable& table, const std::set<CallId>& calls);
     void logRun(FleetStep& step, LogEventKind kind, const WorkerView& workerView, const TaskRun& run, std::string_view reason);
 
-    void handleRefusedStart(const WorkTable& table, WorkerView& workerView, Time now, const TaskRun& run);
-    void requeue(const WorkTable& table, WorkerView& workerView, Time now, const std::vector<TaskRun>& runs, bool mayHaveCrashed = false);
-    void requeueAll(const WorkTable& table, WorkerView& workerView, Time now);
-    void endIncarnation(const WorkTable& table, WorkerView& workerView, Time now);
+    void handleRefusedStart(WorkerView& workerView, Time now, const TaskRun& run);
+    void requeue(WorkerView& workerView, Time now, const std::vector<TaskRun>& runs, bool mayHaveCrashed = false);
+    void requeueAll(WorkerView& workerView, Time now);
+    void endIncarnation(WorkerView& workerView, Time now);
     bool awaitsNextIncarnation(const WorkTable& table, const WorkerView& workerView, Time now) const;
-    void stopGang(const WorkTable& table, Time now, const TaskRun& run);
 
     void serviceWorker(FleetStep& step, const WorkTable& table, WorkerView& workerView);
     void sendOrders(FleetStep& step, const WorkTable& table, WorkerView& workerView);
     void sendPoll(FleetStep& step, const WorkTable& table, WorkerView& workerView);
-    void send(FleetStep& step, const WorkerView& workerView, Call call, WorkerOrder order);
+    void send(FleetStep& step, const WorkerView& workerView, const PendingWorkerCall& call, WorkerOrder order);
     int64_t leaseFor(WorkerView& workerView, Time now) const;
     bool needsPoll(const WorkTable& table, const WorkerView& workerView) const;
 
     FleetSettings m_settings;
     uint64_t m_fencingToken = 0;
-    std::map<WorkerNumber, WorkerView> m_workerViews;
-    std::map<CallId, Call> m_calls;
-    uint64_t m_nextCall = 1;
-    std::set<std::pair<Time, WorkerNumber>> m_schedule;
+    WorkerViews m_workerViews;
+    WorkerCalls m_calls;
     std::vector<WorkCommand> m_commands;
     std::set<JobKey> m_startedJobs; ///< Open jobs with a run that a worker has confirmed.
-    WorkerRoutes m_routes;
     FleetCounters m_counters;
 };
 
--- a/src/worker_view.h
+++ b/src/worker_view.h
@@ -65,6 +65,15 @@
             return isInherited && !isReported ? CrashEvidence::None : CrashEvidence::Late;
         return phase == RunPhase::Starting || (isInherited && !isReported) ? CrashEvidence::Weak : CrashEvidence::Strong;
     }
+
+    /// Whether the run is reported without making progress. The members of a gang make none until all
+    /// have started.
+    bool isStuck(const StepSpec& spec, Time now) const
+    {
+        const bool isWatched = !spec.isLongRunning && !spec.isBestEffort && isReported && !isStopRequested && percent < 100 && !(isGang && !percent);
+        const Duration stuckTimeout = isGang ? config::stuckRunTimeout * 2 : config::stuckRunTimeout;
+        return isWatched && now >= progressAt + stuckTimeout;
+    }
 };
 
 /// Lease of a worker in terms of the worker's and the leader's clock. The worker's steady clock may
@@ -209,6 +218,29 @@
         }
     }
 
+    /// Tracks consecutive failures. Returns whether the worker is to be quarantined, since the runs of
+    /// distinct jobs failed on it.
+    bool noteOutcome(const EndedRun& end)
+    {
+        if (end.runOutcome == RunOutcome::Done) {
+            failedJobs.clear();
+            isOnProbation = false;
+            return false;
+        }
+        if (end.runOutcome != RunOutcome::Failed)
+            return false;
+        const JobKey job = end.run.task.job;
+        if (std::find(failedJobs.begin(), failedJobs.end(), job) == failedJobs.end())
+            failedJobs.push_back(job);
+        return failedJobs.size() >= config::failuresToQuarantine || isOnProbation;
+    }
+
+    void quarantine(Time now)
+    {
+        quarantinedUntil = now + config::quarantineDuration;
+        isOnProbation = true;
+    }
+
     bool hasUnprovenRuns() const
     {
         return std::any_of(runs.begin(), runs.end(), [&](const auto& entry) { return !entry.second.isProvenBy(aliveUntil); });
