Write idle connections, accept loops and a three-member replica once

Both HTTP clients kept idle connections and looked whether the server had closed one with the same code: `IdleConnections` does so now, and each client keeps its own rule for which it takes and closes. The HTTP servers of both daemons accept by `acceptConnections`. Three replica tests set up the same member by hand: `ThreeMembers`.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -3,7 +3,6 @@
 #include "eelgrassloft/config.h"
 
 #include <charconv>
-#include <sys/socket.h>
 
 namespace eelgrassloft::io {
 
@@ -31,35 +30,22 @@
     co_await http::async_read(*stream, buffer, parser, asio::redirect_error(use_awaitable, error));
     if (error) {
         if (error == beast::error::timeout)
-            m_idleConnections.erase(endpoint); // The network may have dropped the other idle connections too.
+            m_idleConnections.close(endpoint); // The network may have dropped the other idle connections too.
         co_return std::nullopt;
     }
     HttpResponse response = parser.release();
-    if (response.keep_alive()) {
-        stream->expires_never();
-        m_idleConnections[endpoint].push_back({ std::move(stream), std::chrono::steady_clock::now() });
-    }
+    if (response.keep_alive())
+        m_idleConnections.add(endpoint, std::move(stream));
     co_return response;
 }
 
 std::unique_ptr<beast::tcp_stream> HttpClient::takeIdleConnection(const tcp::endpoint& endpoint)
 {
-    const auto found = m_idleConnections.find(endpoint);
-    if (found == m_idleConnections.end())
-        return nullptr;
-    std::list<IdleConnection>& idleConnections = found->second;
-    const auto now = std::chrono::steady_clock::now();
-    while (!idleConnections.empty()) {
-        // The last connection of the list has been idle for the shortest time.
-        std::unique_ptr<Stream> stream = std::move(idleConnections.back().stream);
-        const bool hasExpired = now - idleConnections.back().idleSince >= config::outgoingIdleLifetime;
-        idleConnections.pop_back();
-        // If the server has closed the connection, a read gives the end of the stream.
-        char byte = 0;
-        const ssize_t peeked = ::recv(stream->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (!hasExpired && peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+    while (std::unique_ptr<Stream> stream = m_idleConnections.take(endpoint, config::outgoingIdleLifetime)) {
+        if (IdleConnections::isOpen(*stream))
             return stream;
     }
+    m_idleConnections.close(endpoint); // All that are left have expired.
     return nullptr;
 }
 
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "io/http_types.h"
+#include "io/idle_connections.h"
 
 #include "eelgrassloft/time.h"
 
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace eelgrassloft::io {
 
@@ -25,15 +27,10 @@
 private:
     using Stream = beast::tcp_stream;
 
-    struct IdleConnection {
-        std::unique_ptr<Stream> stream;
-        std::chrono::steady_clock::time_point idleSince;
-    };
-
     std::unique_ptr<Stream> takeIdleConnection(const tcp::endpoint& endpoint);
 
     asio::io_context& m_context;
-    std::map<tcp::endpoint, std::list<IdleConnection>> m_idleConnections;
+    IdleConnections m_idleConnections;
 };
 
 /// Parses `IP:PORT`.
--- a/src/io/http_listener.h
+++ b/src/io/http_listener.h
@@ -45,7 +45,7 @@
     {
         if (auto error = listenOn(m_acceptor, address, port, setting))
             return error;
-        asio::co_spawn(m_context, acceptLoop(), asio::detached);
+        asio::co_spawn(m_context, acceptConnections(m_context, m_acceptor, m_isAccepting, [this](tcp::socket socket) { return serveConnection(std::move(socket)); }), asio::detached);
         return std::nullopt;
     }
 
@@ -71,16 +71,6 @@
     size_t inFlight() const { return m_inFlight; }
 
 private:
-    awaitable<void> acceptLoop()
-    {
-        while (m_isAccepting) {
-            error_code error;
-            tcp::socket socket = co_await m_acceptor.async_accept(asio::redirect_error(use_awaitable, error));
-            if (!error)
-                asio::co_spawn(m_context, serveConnection(std::move(socket)), asio::detached);
-        }
-    }
-
     awaitable<void> serveConnection(tcp::socket socket)
     {
         beast::tcp_stream stream(std::move(socket));
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -95,7 +95,7 @@
     const HostSettings& self = m_settings.selfHost();
     if (auto error = listenOn(m_acceptor, self.address, self.httpPort, "httpPort"))
         return error;
-    asio::co_spawn(m_context, acceptLoop(), asio::detached);
+    asio::co_spawn(m_context, acceptConnections(m_context, m_acceptor, m_isAccepting, [this](tcp::socket socket) { return serveConnection(std::move(socket)); }), asio::detached);
     return std::nullopt;
 }
 
@@ -106,16 +106,6 @@
     m_acceptor.close(ignored);
 }
 
-awaitable<void> HttpServer::acceptLoop()
-{
-    while (m_isAccepting) {
-        error_code error;
-        tcp::socket socket = co_await m_acceptor.async_accept(asio::redirect_error(use_awaitable, error));
-        if (!error)
-            asio::co_spawn(m_context, serveConnection(std::move(socket)), asio::detached);
-    }
-}
-
 awaitable<void> HttpServer::serveConnection(tcp::socket socket)
 {
     const ScopedCount connection(m_connectionCount);
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -21,7 +21,6 @@
     size_t connectionCount() const { return m_connectionCount; }
 
 private:
-    awaitable<void> acceptLoop();
     awaitable<void> serveConnection(tcp::socket socket);
     awaitable<bool> serveRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer);
     awaitable<HttpResponse> respond(HttpRequest request, beast::tcp_stream& stream);
--- a/src/io/upstream_client.cpp
+++ b/src/io/upstream_client.cpp
@@ -56,7 +56,7 @@
     asio::co_spawn(m_context, run(attempt, std::move(payload), remaining), asio::detached);
 }
 
-void UpstreamClient::closeIdleConnections() { m_idleConnections.clear(); }
+void UpstreamClient::closeIdleConnections() { m_idleConnections.closeAll(); }
 
 awaitable<void> UpstreamClient::run(DispatchAttempt attempt, AttemptPayload payload, Duration remaining)
 {
@@ -88,7 +88,7 @@
         co_return AttemptFailed { attempt.attempt, failureOf(error) };
     HttpResponse response = parser.release();
     if (response.keep_alive())
-        storeIdleConnection(endpoint, std::move(stream));
+        m_idleConnections.add(endpoint, std::move(stream));
     if (response.result() == http::status::service_unavailable && response[header::notStarted] == "true")
         co_return AttemptFailed { attempt.attempt, AttemptFailure::RefusedByUpstream };
     UpstreamResponse upstreamResponse { static_cast<uint16_t>(response.result_int()), std::string(response[http::field::content_type]), makeBlob(std::move(response.body())) };
@@ -109,24 +109,9 @@
 
 std::unique_ptr<beast::tcp_stream> UpstreamClient::takeIdleConnection(const tcp::endpoint& endpoint, Duration maxIdle)
 {
-    std::list<IdleConnection>& idleConnections = m_idleConnections[endpoint];
-    const auto now = std::chrono::steady_clock::now();
-    std::erase_if(idleConnections, [&](const IdleConnection& entry) { return now - entry.idleSince >= config::idleConnectionLifetime; });
-    // The last connection of the list has been idle for the shortest time.
-    if (idleConnections.empty() || now - idleConnections.back().idleSince >= maxIdle)
-        return nullptr;
-    std::unique_ptr<Stream> stream = std::move(idleConnections.back().stream);
-    idleConnections.pop_back();
-    // If the upstream has closed the connection, a read gives the end of the stream.
-    char byte = 0;
-    const ssize_t peeked = ::recv(stream->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? std::move(stream) : nullptr;
-}
-
-void UpstreamClient::storeIdleConnection(const tcp::endpoint& endpoint, std::unique_ptr<Stream> stream)
-{
-    stream->expires_never();
-    m_idleConnections[endpoint].push_back({ std::move(stream), std::chrono::steady_clock::now() });
+    m_idleConnections.closeExpired(endpoint, config::idleConnectionLifetime);
+    std::unique_ptr<Stream> stream = m_idleConnections.take(endpoint, maxIdle);
+    return stream && IdleConnections::isOpen(*stream) ? std::move(stream) : nullptr;
 }
 
 } // namespace eelgrassloft::io
--- a/src/io/upstream_client.h
+++ b/src/io/upstream_client.h
@@ -1,10 +1,9 @@
 #pragma once
 
-#include "io/http_types.h"
+#include "io/idle_connections.h"
 #include "io/node_messages.h"
 
-#include <list>
-#include <map>
+#include <memory>
 
 namespace eelgrassloft::io {
 
@@ -27,20 +26,14 @@
 private:
     using Stream = beast::tcp_stream;
 
-    struct IdleConnection {
-        std::unique_ptr<Stream> stream;
-        std::chrono::steady_clock::time_point idleSince;
-    };
-
     awaitable<void> run(DispatchAttempt attempt, AttemptPayload payload, Duration remaining);
     awaitable<Event> performAttempt(DispatchAttempt attempt, AttemptPayload payload, Duration remaining);
     awaitable<std::unique_ptr<Stream>> connect(tcp::endpoint endpoint);
     std::unique_ptr<Stream> takeIdleConnection(const tcp::endpoint& endpoint, Duration maxIdle);
-    void storeIdleConnection(const tcp::endpoint& endpoint, std::unique_ptr<Stream> stream);
 
     asio::io_context& m_context;
     NodeMailbox& m_nodeMailbox;
-    std::map<tcp::endpoint, std::list<IdleConnection>> m_idleConnections;
+    IdleConnections m_idleConnections;
 };
 
 } // namespace eelgrassloft::io
--- a/tests/replica_election_test.cpp
+++ b/tests/replica_election_test.cpp
@@ -73,15 +73,9 @@
     BOOST_TEST(cluster.replica(leader).term() == term);
 }
 
-BOOST_AUTO_TEST_CASE(aDiskVoterKeepsItsVoteAcrossARestart)
+BOOST_FIXTURE_TEST_CASE(aDiskVoterKeepsItsVoteAcrossARestart, ThreeMembers)
 {
-    const Member self { HostId { 0 }, 1 };
-    const Member first { HostId { 1 }, 1 };
-    const Member second { HostId { 2 }, 1 };
-    const Time start(1h);
-    Replica<ListMachine> replica(self, {}, start);
-    replica.form(start, { { self, first, second }, {} });
-    replica.receive(start, { first, self, VoteRequest { 5, 0, 0, false } });
+    replica.receive(start, { other, self, VoteRequest { 5, 0, 0, false } });
     const auto output = replica.takeOutput(start);
     BOOST_REQUIRE(output.write && output.write->state);
     BOOST_TEST(output.messages.at(0).afterWrite == output.write->sequence);
@@ -90,22 +84,16 @@
     restored.incarnation = 1;
     restored.state = *output.write->state;
     Replica<ListMachine> again(self, {}, start);
-    again.form(start, { { self, first, second }, {} });
+    again.form(start, { { self, other, third }, {} });
     again.restore(start, restored);
     const Time later = start + 10s;
-    again.receive(later, { second, self, VoteRequest { 5, 0, 0, false } });
+    again.receive(later, { third, self, VoteRequest { 5, 0, 0, false } });
     const auto reply = again.takeOutput(later);
     BOOST_TEST(!std::get<VoteReply>(reply.messages.at(0).message.body).isGranted);
 }
 
-BOOST_AUTO_TEST_CASE(aCandidateCountsItsOwnVoteOnceItIsDurable)
+BOOST_FIXTURE_TEST_CASE(aCandidateCountsItsOwnVoteOnceItIsDurable, ThreeMembers)
 {
-    const Member self { HostId { 0 }, 1 };
-    const Member other { HostId { 1 }, 1 };
-    const Member third { HostId { 2 }, 1 };
-    const Time start(1h);
-    Replica<ListMachine> replica(self, {}, start);
-    replica.form(start, { { self, other, third }, {} });
     const Time later = start + 10s;
     replica.tick(later);
     replica.receive(later, { other, self, VoteReply { 1, true, true } });
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -160,14 +160,8 @@
     BOOST_TEST(!isSuperseded(ReplicaMessage<ListMachine> { self, leader, VoteReply { 2, true, false } }, reply(2, true, 8)));
 }
 
-BOOST_AUTO_TEST_CASE(anEntryOfAnEarlierTermCommitsOnlyWithOneOfTheCurrentTerm)
+BOOST_FIXTURE_TEST_CASE(anEntryOfAnEarlierTermCommitsOnlyWithOneOfTheCurrentTerm, ThreeMembers)
 {
-    const Member self { HostId { 0 }, 1 };
-    const Member other { HostId { 1 }, 1 };
-    const Member third { HostId { 2 }, 1 };
-    const Time start(1h);
-    Replica<ListMachine> replica(self, {}, start);
-    replica.form(start, { { self, other, third }, {} });
     AppendRequest<ListMachine> request;
     request.term = 1;
     request.entries.push_back({ 1, 1, start, ListMachine::Append { 9 } });
--- a/tests/support/replica_test_cluster.h
+++ b/tests/support/replica_test_cluster.h
@@ -29,4 +29,15 @@
     return *leader;
 }
 
+/// A member of a log with three voters that has just been formed.
+struct ThreeMembers {
+    const Member self { HostId { 0 }, 1 };
+    const Member other { HostId { 1 }, 1 };
+    const Member third { HostId { 2 }, 1 };
+    const Time start { std::chrono::hours(1) };
+    Replica<ListMachine> replica { self, {}, start };
+
+    ThreeMembers() { replica.form(start, { { self, other, third }, {} }); }
+};
+
 } // namespace eelgrassloft::testing
