Take task control, forwarded reports and the start out of the node

`TaskController` is the leader's control of the data centre's tasks (leadership, workers, plans, the manifest's jobs), `ForwardedReports` holds the workers' reports that wait for the leader's reply, and node_start.h says what a node and its logs start from.

--- a/src/node.h
+++ b/src/node.h
@@ -1,30 +1,15 @@
 #pragma once
 
 #include "claim_coordinator.h"
-#include "job_sync.h"
-#include "log_member.h"
+#include "forwarded_reports.h"
 #include "manifest_controller.h"
-#include "node_events.h"
+#include "node_start.h"
 #include "request_router.h"
 #include "share_agent.h"
-#include "task_scheduler.h"
-#include "worker_controller.h"
+#include "task_controller.h"
 
 namespace eelgrassloft {
 
-using DataCentreLog = LogMember<DataCentreStateMachine, DataCentreContext>;
-
-/// Settings, identity and restored logs that a node starts from.
-struct NodeStart {
-    NodeSettings settings;
-    Time now {};
-    uint64_t seed = 0;
-    uint64_t incarnation = 0; ///< Higher at each start of the process; identifies members of logs that were not restored.
-    bool mayForm = false; ///< Forms new logs once every voter has reported that it holds no state.
-    std::optional<RestoredLog<CellStateMachine>> cell;
-    std::optional<RestoredLog<DataCentreStateMachine>> dataCentre;
-};
-
 /// State machine of one entry host, without input or output. `step` is its only entry point: it
 /// takes a time and an event, changes the state and returns the effects to carry out. It is
 /// deterministic: the same state, seed and events give the same effects.
@@ -35,11 +20,11 @@
         : m_peers(std::move(start.settings))
         , m_random(start.seed)
         , m_incarnation(start.incarnation)
-        , m_cell(cellOptions(), m_peers.self(), start.cell ? start.cell->incarnation : start.incarnation, start.now, m_random.next())
-        , m_dataCentre(dataCentreOptions(), m_peers.self(), start.dataCentre ? start.dataCentre->incarnation : start.incarnation, start.now, m_random.next())
+        , m_cell(cellLogOptions(m_peers.settings()), m_peers.self(), incarnationIn(start.cell, start), start.now, m_random.next())
+        , m_dataCentre(dataCentreLogOptions(m_peers), m_peers.self(), incarnationIn(start.dataCentre, start), start.now, m_random.next())
         , m_router(std::move(routing), static_cast<uint32_t>(m_peers.settings().hostsIn(m_peers.ownDataCentre()).size()))
         , m_claims(m_peers.self(), start.incarnation)
-        , m_scheduler(std::move(pack), std::move(spread))
+        , m_taskController(std::move(pack), std::move(spread))
         , m_lastStepTime(start.now)
     {
         startLog(m_cell, std::move(start.cell), start);
@@ -57,7 +42,7 @@
 
     Time nextDeadline() const
     {
-        const Time asLeader = m_hasLeaderLease ? std::min({ m_workerController.nextDeadline(), m_scheduler.nextPlanTime(), m_shareAgent.allocator().nextDeadline() }) : never;
+        const Time asLeader = hasLeaderLease() ? std::min(m_taskController.nextDeadline(), m_shareAgent.allocator().nextDeadline()) : never;
         return std::min({ m_cell.nextDeadline(), m_dataCentre.nextDeadline(), m_router.nextDeadline(), m_nextStatusTime,
             m_shareAgent.nextDeadline(m_router.hasQueue()), m_forwardedReports.nextDeadline(), asLeader });
     }
@@ -71,50 +56,12 @@
     const DataCentreLog& dataCentre() const { return m_dataCentre; }
     const RequestRouter<Routing>& router() const { return m_router; }
     const ShareAllocator& allocator() const { return m_shareAgent.allocator(); }
-    const TaskScheduler<Pack, Spread>& scheduler() const { return m_scheduler; }
+    const TaskScheduler<Pack, Spread>& scheduler() const { return m_taskController.scheduler(); }
     const std::map<HostId, HostStatus>& hostStatus() const { return m_hostStatus; }
     bool isDraining() const { return m_isDraining; }
-    bool hasLeaderLease() const { return m_hasLeaderLease; }
+    bool hasLeaderLease() const { return m_taskController.hasLeaderLease(); }
 
 private:
-    /// Worker reports that were forwarded to the leader and are not answered yet.
-    struct ForwardedReports {
-        std::map<CallId, Time> deadlines;
-
-        Time nextDeadline() const
-        {
-            Time result = never;
-            for (const auto& [call, deadline] : deadlines)
-                result = std::min(result, deadline);
-            return result;
-        }
-    };
-
-    LogMemberOptions cellOptions() const
-    {
-        LogMemberOptions options { LogKind::Cell, config::cellHeartbeatPeriod, {}, {}, config::snapshotThresholdEntries, m_peers.settings().selfHost().hasDisk };
-        for (const HostSettings& host : m_peers.settings().hosts) {
-            options.hosts.push_back(host.id);
-            options.voterHosts.push_back(host.id);
-        }
-        return options;
-    }
-
-    LogMemberOptions dataCentreOptions() const
-    {
-        const std::vector<HostId> hosts = m_peers.settings().hostsIn(m_peers.ownDataCentre());
-        return { LogKind::DataCentre, config::heartbeatPeriod, hosts, hosts, config::snapshotThresholdEntries, m_peers.settings().selfHost().hasDisk };
-    }
-
-    template <typename Log, typename Restored>
-    static void startLog(Log& log, std::optional<Restored> restored, const NodeStart& start)
-    {
-        if (restored)
-            log.restore(start.now, std::move(*restored));
-        else if (start.mayForm)
-            log.startForming();
-    }
-
     void checkTimeLeap(NodeStep& step)
     {
         const Time expected = std::max(m_lastStepTime, std::min(m_expectedStepTime, step.now));
@@ -256,18 +203,16 @@
     void handle(NodeStep& step, const WorkerReported& event)
     {
         const HostId leader = m_dataCentre.leader();
-        if (m_hasLeaderLease) {
-            m_workerController.report(step, tasks(), event.report, { m_peers.self(), event.call });
+        if (hasLeaderLease()) {
+            m_taskController.report(step, m_dataCentre, event.report, { m_peers.self(), event.call });
         } else if (leader.isValid() && leader != m_peers.self() && m_peers.isConnected(leader)) {
-            m_forwardedReports.deadlines[event.call] = step.now + config::forwardedReportTimeout;
+            m_forwardedReports.add(event.call, step.now + config::forwardedReportTimeout);
             step.send(leader, ForwardedReport { event.call, event.report });
         } else {
             step.emit(AnswerWorker { event.call, { WorkerReplyStatus::NoLeader, {}, {} } });
         }
     }
 
-    const TaskTable& tasks() const { return m_dataCentre.stateMachine().tasks; }
-
     // Peers.
 
     void handle(NodeStep& step, const PeerUp& event)
@@ -282,9 +227,7 @@
     {
         m_peers.setConnected(event.host, false);
         m_hostStatus.erase(event.host);
-        // A forwarded report may be lost with the connection; its worker must report again before its lease ends.
-        for (const auto& [call, deadline] : std::exchange(m_forwardedReports.deadlines, {}))
-            step.emit(AnswerWorker { call, { WorkerReplyStatus::NoLeader, {}, {} } });
+        m_forwardedReports.abandon(step);
     }
 
     void handle(NodeStep& step, const PeerMessageReceived& event)
@@ -315,15 +258,15 @@
     void receive(NodeStep& step, HostId from, const ForwardedReport& forwarded)
     {
         const WorkerCall call { from, forwarded.call };
-        if (m_hasLeaderLease)
-            m_workerController.report(step, tasks(), forwarded.report, call);
+        if (hasLeaderLease())
+            m_taskController.report(step, m_dataCentre, forwarded.report, call);
         else
             sendWorkerReply(step, call, { WorkerReplyStatus::NoLeader, {}, {} });
     }
 
     void receive(NodeStep& step, HostId, const ForwardedReply& forwarded)
     {
-        if (m_forwardedReports.deadlines.erase(forwarded.call))
+        if (m_forwardedReports.remove(forwarded.call))
             step.emit(AnswerWorker { forwarded.call, forwarded.reply });
     }
 
@@ -353,10 +296,10 @@
         m_dataCentre.tick(step);
         m_router.tick(step);
         tickShares(step);
-        expireForwardedReports(step);
+        m_forwardedReports.expire(step);
         finishRequests(step);
         flushLogs(step);
-        tickScheduling(step);
+        m_taskController.tick(step, m_dataCentre, m_cell.stateMachine());
         tickStatus(step);
         finishDrain(step);
         updateReplicaCounters();
@@ -376,11 +319,9 @@
         if (m_cell.flush(step))
             applyCellRevision(step);
         const bool hasApplied = m_dataCentre.flush(step);
-        updateLeadership(step);
-        if (hasApplied && m_hasLeaderLease) {
-            m_workerController.sendNewCommands(step, tasks());
-            m_scheduler.requestPlan(step.now);
-        }
+        m_taskController.updateLeadership(step, m_dataCentre);
+        if (hasApplied)
+            m_taskController.handleApplied(step, m_dataCentre);
         for (auto& completed : m_cell.takeCompleted())
             m_manifestController.handleCompletedChange(step, m_cell, std::move(completed));
         for (auto& completed : m_dataCentre.takeCompleted())
@@ -430,95 +371,6 @@
         }
     }
 
-    void expireForwardedReports(NodeStep& step)
-    {
-        std::erase_if(m_forwardedReports.deadlines, [&](const auto& entry) {
-            if (entry.second > step.now)
-                return false;
-            step.emit(AnswerWorker { entry.first, { WorkerReplyStatus::NoLeader, {}, {} } });
-            return true;
-        });
-    }
-
-    void updateLeadership(NodeStep& step)
-    {
-        const bool hasLeaderLease = m_dataCentre.hasLease(step.now);
-        const uint64_t term = m_dataCentre.replica().term();
-        if (hasLeaderLease && (!m_hasLeaderLease || term != m_leaseTerm)) {
-            if (term != m_leaseTerm) {
-                m_workerController.start(tasks(), step.now);
-                m_scheduler.start(tasks(), step.now);
-            }
-            m_leaseTerm = term;
-        }
-        if (!m_dataCentre.isLeader() && m_wasLeader)
-            m_workerController.stop(step);
-        m_wasLeader = m_dataCentre.isLeader();
-        m_hasLeaderLease = hasLeaderLease;
-        m_workerController.setMayRenew(hasLeaderLease);
-    }
-
-    void tickScheduling(NodeStep& step)
-    {
-        updateLeadership(step);
-        if (!m_hasLeaderLease)
-            return;
-        m_workerController.tick(step, tasks());
-        syncJobs(step);
-        for (TaskCommand& command : m_workerController.takeCommands())
-            m_dataCentre.proposeLocally(step, std::move(command));
-        plan(step);
-        if (m_dataCentre.flush(step)) { // A single voter without storage commits and applies at once.
-            m_workerController.sendNewCommands(step, tasks());
-            m_scheduler.requestPlan(step.now);
-        }
-        closeAppliedPlan(step);
-    }
-
-    void plan(NodeStep& step)
-    {
-        if (step.now < m_scheduler.nextPlanTime())
-            return;
-        std::vector<TaskCommand> commands = m_scheduler.plan(step, tasks(), m_workerController.learnedSizes());
-        for (TaskCommand& command : commands) {
-            countPlanned(step, command);
-            if (!m_dataCentre.proposeLocally(step, std::move(command))) {
-                m_scheduler.closePlan(tasks(), step.now + config::proposalRetryInterval);
-                break;
-            }
-        }
-        m_planLogIndex = m_dataCentre.replica().lastIndex();
-    }
-
-    void closeAppliedPlan(NodeStep& step)
-    {
-        if (m_scheduler.isPlanOpen() && m_dataCentre.replica().commitIndex() >= m_planLogIndex)
-            m_scheduler.closePlan(tasks(), step.now);
-    }
-
-    static void countPlanned(NodeStep& step, const TaskCommand& command)
-    {
-        if (const auto* place = std::get_if<PlaceTasks>(&command))
-            step.counters.add(CounterKind::TasksPlaced, place->placements.size());
-        if (const auto* preempt = std::get_if<PreemptTasks>(&command))
-            step.counters.add(CounterKind::TasksPreempted, preempt->tasks.size());
-    }
-
-    /// Proposes the changes that bring the data centre's jobs and quotas up to the cell's manifest. At
-    /// most one such proposal is open at a time.
-    void syncJobs(NodeStep& step)
-    {
-        const CellStateMachine& cell = m_cell.stateMachine();
-        const bool isOpen = m_jobSyncIndex > m_dataCentre.replica().commitIndex() && m_jobSyncTerm == m_dataCentre.replica().term();
-        if (cell.revision <= tasks().cellRevision() || isOpen)
-            return;
-        TaskCommand command = jobSyncCommand(cell, tasks(), m_peers.ownDataCentre());
-        if (!m_dataCentre.proposeLocally(step, std::move(command)))
-            return;
-        m_jobSyncIndex = m_dataCentre.replica().lastIndex();
-        m_jobSyncTerm = m_dataCentre.replica().term();
-    }
-
     void tickStatus(NodeStep& step)
     {
         if (step.now < m_nextStatusTime)
@@ -552,20 +404,13 @@
     ClaimCoordinator m_claims;
     ManifestController m_manifestController;
     ShareAgent m_shareAgent;
-    WorkerController m_workerController;
-    TaskScheduler<Pack, Spread> m_scheduler;
+    TaskController<Pack, Spread> m_taskController;
     ForwardedReports m_forwardedReports;
     std::map<HostId, HostStatus> m_hostStatus; ///< Last status of each connected host.
     Time m_lastStepTime;
     Time m_expectedStepTime = never;
     Time m_nextStatusTime {};
     uint64_t m_revisionInForce = 0;
-    bool m_wasLeader = false; ///< Whether this host led the data centre's log at the last update, lease or not.
-    bool m_hasLeaderLease = false; ///< Whether this host leads the data centre's log under a valid lease.
-    uint64_t m_leaseTerm = 0; ///< Term in which this host last led under a lease.
-    uint64_t m_planLogIndex = 0; ///< Last entry of the open plan.
-    uint64_t m_jobSyncIndex = 0; ///< Entry of the last `SyncJobs` proposal, and its term.
-    uint64_t m_jobSyncTerm = 0;
     bool m_isDrainAnnounced = false;
     bool m_isDraining = false;
     bool m_hasDrained = false;
