--- a/tests/support/worker_dispatcher_fixture.h
+++ b/tests/support/worker_dispatcher_fixture.h
@@ -63,6 +63,15 @@
         tick();
     }
 
+    /// Places the task of a job and responds to the order to start it.
+    TaskRun start(uint64_t key, OrderOutcome outcome = OrderOutcome::Accepted)
+    {
+        const TaskRun run = place(key);
+        commit();
+        respond(OrderKind::Start, outcome);
+        return run;
+    }
+
     /// The worker reports another capacity.
     void setCapacity(Resources capacity)
     {
--- a/tests/worker_capacity_test.cpp
+++ b/tests/worker_capacity_test.cpp
@@ -82,9 +82,7 @@
 BOOST_AUTO_TEST_CASE(stoppingRunsCountAgainstAShrunkCapacity)
 {
     WorkerDispatcherFixture fixture(2);
-    fixture.place(1);
-    fixture.commit();
-    fixture.respond(OrderKind::Start, OrderOutcome::Accepted);
+    fixture.start(1);
     fixture.cancel(1);
     fixture.advance(1ms);
     fixture.respond(OrderKind::Stop, OrderOutcome::Accepted);
--- a/tests/worker_dispatcher_test.cpp
+++ b/tests/worker_dispatcher_test.cpp
@@ -24,9 +24,7 @@
 BOOST_AUTO_TEST_CASE(runsOfAnUnresponsiveWorkerAreRequeuedAfterItsLease)
 {
     WorkerDispatcherFixture fixture;
-    const TaskRun run = fixture.place(1);
-    fixture.commit();
-    fixture.respond(OrderKind::Start, OrderOutcome::Accepted);
+    const TaskRun run = fixture.start(1);
     const Time unresponsiveSince = fixture.now();
     while (fixture.now() < unresponsiveSince + 20s && !fixture.isRequeued(run)) {
         fixture.advance(100ms);
@@ -40,9 +38,7 @@
 BOOST_AUTO_TEST_CASE(startWithoutResponseIsRetriedUnchanged)
 {
     WorkerDispatcherFixture fixture;
-    const TaskRun run = fixture.place(1);
-    fixture.commit();
-    fixture.respond(OrderKind::Start, OrderOutcome::NoResponse);
+    const TaskRun run = fixture.start(1, OrderOutcome::NoResponse);
     fixture.advance(config::orderRetryInterval);
     BOOST_REQUIRE(fixture.ordersOf(OrderKind::Start).size() == 1U);
     BOOST_TEST((fixture.ordersOf(OrderKind::Start).front().order.run == run));
@@ -53,9 +49,7 @@
 BOOST_AUTO_TEST_CASE(startRefusedAfterOneWithoutResponseIsStoppedFirst)
 {
     WorkerDispatcherFixture fixture;
-    const TaskRun run = fixture.place(1);
-    fixture.commit();
-    fixture.respond(OrderKind::Start, OrderOutcome::NoResponse);
+    const TaskRun run = fixture.start(1, OrderOutcome::NoResponse);
     fixture.advance(config::orderRetryInterval);
     fixture.respond(OrderKind::Start, OrderOutcome::BadTicket);
     BOOST_TEST(!fixture.isRequeued(run));
@@ -72,9 +66,7 @@
 BOOST_AUTO_TEST_CASE(refusedStartRequeuesTheTaskAndFreesItsCapacity)
 {
     WorkerDispatcherFixture fixture;
-    const TaskRun run = fixture.place(1);
-    fixture.commit();
-    fixture.respond(OrderKind::Start, OrderOutcome::InsufficientCapacity);
+    const TaskRun run = fixture.start(1, OrderOutcome::InsufficientCapacity);
     BOOST_TEST(fixture.isRequeued(run));
     BOOST_TEST((fixture.workerView().used == Resources {}));
 }
@@ -82,9 +74,7 @@
 BOOST_AUTO_TEST_CASE(capacityIsFreedWhenTheEndIsReported)
 {
     WorkerDispatcherFixture fixture;
-    const TaskRun run = fixture.place(1);
-    fixture.commit();
-    fixture.respond(OrderKind::Start, OrderOutcome::Accepted);
+    const TaskRun run = fixture.start(1);
     fixture.advance(200ms);
     BOOST_TEST((fixture.workerView().used == WorkerDispatcherFixture::taskSize()));
     OrderResponse response = fixture.accepted();
@@ -98,9 +88,7 @@
 BOOST_AUTO_TEST_CASE(endIsAcknowledgedOnceItIsDurable)
 {
     WorkerDispatcherFixture fixture;
-    const TaskRun run = fixture.place(1);
-    fixture.commit();
-    fixture.respond(OrderKind::Start, OrderOutcome::Accepted);
+    const TaskRun run = fixture.start(1);
     fixture.advance(200ms);
     OrderResponse response = fixture.accepted();
     response.ends.push_back({ 7, run, RunOutcome::Done, {} });
@@ -137,9 +125,7 @@
 BOOST_AUTO_TEST_CASE(runWithoutProgressIsStoppedAndItsWorkerQuarantined)
 {
     WorkerDispatcherFixture fixture;
-    const TaskRun run = fixture.place(1);
-    fixture.commit();
-    fixture.respond(OrderKind::Start, OrderOutcome::Accepted);
+    const TaskRun run = fixture.start(1);
     for (int poll = 0; poll < 4 && fixture.ordersOf(OrderKind::Stop).empty(); ++poll) {
         fixture.advance(1s);
         OrderResponse response = fixture.accepted();
@@ -154,9 +140,7 @@
 BOOST_AUTO_TEST_CASE(runThatMakesProgressIsNotStopped)
 {
     WorkerDispatcherFixture fixture;
-    const TaskRun run = fixture.place(1);
-    fixture.commit();
-    fixture.respond(OrderKind::Start, OrderOutcome::Accepted);
+    const TaskRun run = fixture.start(1);
     for (uint32_t percent = 10; percent < 60; percent += 10) {
         fixture.advance(1s);
         OrderResponse response = fixture.accepted();
@@ -170,9 +154,7 @@
 BOOST_AUTO_TEST_CASE(workerWithAnUnansweredStartGetsNoPlacements)
 {
     WorkerDispatcherFixture fixture;
-    fixture.place(1);
-    fixture.commit();
-    fixture.respond(OrderKind::Start, OrderOutcome::NoResponse);
+    fixture.start(1, OrderOutcome::NoResponse);
     BOOST_TEST(!fixture.workerView().acceptsPlacements(fixture.now()));
     fixture.advance(config::orderRetryInterval);
     fixture.respond(OrderKind::Start, OrderOutcome::Accepted);
@@ -183,9 +165,7 @@
 BOOST_AUTO_TEST_CASE(responseOfAnotherIncarnationRequeuesTheRuns)
 {
     WorkerDispatcherFixture fixture;
-    const TaskRun run = fixture.place(1);
-    fixture.commit();
-    fixture.respond(OrderKind::Start, OrderOutcome::Accepted);
+    const TaskRun run = fixture.start(1);
     fixture.advance(200ms);
     fixture.respond(OrderKind::Poll, OrderOutcome::OtherIncarnation);
     BOOST_TEST(fixture.isRequeued(run));
@@ -195,9 +175,7 @@
 BOOST_AUTO_TEST_CASE(runsOfACancelledJobAreStopped)
 {
     WorkerDispatcherFixture fixture;
-    const TaskRun run = fixture.place(1);
-    fixture.commit();
-    fixture.respond(OrderKind::Start, OrderOutcome::Accepted);
+    const TaskRun run = fixture.start(1);
     fixture.cancel(1);
     fixture.advance(1ms);
     BOOST_REQUIRE(fixture.ordersOf(OrderKind::Stop).size() == 1U);
