--- a/src/task_controller.h
+++ b/src/task_controller.h
@@ -28,7 +28,7 @@
     /// Handles a worker's report. Only for the leader.
     void report(NodeStep& step, const DataCentreLog& log, const WorkerReport& report, WorkerCall call)
     {
-        m_workers.report(step, tasksOf(log), report, std::move(call));
+        m_workers.report(step, tasksOf(log), report, call);
     }
 
     void updateLeadership(NodeStep& step, const DataCentreLog& log)
