Let ordinary messages leave between urgent ones

Found by a review, by reading: each write took up to 32 KB of urgent messages, then ordinary ones only up to the same 32 KB, then one fragment of a large message in any case. While messages of the log kept coming, replies to callers waited and large messages did not. Each write now takes one ordinary message at least. The new case needs the change: a batch with 32 KB of urgent messages held nothing else.

--- a/src/io/send_queue.h
+++ b/src/io/send_queue.h
@@ -5,6 +5,7 @@
 #include "eelgrassloft/config.h"
 #include "eelgrassloft/name_table.h"
 
+#include <algorithm>
 #include <chrono>
 #include <deque>
 
@@ -104,19 +105,21 @@
     std::string takeBatch()
     {
         std::string batch;
-        for (const SendPriority priority : { SendPriority::Urgent, SendPriority::Normal })
-            takeWhole(m_lanes[priority], batch);
+        takeWhole(m_lanes[SendPriority::Urgent], batch, config::peerWriteBytes);
+        // More urgent messages slow the others down but don't stop them.
+        takeWhole(m_lanes[SendPriority::Normal], batch, std::max(config::peerWriteBytes, batch.size() + 1));
         Lane& bulk = m_lanes[SendPriority::Bulk];
-        if (!bulk.messages.empty()) // Small messages slow a large one down but don't stop it.
+        if (!bulk.messages.empty())
             takeFragment(bulk, batch);
         while (!bulk.messages.empty() && batch.size() < config::peerWriteBytes)
             takeFragment(bulk, batch);
         return batch;
     }
 
-    static void takeWhole(Lane& lane, std::string& batch)
+    /// Takes messages until the batch has `bytes`.
+    static void takeWhole(Lane& lane, std::string& batch, size_t bytes)
     {
-        while (!lane.messages.empty() && batch.size() < config::peerWriteBytes) {
+        while (!lane.messages.empty() && batch.size() < bytes) {
             appendFrame(batch, lane.messages.front());
             lane.pop(lane.messages.front().size());
         }
--- a/tests/send_queue_test.cpp
+++ b/tests/send_queue_test.cpp
@@ -77,6 +77,15 @@
 // Messages of a megabyte to a host that took none waited by the thousand.
 BOOST_FIXTURE_TEST_SUITE(SendQueueWithoutABoundInBytes, QueueFixture)
 
+/// Replies to callers did not leave while messages of the log kept coming, though large ones did.
+BOOST_AUTO_TEST_CASE(urgentMessagesDoNotStopOthers)
+{
+    for (int i = 0; i < 100; ++i)
+        BOOST_REQUIRE(queue.tryPush(std::string(config::peerWriteBytes, 'u'), true));
+    BOOST_REQUIRE(queue.tryPush("reply", false));
+    BOOST_TEST(takeBatch().find("reply") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(queueIsBoundedInBytes)
 {
     const std::string message(megabyte, 'x');
