Say in the reply to a submission by which configuration its queue was found

Found by a review, by reading: an entry host whose status report was lost could go on with its older configuration after the leader had taken a job by the newer one. The reply names the version now, as that to a lookup does. No test of its own: the entry host's side has one (delayedReportBringsNoOldQueueBack).

--- a/src/control_node.h
+++ b/src/control_node.h
@@ -109,6 +109,7 @@
         HostId via; ///< Host from which this host received the call.
         uint64_t number = 0;
         bool mayHaveRun = false; ///< Whether an earlier attempt may have had an effect, so that it can't be refused.
+        uint64_t configVersion = 0; ///< Version by which the call's queue was found; 0 for none.
     };
 
     struct PendingProposal {
@@ -350,6 +351,7 @@
     {
         if (reply.status == ControlStatus::NotAccepted && to.mayHaveRun)
             reply.status = ControlStatus::Unavailable;
+        reply.configVersion = std::max(reply.configVersion, to.configVersion);
         ++m_counters.replies[reply.status];
         if (to.host == m_settings.self)
             step.emit(SendControlReply { CallId { to.number }, std::move(reply) });
@@ -370,7 +372,9 @@
         } else if (const ControlReply found = findQueue(request.work.queue, request.address); found.queue) {
             SubmitWork work = request.work;
             work.queue = found.queue->name;
-            propose(step, std::move(work), to);
+            ReplyTarget target = to;
+            target.configVersion = found.configVersion;
+            propose(step, std::move(work), target);
         } else {
             sendReply(step, to, found);
         }
@@ -395,7 +399,7 @@
     {
         const ControlReply found = findQueue(request.queue, request.address);
         if (found.queue)
-            sendReply(step, to, { ControlStatus::Ok, {}, pendingCount(found.queue->name), {} });
+            sendReply(step, to, { ControlStatus::Ok, {}, pendingCount(found.queue->name), {}, {}, found.configVersion });
         else
             sendReply(step, to, found);
     }
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -117,7 +117,7 @@
     uint64_t count = 0; ///< Number of pending jobs.
     std::string text; ///< The configuration in force.
     std::optional<QueueSpec> queue {}; ///< The requested queue.
-    uint64_t configVersion = 0; ///< Version in which the queue was looked up; 0 in other replies.
+    uint64_t configVersion = 0; ///< Version by which the call's queue was found; 0 in replies to other calls.
 
     static constexpr auto members()
     {
