Take late parts of a configuration, and none of a host that lags behind

And a near control host that lagged behind ended each pass with the old version while only another knew the new one, so that the transfer began anew for ever. A part that is the next one is now taken from whoever sends it; the timeout doubles up to 12 s; hosts as new as the pass come first, those no newer than what is in force are not asked; and a host that missed a timeout is forgiven at the end of the pass.

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -165,6 +165,7 @@
 inline constexpr Duration leaderContactTimeout = 2s; ///< An entry host that has not heard from a leader for this long is not ready.
 inline constexpr size_t maxConfigPartBytes = 16UL * 1024; ///< Keeps the link of an entry host busy for some 65 ms at 2 Mbit/s.
 inline constexpr Duration configPartTimeout = 1500ms; ///< After which a part of the configuration is requested from another host.
+inline constexpr Duration maxConfigPartTimeout = 12s;
 inline constexpr size_t maxRemovedQueues = 4096; ///< Remembered; an entry host with an older configuration fetches all queues.
 inline constexpr Duration callRetryInterval = 400ms; ///< Of a forwarded call that was refused or that no host could take.
 inline constexpr Duration callResendInterval = 800ms; ///< Until a forwarded call without an answer is sent again; doubles with each attempt. Allows three attempts within `controlCallTimeout`.
--- a/src/config_receiver.cpp
+++ b/src/config_receiver.cpp
@@ -32,13 +32,14 @@
         if (step.now < m_requestDeadline)
             return;
         ++m_sources[m_requestedFrom].unanswered;
+        m_requestTimeout = std::min(m_requestTimeout * 2, config::maxConfigPartTimeout);
     }
     m_requestedFrom = chooseSource();
     if (!m_requestedFrom.isValid())
         return;
     if (!m_partCount)
         m_startedAt = step.now;
-    m_requestDeadline = step.now + config::configPartTimeout;
+    m_requestDeadline = step.now + m_requestTimeout;
     step.send(m_requestedFrom, ConfigRequest { m_baseVersion, m_afterQueue });
 }
 
@@ -47,29 +48,29 @@
 {
     HostId best;
     for (const auto& [host, source] : m_sources) {
-        if (source.version > m_baseVersion && (!best.isValid() || rank(host, source) < rank(best, m_sources.at(best))))
+        if (source.version > std::max(m_baseVersion, m_config.version) && (!best.isValid() || rank(host, source) < rank(best, m_sources.at(best))))
             best = host;
     }
     return best;
 }
 
-/// Hosts that answer come first, then the nearest. Entry hosts take different ones of those that are
-/// equally near.
-std::tuple<uint32_t, int, uint32_t> ConfigReceiver::rank(HostId host, const Source& source) const
+/// Hosts as new as the parts of this pass come first, then those that answer, then the nearest. Entry
+/// hosts take different ones of those that are equally near.
+std::tuple<bool, uint32_t, int, uint32_t> ConfigReceiver::rank(HostId host, const Source& source) const
 {
     const int distance = source.dataCentre == m_dataCentre ? 0 : source.region == m_region ? 1
                                                                                            : 2;
-    return { source.unanswered, distance, (host.value ^ m_self.value) * 2654435761U };
+    return { source.version < m_highestVersion, source.unanswered, distance, (host.value ^ m_self.value) * 2654435761U };
 }
 
 void ConfigReceiver::receive(FleetStep& step, HostId from, const ConfigPart& part)
 {
     const bool isNext = part.baseVersion == m_baseVersion && part.afterQueue == m_afterQueue;
     const bool isRestart = !part.baseVersion && part.afterQueue.empty(); // The sender does not know what changed since the base.
-    if (from != m_requestedFrom || (!isNext && !isRestart))
+    if (!isNext && !(isRestart && from == m_requestedFrom)) // A slow link brings the next part after another host was asked for it.
         return;
     m_requestedFrom = {};
-    m_sources[from].unanswered = 0;
+    m_requestTimeout = config::configPartTimeout;
     if (isRestart) {
         m_queues.clear();
         m_baseVersion = m_lowestVersion = m_highestVersion = 0;
@@ -99,6 +100,8 @@
     m_baseVersion = m_lowestVersion;
     m_afterQueue.clear();
     m_lowestVersion = m_highestVersion = 0;
+    for (auto& [host, source] : m_sources)
+        source.unanswered = 0;
     if (!isOneVersion || m_baseVersion <= m_config.version)
         return;
     for (const auto& [name, queue] : m_queues)
--- a/src/config_receiver.h
+++ b/src/config_receiver.h
@@ -44,11 +44,11 @@
         std::string dataCentre;
         std::string region;
         uint64_t version = 0; ///< That it holds.
-        uint32_t unanswered = 0; ///< Requests in a row that it did not answer.
+        uint32_t unanswered = 0; ///< Requests of this pass that it did not answer in time.
     };
 
     HostId chooseSource() const;
-    std::tuple<uint32_t, int, uint32_t> rank(HostId host, const Source& source) const;
+    std::tuple<bool, uint32_t, int, uint32_t> rank(HostId host, const Source& source) const;
     void apply(const ConfigPart& part);
     void finishPass(FleetStep& step, uint64_t digest);
 
@@ -65,6 +65,7 @@
     uint64_t m_highestVersion = 0;
     HostId m_requestedFrom; ///< Invalid if no request is open.
     Time m_requestDeadline {};
+    Duration m_requestTimeout = config::configPartTimeout; ///< Doubles with each request that is not answered in time.
     Time m_startedAt {}; ///< When the first part after the configuration in force was requested.
     uint32_t m_partCount = 0; ///< Received since `m_startedAt`.
 };
