Send refused calls to a host as soon as it leads, and not round it

Cause: the entry host's target was the first control host that it was connected to. That host refused, as it did not lead yet.

Change: the forwarder knows whether its target leads. When it begins to, refused calls go there at once; a refusal by the leader is no reason to go round it.

Test: refusedCallWaitsWhileItsTargetAlreadyLeads failed on the former code.

--- a/src/call_forwarder.h
+++ b/src/call_forwarder.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 namespace eelgrassloft {
 
@@ -31,13 +32,16 @@
         sendAttempt(step, number, pending, m_target);
     }
 
-    /// Sets the host to forward to: the leader, or one that may know it; invalid if there is none.
-    void setTarget(FleetStep& step, HostId target)
+    /// Sets the host to forward to, and whether it is known to lead or only may know the leader; invalid if
+    /// there is none. Calls that it refused are sent again as soon as it leads.
+    void setTarget(FleetStep& step, HostId target, bool isLeading = true)
     {
-        if (target == m_target)
-            return;
-        m_target = target;
-        sendAll(step);
+        const bool beginsToLead = isLeading && !std::exchange(m_isTargetLeading, isLeading);
+        const bool isNew = target != std::exchange(m_target, target);
+        if (isNew)
+            sendAll(step);
+        else if (beginsToLead)
+            sendRefused(step);
     }
 
     /// Sets a host that may forward to the target; invalid if there is none.
@@ -61,6 +65,7 @@
         const bool isRetryable = message.reply.status == ControlStatus::Unavailable || message.reply.status == ControlStatus::NotAccepted;
         if (isRetryable) {
             // At the deadline, `tick` replies by whether another attempt may have had an effect.
+            pending.isRefused = true;
             pending.resendInterval = config::callResendInterval;
             pending.nextAttempt = std::min(pending.nextAttempt, std::max(step.now, pending.sentAt + config::callRetryInterval));
             return;
@@ -84,7 +89,7 @@
                 continue;
             }
             if (pending.nextAttempt <= step.now)
-                sendAttempt(step, i->first, pending, m_relay.isValid() && pending.sentTo == m_target ? m_relay : m_target);
+                sendAttempt(step, i->first, pending, nextHost(pending));
             ++i;
         }
     }
@@ -122,6 +127,7 @@
         Time sentAt {}; ///< Of the latest attempt.
         HostId sentTo; ///< Host of the latest attempt.
         Duration resendInterval = config::callResendInterval; ///< After the next attempt.
+        bool isRefused = false; ///< Whether the latest attempt was.
         uint32_t uncertainAttempts = 0; ///< Attempts that may have taken effect.
         uint32_t attempts = 0;
     };
@@ -134,6 +140,21 @@
             { "open", std::to_string(pending.uncertainAttempts) }, { "target", m_target.isValid() ? std::to_string(m_target.value) : "none" } };
     }
 
+    /// By turns the target and the relay; a refusal by the leader is no reason to go round it.
+    HostId nextHost(const PendingCall& pending) const
+    {
+        const bool goesRound = m_relay.isValid() && pending.sentTo == m_target && !(pending.isRefused && m_isTargetLeading);
+        return goesRound ? m_relay : m_target;
+    }
+
+    void sendRefused(FleetStep& step)
+    {
+        for (auto& [number, pending] : m_pending) {
+            if (pending.isRefused)
+                sendAttempt(step, number, pending, m_target);
+        }
+    }
+
     void sendAll(FleetStep& step)
     {
         for (auto& [number, pending] : m_pending) {
@@ -149,6 +170,7 @@
             return;
         pending.sentAt = step.now;
         pending.sentTo = to;
+        pending.isRefused = false;
         pending.nextAttempt = step.now + pending.resendInterval;
         pending.resendInterval = std::min(pending.resendInterval * 2, config::maxCallResendInterval);
         ++pending.uncertainAttempts;
@@ -159,6 +181,7 @@
 
     HostId m_self;
     HostId m_target;
+    bool m_isTargetLeading = false;
     HostId m_relay;
     uint64_t m_nextNumber = 1;
     uint64_t m_forwardedCount = 0; ///< Attempts of all calls since the start.
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -79,6 +79,7 @@
     if (report.isLeading) {
         m_leaderTerm = report.term;
         m_leader = from;
+        m_confirmedTerm = report.term;
         m_lastLeaderContact = step.now;
         return;
     }
@@ -129,7 +130,8 @@
         target = *m_connected.begin();
     const auto relay = std::find_if(m_connected.begin(), m_connected.end(), [&](HostId host) { return host != target; });
     m_forwarder.setRelay(relay == m_connected.end() ? HostId {} : *relay);
-    m_forwarder.setTarget(step, target);
+    const bool isLeading = target == m_leader && m_confirmedTerm == m_leaderTerm && hasLeaderContact(step.now);
+    m_forwarder.setTarget(step, target, isLeading);
 }
 
 void EntryNode::updateConnectTargets(FleetStep& step)
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -87,6 +87,7 @@
     std::vector<HostId> m_controlHosts; ///< From the latest status report that listed hosts; older terms are ignored.
     HostId m_leader;
     uint64_t m_leaderTerm = 0;
+    uint64_t m_confirmedTerm = 0; ///< Latest term in which a leader itself said that it leads.
     Time m_lastLeaderContact = Time::min();
     uint64_t m_answeredVersion = 0; ///< Highest version by which the leader answered a lookup.
     Time m_nextStatus {};
--- a/tests/entry_node_test.cpp
+++ b/tests/entry_node_test.cpp
@@ -170,6 +170,22 @@
     BOOST_TEST((statusIn(entry.find("/jobs/")) == ControlStatus::Ok));
 }
 
+/// After a power loss of all hosts, calls that a host had refused because it did not lead yet waited for their next
+/// attempt, which another host refused, and ended although the first one led by then.
+BOOST_AUTO_TEST_CASE(refusedCallWaitsWhileItsTargetAlreadyLeads)
+{
+    Entry entry;
+    entry.receive(seed, statusOf(false));
+    stepNode(entry.node, start, FleetPeerUp { leader });
+    BOOST_TEST((forwardedTo(entry.find("/jobs/")) == std::vector<HostId> { leader }));
+    const ForwardedCallReply refusal { entry.lastCall, Entry::settings().self, { ControlStatus::NotAccepted, {}, 0, {} } };
+    BOOST_TEST(forwardedTo(entry.receive(leader, refusal)).empty());
+    BOOST_TEST((forwardedTo(entry.receive(leader, statusOf(true))) == std::vector<HostId> { leader }));
+    BOOST_TEST(forwardedTo(entry.receive(leader, statusOf(true))).empty());
+    entry.receive(leader, refusal);
+    BOOST_TEST((forwardedTo(stepNode(entry.node, start + config::callRetryInterval, FleetTick {})) == std::vector<HostId> { leader }));
+}
+
 BOOST_AUTO_TEST_CASE(lookupWithoutAControlHostEndsAtOnce)
 {
     Entry entry;
