Tell refused callers to come back after as long as the outage has lasted

Change: call_admission.h decides, apart from I/O, when a refused caller should come back: after the time since this host last heard from a leader, between 1 and 4 s, spread over half of it, so that callers do not return together. The fixed second stays as the baseline.

Test: refusedCallersUseUpTheirTriesInALongOutage replays such an outage on both; refusalTellsWhenToComeBack shows the replies of the entry host.

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -155,6 +155,11 @@
 inline constexpr size_t maxReservedGangs = 3; ///< Of one priority, for which workers are reserved at a time.
 inline constexpr size_t workersPerReservedGang = 16; ///< In large fleets, one gang for this many workers.
 inline constexpr size_t gangAdviceWorkers = 30; ///< Named in one advice request for a gang.
+inline constexpr Duration preemptionPatience = 1s; ///< Longest time that a gang waits for capacity rather than preempt runs.
+inline constexpr Duration preemptionTime = 500ms; ///< From a preemption until the run's capacity is free.
+inline constexpr Duration reservationSwitchGain = 300ms; ///< A gang gives up reserved workers only to start earlier by more than this.
+inline constexpr Duration gangStartTolerance = 300ms; ///< By which the expected start of a gang may be wrong.
+inline constexpr Duration gangStartMargin = 100ms; ///< From a placement until the last member starts.
 inline constexpr uint32_t nearlyDonePercent = 80; ///< A run with at least this progress is not preempted.
 
 // Fleet.
@@ -172,11 +177,15 @@
 inline constexpr Duration maxCallResendInterval = 5s;
 inline constexpr Duration controlCallTimeout = 2500ms; ///< Timeout of a caller's call that states no deadline.
 inline constexpr Duration unsentCallTimeout = 1s; ///< How long a call waits for a known leader before it fails unsent.
+inline constexpr Duration minRetryAfter = 1s; ///< Told to callers whose calls were refused for want of a leader.
+inline constexpr Duration maxRetryAfter = 4s; ///< Without the spread.
 inline constexpr Duration voterTimeout = 3s; ///< A voter that does not answer for this long is replaced.
 inline constexpr Duration outgoingIdleLifetime = 20s; ///< Idle connections to workers and services.
 inline constexpr size_t maxAdviceWorkers = 100; ///< Named in one advice request.
 inline constexpr size_t hostsForShortAdvice = 3; ///< Hosts that make no long advice calls, so that short ones do not wait.
+inline constexpr size_t hostsPerShortAdvice = 6; ///< In large fleets, one such host for this many hosts.
 inline constexpr Duration longAdviceThreshold = 200ms; ///< An advice call expected to take at least this is long.
+inline constexpr int longAdviceFactor = 5; ///< So is one that takes this multiple of the shortest ones.
 inline constexpr size_t fleetMailboxCapacity = 65536; ///< Messages.
 inline constexpr size_t maxMessagesBeforeYield = 16; ///< Handled by the core's task before it lets connections be read.
 inline constexpr Duration delayToLog = 50ms; ///< A second in which something of the core's task took this long gets a line in the log.
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -18,14 +18,17 @@
 
 std::vector<FleetEffect> EntryNode::receive(Time now, const FleetEvent& event)
 {
+    noteTime(now);
     FleetStep step;
     step.now = now;
     std::visit([&](const auto& body) { handle(step, body); }, event);
+    adviseRefusedCalls(step);
     return std::move(step.effects);
 }
 
 std::vector<FleetEffect> EntryNode::finish(Time now)
 {
+    noteTime(now);
     FleetStep step;
     step.now = now;
     chooseTarget(step);
@@ -35,9 +38,26 @@
         sendStatus(step);
     logReadiness(step);
     updateConnectTargets(step);
+    adviseRefusedCalls(step);
     return std::move(step.effects);
 }
 
+void EntryNode::noteTime(Time now)
+{
+    if (m_startedAt == Time::min())
+        m_startedAt = now;
+}
+
+void EntryNode::adviseRefusedCalls(FleetStep& step) const
+{
+    const Duration outage = step.now - std::max(m_startedAt, m_lastLeaderContact);
+    for (FleetEffect& effect : step.effects) {
+        auto* sent = std::get_if<SendControlReply>(&effect);
+        if (sent && sent->reply.status == ControlStatus::NotAccepted)
+            sent->reply.retryAfter = m_admission.retryAfter(outage, m_settings.self.value + sent->call.value);
+    }
+}
+
 void EntryNode::handle(FleetStep& step, const FleetPeerUp& event)
 {
     m_connected.insert(event.host);
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "call_admission.h"
 #include "call_forwarder.h"
 #include "call_relay.h"
 #include "config_receiver.h"
@@ -73,6 +74,8 @@
     void receive(FleetStep& step, HostId from, const ForwardedCallReply& reply);
     void receive(FleetStep& step, HostId from, const AdviceRequest& request);
 
+    void noteTime(Time now);
+    void adviseRefusedCalls(FleetStep& step) const;
     void findQueue(FleetStep& step, const ControlCallReceived& event, const QueueAddress& address);
     void updateConnectTargets(FleetStep& step);
     void chooseTarget(FleetStep& step);
@@ -81,6 +84,8 @@
 
     FleetSettings m_settings;
     CallForwarder m_forwarder;
+    OutageAdmission m_admission;
+    Time m_startedAt = Time::min(); ///< Of the first step.
     ConfigReceiver m_configReceiver;
     std::set<HostId> m_connected;
     std::set<HostId> m_connectTargets;
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -118,6 +118,7 @@
     std::string text; ///< The configuration in force.
     std::optional<QueueSpec> queue {}; ///< The requested queue.
     uint64_t configVersion = 0; ///< Version by which the call's queue was found; 0 in replies to other calls.
+    Duration retryAfter {}; ///< When the caller of a refused call should come back. Set by the host that took the call; not sent to others.
 
     static constexpr auto members()
     {
--- a/tests/entry_node_test.cpp
+++ b/tests/entry_node_test.cpp
@@ -186,6 +186,48 @@
     BOOST_TEST((forwardedTo(stepNode(entry.node, start + config::callRetryInterval, FleetTick {})) == std::vector<HostId> { leader }));
 }
 
+/// Callers that were refused in an outage came back every second, until they had used all their tries.
+BOOST_AUTO_TEST_CASE(refusedCallersUseUpTheirTriesInALongOutage)
+{
+    constexpr Duration outage = 7500ms;
+    constexpr size_t callers = 200;
+    constexpr int tries = 5;
+    const auto replay = [&](const auto& admission) {
+        std::map<int64_t, size_t> returns; // By tenths of a second after the outage.
+        size_t served = 0;
+        for (size_t caller = 0; caller < callers; ++caller) {
+            Duration now = 20ms * caller;
+            int tried = 1;
+            for (; tried <= tries && now < outage; ++tried)
+                now += admission.retryAfter(now, caller * 10 + static_cast<size_t>(tried));
+            if (tried <= tries) {
+                ++served;
+                ++returns[(now - outage) / 100ms];
+            }
+        }
+        size_t most = 0;
+        for (const auto& [tenth, count] : returns)
+            most = std::max(most, count);
+        return std::make_pair(served, most);
+    };
+    const auto [served, most] = replay(OutageAdmission());
+    BOOST_TEST(served == callers);
+    BOOST_TEST(most <= callers / 10);
+    BOOST_TEST(replay(FixedAdmission()).first < served);
+}
+
+BOOST_AUTO_TEST_CASE(refusalTellsWhenToComeBack)
+{
+    Entry entry;
+    entry.receive(leader, statusOf(true));
+    stepNode(entry.node, start, FleetPeerDown { seed });
+    const auto retryAfter = [&](Time now) { return std::get<SendControlReply>(entry.node.receive(now, ControlCallReceived { CallId { 1 }, FindQueueInForce { { "host", "/jobs/" } }, now + 1s }).front()).reply.retryAfter; };
+    BOOST_TEST((retryAfter(start + 100ms) >= config::minRetryAfter));
+    BOOST_TEST((retryAfter(start + 100ms) <= config::minRetryAfter * 3 / 2));
+    BOOST_TEST((retryAfter(start + 3s) >= 3s));
+    BOOST_TEST((retryAfter(start + 1min) <= config::maxRetryAfter * 3 / 2));
+}
+
 BOOST_AUTO_TEST_CASE(lookupWithoutAControlHostEndsAtOnce)
 {
     Entry entry;
