--- a/src/gang_reservation.cpp
+++ b/src/gang_reservation.cpp
@@ -52,7 +52,7 @@
     const auto isUsable = [](const GangCandidate& candidate, Time at) { return at + config::gangStartMargin <= candidate.usableUntil(); };
     // Without new tickets, if that needs no long wait.
     Choice choice = earliest(candidates, isUsable);
-    if (choice.startsAt <= now + patience) {
+    if (choice.startsAt <= now + std::max(patience, Duration {})) {
         take(std::move(choice));
         return;
     }
@@ -61,7 +61,7 @@
     Choice reserved = earliest(candidates, [](const GangCandidate& candidate, Time) { return candidate.wasReserved(); });
     if (reserved.startsAt != never && reserved.startsAt <= any.startsAt + config::reservationSwitchGain)
         any = std::move(reserved);
-    if (any.startsAt > now + patience) {
+    if (any.startsAt > now + std::max(patience, Duration {})) {
         choice = byPreemption(candidates, [&](const GangCandidate& candidate) { return isUsable(candidate, now + config::preemptionTime); });
         if (choice.startsAt == never)
             choice = byPreemption(candidates, [](const GangCandidate&) { return true; });
--- a/src/run_forecast.h
+++ b/src/run_forecast.h
@@ -3,6 +3,7 @@
 #include "worker_view.h"
 
 #include <concepts>
+#include <optional>
 
 namespace eelgrassloft {
 
@@ -21,19 +22,32 @@
     Time endOf(const RunView& run, Time now) const { return run.isLongRunning ? never : now + std::chrono::hours(1); }
 };
 
-/// Policy for full fleets, where some capacity becomes free all the time: the run's end by its
-/// estimate, if it has one, and the progress that its worker reports. A run that takes longer than
-/// estimated is expected to take half as long again as it is overdue.
+/// Policy for full fleets, where some capacity becomes free all the time: the run's end by the progress
+/// that its worker reports, or by its estimate, which may be far off, until there is some. A run that
+/// takes longer than expected is expected to take half as long again as it is overdue.
 struct ProgressForecast {
     Time endOf(const RunView& run, Time now) const
     {
-        if (run.isLongRunning || run.estimate == Duration::zero())
+        const std::optional<Duration> expected = leftAtProgress(run);
+        if (run.isLongRunning || !expected)
             return UnknownForecast().endOf(run, now);
         const Time since = run.isReported ? run.progressAt : run.confirmedAt == Time {} ? now
                                                                                         : run.confirmedAt;
-        const Duration left = since + run.estimate * (100 - std::min(run.percent, 100U)) / 100 - now;
+        const Duration left = since + *expected - now;
         return now + std::max(left, -left / 2);
     }
+
+private:
+    /// Time that the run had left when its progress last changed.
+    static std::optional<Duration> leftAtProgress(const RunView& run)
+    {
+        const auto left = static_cast<Duration::rep>(100 - std::min(run.percent, 100U));
+        if (run.percent > run.firstPercent && run.progressAt > run.reportedSince)
+            return (run.progressAt - run.reportedSince) * left / static_cast<Duration::rep>(run.percent - run.firstPercent);
+        if (run.estimate > Duration::zero())
+            return run.estimate * left / 100;
+        return std::nullopt;
+    }
 };
 
 static_assert(RunForecast<UnknownForecast> && RunForecast<ProgressForecast>);
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -51,6 +51,7 @@
         m_isolation.begin(workerViews, capacityView, now);
         m_previouslyReserved = std::exchange(m_reserved, {});
         m_reservedGangs.clear();
+        std::erase_if(m_waitingSince, [&](const auto& entry) { return !m_previouslyReserved.count(entry.first); });
         collectPendingQueries(advice);
         // Suspects only take workers that are idle or withheld for them, and a few tickets. After all others,
         // they would get no tickets while the fleet is busy.
@@ -442,10 +443,10 @@
             return;
         const uint32_t priority = step.job->queue.priority;
         const auto candidates = gangCandidates(capacityView, queue, step, stepAdvice, now);
-        const Duration patience = patienceOf(step, now);
+        const Duration patience = patienceOf(step, now) - (now - m_waitingSince.try_emplace(step.step, now).first->second);
         const GangReservation reservation(candidates, step.spec(), priority, patience, now);
         const bool canQuery = queue.advice && !(stepAdvice && stepAdvice->isQueryPending);
-        const bool startsSoon = reservation.startsAt() <= now + patience;
+        const bool startsSoon = reservation.startsAt() <= now + std::max(patience, Duration {});
         if (!startsSoon && canQuery && planDiscovery(plan, capacityView, advice, queue, step, stepAdvice, hasFreeHost))
             return;
         if (!reservation.isPossible())
@@ -472,7 +473,7 @@
         return candidates;
     }
 
-    /// How long a gang waits for capacity before it preempts runs.
+    /// How long a gang waits for capacity in all before it preempts runs.
     static Duration patienceOf(const ReadyStep& step, Time now)
     {
         const Duration slack = step.objective - (now + step.remainingCriticalPath);
@@ -561,6 +562,7 @@
     size_t m_heldClaims = 0; ///< The first of these are held from less urgent steps.
     ReservedWorkers m_reserved; ///< Reservations of the current plan.
     ReservedWorkers m_previouslyReserved; ///< Reservations of the previous plan.
+    std::map<TaskRef, Time> m_waitingSince; ///< When the gangs with a reservation first had one.
     std::map<uint32_t, size_t> m_reservedGangs; ///< Number of gangs with a reservation, by priority.
 };
 
--- a/src/worker_view.h
+++ b/src/worker_view.h
@@ -36,6 +36,8 @@
     bool isReported = false;
     uint32_t percent = 0;
     Time progressAt {}; ///< When `percent` last changed.
+    Time reportedSince {}; ///< When the worker first reported the run.
+    uint32_t firstPercent = 0; ///< Progress in that report.
     std::string checkpoint;
     std::string ticket;
     bool isStopRequested = false;
--- a/src/worker_views.cpp
+++ b/src/worker_views.cpp
@@ -173,6 +173,10 @@
             run.phase = RunPhase::Running;
             run.confirmedAt = now;
         }
+        if (!run.isReported) {
+            run.reportedSince = now;
+            run.firstPercent = listed.percent;
+        }
         if (listed.percent != run.percent || !run.isReported)
             run.progressAt = now;
         run.isReported = true;
