Send no start to a worker that does not answer

Callers: none saw it; the rule at stake is that no task runs twice at a time.

Cause: a start without an answer was sent again every 150 ms, also while the worker's polls failed. A worker may come back under the id that it had, and the call names only that id, so that its next incarnation carried out the start. The leader, which learned of the new incarnation by that answer, placed the task anew: two runs at a time until the first was stopped.

Change: no start goes to a worker whose last poll failed; the next poll tells which incarnation answers.

Test: FleetClusterTests/healthyGangWaitsBehindAStreamOfSuspects failed before, passes now, with all other tests of the fleet.

--- a/src/worker_dispatcher.cpp
+++ b/src/worker_dispatcher.cpp
@@ -365,6 +365,9 @@
             continue;
         if (!runView.isStopRequested && runView.phase == RunPhase::Running)
             continue;
+        // The next incarnation under the same id would carry out the start of a run that is then placed anew.
+        if (workerView.isUnresponsive && !runView.isStopRequested && table.isCurrentRun(run))
+            continue;
         if (step.now < runView.nextOrder) {
             m_workerViews.schedule(runView.nextOrder, workerView.number);
             continue;
