Keep runs placed that a worker's next incarnation may have

Cause: orders name the worker's id, which the next incarnation shares, and the answer to a start doesn't say which one gave it. All runs of the former one were requeued at once. The table now hands those that the next one may have to its record; they are stopped there, and requeued once it doesn't list them. The stand-in worker of the tests answered starts with its incarnation, which hid this.

--- a/include/eelgrassloft/effects.h
+++ b/include/eelgrassloft/effects.h
@@ -48,6 +48,7 @@
     RunLost,
     WorkerUnresponsive,
     WorkerResponsive,
+    WorkerClockWentBack,
     AdviceUnanswered,
     LeaderSummary,
     StorageRefused, ///< The disk refuses the writes of a log, which are retried.
@@ -64,7 +65,7 @@
         "change-refused", "upstream-announced", "upstream-leaving", "upstream-set-aside", "worker-joined",
         "worker-lost", "worker-set-aside", "time-leap", "draining",
         "log-formed", "membership-changed", "incarnation-changed", "job-ended", "job-accepted", "call-unanswered", "order-refused",
-        "run-failed", "run-lost", "worker-silent", "worker-back", "advice-unanswered",
+        "run-failed", "run-lost", "worker-silent", "worker-back", "worker-clock-went-back", "advice-unanswered",
         "leader-summary", "storage-refused", "storage-restored", "task-suspected", "job-given-up", "readiness-changed" };
     static_assert(detail::isComplete<LogEventKind>(table));
     return table;
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -623,7 +623,12 @@
     }
 
     void didApply(FleetStep&, const PlaceRuns&, const Applied&) { m_planPacer.request(); }
-    void didApply(FleetStep&, const RequeueLostRuns&, const Applied&) { m_planPacer.request(); }
+    void didApply(FleetStep& step, const RequeueLostRuns&, const Applied& applied)
+    {
+        m_planPacer.request();
+        noteCrashes(step, applied.result);
+    }
+
     void didApply(FleetStep& step, const CancelWork&, const Applied& applied) { jobsEnded(step, applied.result.ended); }
     void didApply(FleetStep& step, const SetFleetWorker&, const Applied& applied) { updateWorkers(step, applied.result); }
     void didApply(FleetStep& step, const RemoveFleetWorker&, const Applied& applied) { updateWorkers(step, applied.result); }
@@ -666,6 +671,12 @@
     {
         m_dispatcher.updateWorkers(table(), step.now);
         m_planPacer.request();
+        noteCrashes(step, result);
+    }
+
+    /// Notes the tasks that a command has shown to be suspects, and the jobs that it has ended for that.
+    void noteCrashes(FleetStep& step, const WorkResult& result)
+    {
         m_counters.add(FleetCounter::TasksSuspected, result.suspected.size());
         for (const SuspectedTask& suspect : result.suspected)
             step.log(LogEventKind::TaskSuspected, suspectFields(suspect));
--- a/src/work_table.cpp
+++ b/src/work_table.cpp
@@ -1,6 +1,7 @@
 #include "work_table.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace eelgrassloft {
@@ -203,15 +204,50 @@
         }
         former.push_back(number);
     }
+    FleetWorker inheritance = takeInheritance(former, info.id);
     for (const WorkerNumber number : former)
         removeWorker(at, number, true);
     const WorkerNumber number { m_nextWorker++ };
     m_workers[number].info = info;
     m_workers[number].reportSequence = command.reportSequence;
     m_workerById[info.id] = number;
+    inherit(number, std::move(inheritance));
     return {};
 }
 
+/// Takes what the next incarnation of a worker inherits of the former ones: the runs whose orders it may
+/// carry out, as orders name the worker's id only, and what these may have to do with a crash.
+FleetWorker WorkTable::takeInheritance(const std::vector<WorkerNumber>& former, const std::string& id)
+{
+    FleetWorker inheritance;
+    for (const WorkerNumber number : former) {
+        FleetWorker& record = m_workers.at(number);
+        if (record.info.id != id)
+            continue;
+        std::move(record.runs.begin(), record.runs.end(), std::back_inserter(inheritance.runs));
+        record.runs.clear();
+        const bool hasOpen = std::any_of(record.crashSuspects.begin(), record.crashSuspects.end(), [](const LostRun& lost) { return lost.mayBeInherited; });
+        if (hasOpen)
+            inheritance.formerCrashSuspects = record.crashSuspects;
+    }
+    return inheritance;
+}
+
+void WorkTable::inherit(WorkerNumber heir, FleetWorker inheritance)
+{
+    FleetWorker& record = m_workers[heir];
+    record.runs = std::move(inheritance.runs);
+    record.formerCrashSuspects = std::move(inheritance.formerCrashSuspects);
+    for (const TaskRun& run : record.runs) {
+        const auto found = m_jobs.find(run.task.job);
+        WorkTask* task = found == m_jobs.end() ? nullptr : found->second.task(run.task);
+        if (!task || task->phase != TaskPhase::Placed || task->attempt != run.attempt)
+            continue;
+        ++found->second.changes;
+        task->worker = heir;
+    }
+}
+
 bool WorkTable::displacesWorker(const WorkerInfo& info) const
 {
     return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto& entry) { return entry.second.info.isSameWorker(info) && !isSameIncarnation(entry.second.info, info); });
@@ -228,8 +264,9 @@
 void WorkTable::removeWorker(Time at, WorkerNumber number, bool isReplaced)
 {
     FleetWorker& record = m_workers.at(number);
+    record.formerCrashSuspects.clear();
     for (const TaskRun& run : std::vector<TaskRun>(record.runs))
-        requeue({ run, {} }, number);
+        requeue(at, { run, {} }, number);
     if (isReplaced && !record.info.isLeaving)
         countCrash(at, record);
     takeCrashSuspects(record);
@@ -244,8 +281,8 @@
 {
     if (lost.evidence == CrashEvidence::None || worker.info.isLeaving)
         return;
-    worker.crashSuspects.push_back({ lost.run, {}, lost.evidence });
-    if (lost.evidence != CrashEvidence::Strong)
+    worker.crashSuspects.push_back({ lost.run, {}, lost.evidence, lost.mayBeInherited });
+    if (lost.evidence != CrashEvidence::Strong || lost.mayBeInherited)
         return;
     ++task.openLosses;
     task.isSuspect = true;
@@ -258,7 +295,7 @@
     for (const LostRun& lost : taken) {
         const auto found = m_jobs.find(lost.run.task.job);
         WorkTask* task = found == m_jobs.end() ? nullptr : found->second.task(lost.run.task);
-        if (!task || lost.evidence != CrashEvidence::Strong)
+        if (!task || lost.evidence != CrashEvidence::Strong || lost.mayBeInherited)
             continue;
         ++found->second.changes;
         --task->openLosses;
@@ -291,29 +328,50 @@
     return task.crashes + task.lateCrashes >= config::maxCrashesBesideOthers;
 }
 
-/// Counts the crash of a worker against the tasks that may have caused it.
+/// Counts the crash of a worker against the tasks that may have caused it, apart from those that may only
+/// have started after it.
 void WorkTable::countCrash(Time at, FleetWorker& worker)
 {
     const std::vector<LostRun> suspects = takeCrashSuspects(worker);
     const bool wasAlone = areOfOneJob(suspects);
     for (const LostRun& lost : suspects) {
-        const auto found = m_jobs.find(lost.run.task.job);
-        WorkTask* task = found == m_jobs.end() ? nullptr : found->second.task(lost.run.task);
-        if (!task || isEnded(found->second.state) || task->phase == TaskPhase::Done)
-            continue;
-        WorkJob& job = found->second;
-        const bool isConfirmed = isConfirmedCrash(*task, lost.evidence, wasAlone);
-        if (lost.evidence != CrashEvidence::Late)
-            m_suspectedByCommand.push_back({ lost.run, worker.info.id, task->crashes, lost.evidence, wasAlone });
-        if (!mustGiveUp(*task, isConfirmed, wasAlone && lost.evidence == CrashEvidence::Strong))
-            continue;
-        const uint32_t crashes = task->crashes + task->lateCrashes;
-        job.endedBy = lost.run;
-        endJob(at, job, WorkState::Failed);
-        m_endedByCommand.back().crashes = crashes;
+        if (!lost.mayBeInherited)
+            countCrashAgainst(at, worker, lost, wasAlone);
     }
 }
 
+/// Counts the crash of a worker's former incarnation against an inherited run, which the present one turned
+/// out not to have.
+void WorkTable::countFormerCrash(Time at, FleetWorker& worker, const LostRun& lost)
+{
+    const std::vector<LostRun>& suspects = worker.formerCrashSuspects;
+    const auto suspect = std::find_if(suspects.begin(), suspects.end(), [&](const LostRun& candidate) { return candidate.mayBeInherited && candidate.run == lost.run; });
+    if (suspect == suspects.end())
+        return;
+    const LostRun counted = *suspect;
+    countCrashAgainst(at, worker, counted, areOfOneJob(suspects));
+}
+
+void WorkTable::countCrashAgainst(Time at, const FleetWorker& worker, const LostRun& lost, bool wasAlone)
+{
+    const auto found = m_jobs.find(lost.run.task.job);
+    WorkTask* task = found == m_jobs.end() ? nullptr : found->second.task(lost.run.task);
+    if (!task || isEnded(found->second.state) || task->phase == TaskPhase::Done)
+        return;
+    WorkJob& job = found->second;
+    ++job.changes;
+    task->isSuspect = task->isSuspect || lost.evidence == CrashEvidence::Strong;
+    const bool isConfirmed = isConfirmedCrash(*task, lost.evidence, wasAlone);
+    if (lost.evidence != CrashEvidence::Late)
+        m_suspectedByCommand.push_back({ lost.run, worker.info.id, task->crashes, lost.evidence, wasAlone });
+    if (!mustGiveUp(*task, isConfirmed, wasAlone && lost.evidence == CrashEvidence::Strong))
+        return;
+    const uint32_t crashes = task->crashes + task->lateCrashes;
+    job.endedBy = lost.run;
+    endJob(at, job, WorkState::Failed);
+    m_endedByCommand.back().crashes = crashes;
+}
+
 // Runs.
 
 WorkTable::Result WorkTable::handle(Time at, const PlaceRuns& command)
@@ -428,18 +486,18 @@
     endJob(at, job, WorkState::Done);
 }
 
-WorkTable::Result WorkTable::handle(Time, const RequeueLostRuns& command)
+WorkTable::Result WorkTable::handle(Time at, const RequeueLostRuns& command)
 {
     for (const LostRun& lost : command.runs)
-        requeue(lost, command.worker);
+        requeue(at, lost, command.worker);
     return {};
 }
 
-void WorkTable::requeue(const LostRun& lost, WorkerNumber worker)
+void WorkTable::requeue(Time at, const LostRun& lost, WorkerNumber worker)
 {
     const TaskRun& run = lost.run;
     const auto record = m_workers.find(worker);
-    if (record != m_workers.end())
+    if (record != m_workers.end() && !lost.mayBeInherited)
         std::erase(record->second.runs, run);
     const auto found = m_jobs.find(run.task.job);
     if (found == m_jobs.end())
@@ -447,10 +505,14 @@
     WorkTask* task = found->second.task(run.task);
     if (task && task->phase == TaskPhase::Placed && task->attempt == run.attempt && task->worker == worker) {
         ++found->second.changes;
-        task->phase = TaskPhase::Waiting;
+        if (!lost.mayBeInherited)
+            task->phase = TaskPhase::Waiting;
         storeCheckpoint(found->second, run.task, lost.checkpoint);
-        if (record != m_workers.end())
-            noteCrashSuspect(record->second, *task, lost);
+        if (record == m_workers.end())
+            return;
+        noteCrashSuspect(record->second, *task, lost);
+        if (lost.evidence == CrashEvidence::None)
+            countFormerCrash(at, record->second, lost);
     }
 }
 
--- a/src/work_table.h
+++ b/src/work_table.h
@@ -119,8 +119,9 @@
     TaskRun run;
     std::string checkpoint; ///< Latest one that the worker reported; empty if there is none.
     CrashEvidence evidence = CrashEvidence::None; ///< In case the worker has crashed.
+    bool mayBeInherited = false; ///< Whether the worker's next incarnation may run it, so that its task is not requeued yet.
 
-    static constexpr auto members() { return std::make_tuple(&LostRun::run, &LostRun::checkpoint, &LostRun::evidence); }
+    static constexpr auto members() { return std::make_tuple(&LostRun::run, &LostRun::checkpoint, &LostRun::evidence, &LostRun::mayBeInherited); }
 };
 
 struct FleetWorker {
@@ -128,11 +129,13 @@
     uint64_t lastEndNumber = 0; ///< Number of the last recorded end; the worker may forget ends up to it.
     std::vector<TaskRun> runs; ///< Runs placed on the worker and not known to have ended.
     uint64_t reportSequence = 0; ///< Number of the report that `info` is from.
-    std::vector<LostRun> crashSuspects; ///< Requeued runs that may have caused the worker's crash, if it has crashed.
+    std::vector<LostRun> crashSuspects; ///< Lost runs that may have caused the worker's crash, if it has crashed.
+    std::vector<LostRun> formerCrashSuspects; ///< Those of the former incarnation's crash, as long as inherited runs are among them.
 
     static constexpr auto members()
     {
-        return std::make_tuple(&FleetWorker::info, &FleetWorker::lastEndNumber, &FleetWorker::runs, &FleetWorker::reportSequence, &FleetWorker::crashSuspects);
+        return std::make_tuple(&FleetWorker::info, &FleetWorker::lastEndNumber, &FleetWorker::runs, &FleetWorker::reportSequence, &FleetWorker::crashSuspects,
+            &FleetWorker::formerCrashSuspects);
     }
 };
 
@@ -159,7 +162,8 @@
 };
 
 /// Adds a worker, or a new incarnation of it. A former incarnation that had not announced its end
-/// has crashed.
+/// has crashed. An incarnation under the same id inherits the runs that have not been requeued, as it
+/// may have carried out the orders to start them.
 struct SetFleetWorker {
     WorkerInfo info;
     uint64_t reportSequence = 0;
@@ -317,11 +321,15 @@
     bool countFailure(WorkJob& job, const TaskRun& run);
     void completeTask(Time at, WorkJob& job, const TaskRun& run);
     void endJob(Time at, WorkJob& job, WorkState state);
-    void requeue(const LostRun& lost, WorkerNumber worker);
+    void requeue(Time at, const LostRun& lost, WorkerNumber worker);
     void removeWorker(Time at, WorkerNumber number, bool isReplaced);
+    FleetWorker takeInheritance(const std::vector<WorkerNumber>& former, const std::string& id);
+    void inherit(WorkerNumber heir, FleetWorker inheritance);
     void noteCrashSuspect(FleetWorker& worker, WorkTask& task, const LostRun& lost);
     std::vector<LostRun> takeCrashSuspects(FleetWorker& worker);
     void countCrash(Time at, FleetWorker& worker);
+    void countFormerCrash(Time at, FleetWorker& worker, const LostRun& lost);
+    void countCrashAgainst(Time at, const FleetWorker& worker, const LostRun& lost, bool wasAlone);
     static bool isConfirmedCrash(WorkTask& task, CrashEvidence evidence, bool wasAlone);
     static bool mustGiveUp(const WorkTask& task, bool isConfirmed, bool isSoleCause);
     void removeExpiredJobs(Time at);
--- a/src/worker_dispatcher.cpp
+++ b/src/worker_dispatcher.cpp
@@ -59,10 +59,14 @@
         return;
     const bool isOtherIncarnation = response.outcome == OrderOutcome::OtherIncarnation || (response.startedAtMs && *response.startedAtMs != target->info.startedAtMs);
     if (isOtherIncarnation) {
-        endIncarnation(*target, step.now);
+        if (!target->hasEnded)
+            endIncarnation(*target, step.now, response.outcome);
         return;
     }
-    if (response.clockMs)
+    const bool isClockBehind = response.clockMs && target->lease.isOfNextIncarnation(call.sentAt, *response.clockMs);
+    if (isClockBehind && call.kind != OrderKind::Poll)
+        noteNextIncarnation(step, *target, call);
+    else if (response.clockMs)
         target->lease.updateClock(step.now, *response.clockMs);
     if (response.outcome != OrderOutcome::NoResponse) {
         target->noteAlive(step.now);
@@ -82,6 +86,16 @@
     m_workerViews.schedule(step.now, call.worker);
 }
 
+/// Notes that a later incarnation has responded to an order, by its clock. The next poll confirms it.
+void WorkerDispatcher::noteNextIncarnation(FleetStep& step, WorkerView& workerView, const PendingWorkerCall& call)
+{
+    step.log(LogEventKind::WorkerClockWentBack, { { "worker", workerView.info.id }, { "order", std::string(name(call.kind)) }, { "runs", std::to_string(workerView.runs.size()) } });
+    workerView.nextPoll = step.now;
+    const auto found = workerView.runs.find(call.run);
+    if (call.kind == OrderKind::Start && found != workerView.runs.end())
+        found->second.isOfNextIncarnation = true;
+}
+
 void WorkerDispatcher::handleStartResponse(FleetStep& step, const WorkTable& table, WorkerView& workerView, const PendingWorkerCall& call, const OrderResponse& response)
 {
     const auto found = workerView.runs.find(call.run);
@@ -173,6 +187,7 @@
     if (std::exchange(workerView.isUnresponsive, false))
         step.log(LogEventKind::WorkerResponsive, { { "worker", workerView.info.id }, { "silentMs", std::to_string((step.now - workerView.unresponsiveSince) / std::chrono::milliseconds(1)) } });
     workerView.hasUnansweredStart = false;
+    workerView.upAt = std::max(workerView.upAt, call.sentAt);
     workerView.endsAcknowledged = std::max(workerView.endsAcknowledged, call.acknowledgedEnd);
     workerView.nextPoll = std::max(step.now, call.sentAt + config::pollInterval);
     processEnds(step, table, workerView, response.ends);
@@ -281,19 +296,70 @@
     requeue(workerView, now, runs, true);
 }
 
-void WorkerDispatcher::endIncarnation(WorkerView& workerView, Time now)
+/// Requeues the runs of an incarnation that has ended, except those that the next one under the same id
+/// may have. Of these, the log only keeps what they may have to do with a crash. Returns whether there
+/// are such.
+bool WorkerDispatcher::requeueEnded(WorkerView& workerView, Time now)
 {
-    requeueAll(workerView, now);
-    m_commands.push_back(RemoveFleetWorker { workerView.number, true });
+    std::vector<TaskRun> ended;
+    RequeueLostRuns inherited { workerView.number, {} };
+    for (const auto& [run, runView] : workerView.runs) {
+        if (runView.phase == RunPhase::Reserved)
+            continue;
+        if (runView.mayBeInherited(workerView.upAt))
+            inherited.runs.push_back({ run, runView.checkpoint, runView.crashEvidence(workerView.aliveUntil, workerView.brokenAt), true });
+        else
+            ended.push_back(run);
+    }
+    requeue(workerView, now, ended, true);
+    for (const LostRun& lost : inherited.runs) {
+        if (workerView.runs.at(lost.run).isGang)
+            m_workerViews.stopGang(now, lost.run);
+    }
+    const bool hasHeirs = !inherited.runs.empty();
+    if (hasHeirs)
+        m_commands.push_back(std::move(inherited));
+    return hasHeirs;
+}
+
+/// Ends a view whose worker has another incarnation. With another id it carries out no orders to this one;
+/// under the same id it may have, so that the record of such runs stays until its first report.
+void WorkerDispatcher::endIncarnation(WorkerView& workerView, Time now, OrderOutcome outcome)
+{
+    bool hasHeirs = false;
+    if (outcome == OrderOutcome::OtherIncarnation)
+        requeueAll(workerView, now);
+    else
+        hasHeirs = requeueEnded(workerView, now);
+    if (!hasHeirs)
+        m_commands.push_back(RemoveFleetWorker { workerView.number, true });
     workerView.isSynced = false;
     workerView.isUnresponsive = true;
-    workerView.isPollPending = true; // Sends nothing more before the log has removed the worker.
+    workerView.hasEnded = true;
+    workerView.lease.assumeGranted(now, m_settings.maxLease);
+    m_workerViews.schedule(workerView.lease.latestExpiry(), workerView.number);
+}
+
+/// Gives up waiting for a report of the next incarnation once its lease on the remaining runs has ended.
+void WorkerDispatcher::serviceEnded(WorkerView& workerView, Time now)
+{
+    if (!workerView.lease.isExpired(now))
+        return;
+    std::vector<TaskRun> runs;
+    for (const auto& [run, runView] : workerView.runs)
+        runs.push_back(run);
+    requeue(workerView, now, runs);
+    m_commands.push_back(RemoveFleetWorker { workerView.number, true });
 }
 
 void WorkerDispatcher::endFormerIncarnations(const WorkTable&, Time now, const WorkerInfo& info)
 {
     for (auto& [number, former] : m_workerViews.all()) {
-        if (!former.runs.empty() && former.info.startedAtMs < info.startedAtMs && former.info.isSameWorker(info))
+        if (former.hasEnded || former.runs.empty() || former.info.startedAtMs >= info.startedAtMs || !former.info.isSameWorker(info))
+            continue;
+        if (former.info.id == info.id)
+            requeueEnded(former, now);
+        else
             requeueAll(former, now);
     }
 }
@@ -318,6 +384,10 @@
 
 void WorkerDispatcher::serviceWorker(FleetStep& step, const WorkTable& table, WorkerView& workerView)
 {
+    if (workerView.hasEnded) {
+        serviceEnded(workerView, step.now);
+        return;
+    }
     if (workerView.isUnresponsive && !workerView.runs.empty() && workerView.lease.isExpired(step.now)) {
         m_counters.add(FleetCounter::WorkersLost);
         step.log(LogEventKind::WorkerLost, { { "worker", workerView.info.id }, { "runs", std::to_string(workerView.runs.size()) } });
--- a/src/worker_dispatcher.h
+++ b/src/worker_dispatcher.h
@@ -33,7 +33,8 @@
     bool hasStarted(JobKey job) const { return m_startedJobs.count(job) > 0; }
     void forget(JobKey job) { m_startedJobs.erase(job); }
     /// Requeues the runs of the worker's former incarnations, which a report of a later one shows to
-    /// have ended. Its commands have to be proposed before the report itself.
+    /// have ended, except those that the later one may have. Its commands have to be proposed before
+    /// the report itself.
     void endFormerIncarnations(const WorkTable& table, Time now, const WorkerInfo& info);
     /// Notes a report of a worker, changed or not. Returns false if it was sent before one that arrived
     /// earlier, and tells nothing new.
@@ -83,7 +84,10 @@
     void handleRefusedStart(WorkerView& workerView, Time now, const TaskRun& run);
     void requeue(WorkerView& workerView, Time now, const std::vector<TaskRun>& runs, bool mayHaveCrashed = false);
     void requeueAll(WorkerView& workerView, Time now);
-    void endIncarnation(WorkerView& workerView, Time now);
+    bool requeueEnded(WorkerView& workerView, Time now);
+    void serviceEnded(WorkerView& workerView, Time now);
+    void endIncarnation(WorkerView& workerView, Time now, OrderOutcome outcome);
+    static void noteNextIncarnation(FleetStep& step, WorkerView& workerView, const PendingWorkerCall& call);
     bool awaitsNextIncarnation(const WorkTable& table, const WorkerView& workerView, Time now) const;
 
     void serviceWorker(FleetStep& step, const WorkTable& table, WorkerView& workerView);
--- a/src/worker_view.h
+++ b/src/worker_view.h
@@ -43,6 +43,7 @@
     bool isStopRequested = false;
     bool isOrderPending = false; ///< An order for the run has no response yet.
     bool mayStartLate = false; ///< A start had no response and may still be carried out.
+    bool isOfNextIncarnation = false; ///< The clock in the response to its start shows a later incarnation than the view's.
     bool isGang = false;
     bool isInherited = false; ///< Placed by an earlier leader, which may not have sent the start.
     bool isSuspect = false; ///< Whether the task may have crashed a worker before.
@@ -53,6 +54,20 @@
     /// Whether the worker may be running it: it was not only placed, but ordered to start.
     bool mayBeActive() const { return phase == RunPhase::Running || phase == RunPhase::Stopping || isOrderPending || mayStartLate; }
 
+    /// Whether no order to start the run has had an effect or may have one.
+    bool isUnsent() const { return phase == RunPhase::Reserved || (phase == RunPhase::Starting && !isOrderPending && !mayStartLate); }
+
+    /// Whether the worker's next incarnation may have the run, if the view's one was last known to be up
+    /// at the given time. The next one carries out starts that were on their way.
+    bool mayBeInherited(Time upAt) const
+    {
+        if (isUnsent())
+            return false;
+        if (mayStartLate || isOfNextIncarnation)
+            return true;
+        return !isReported && (isOrderPending || confirmedAt >= upAt);
+    }
+
     /// Whether the run needs a worker without other runs that could be the cause of a crash.
     bool isIsolated() const { return isSuspect && !isProven; }
 
@@ -62,8 +77,7 @@
     /// What the run has to do with a crash of its worker, which was alive until `aliveUntil`.
     CrashEvidence crashEvidence(Time aliveUntil, Time brokenAt) const
     {
-        const bool isUnsent = phase == RunPhase::Reserved || (phase == RunPhase::Starting && !isOrderPending && !mayStartLate);
-        if (isUnsent || placedAt >= brokenAt)
+        if (isUnsent() || isOfNextIncarnation || placedAt >= brokenAt)
             return CrashEvidence::None;
         if (isProvenBy(aliveUntil))
             return isInherited && !isReported ? CrashEvidence::None : CrashEvidence::Late;
@@ -96,6 +110,9 @@
 
     bool isClockKnown() const { return m_isKnown; }
 
+    /// Whether a response to a call made at `sentAt` is from a later incarnation, whose clock began anew.
+    bool isOfNextIncarnation(Time sentAt, int64_t clockMs) const { return m_isKnown && sentAt >= m_seenAt && clockMs < clockLowerBound(sentAt); }
+
     /// Lowest possible reading of the worker's clock.
     int64_t clockLowerBound(Time now) const
     {
@@ -142,6 +159,8 @@
     WorkerLease lease;
     bool isSynced = false; ///< Has responded to a poll with the current fencing token.
     bool isUnresponsive = false; ///< The last poll failed.
+    bool hasEnded = false; ///< A later incarnation has responded. It inherits the remaining runs with its first report.
+    Time upAt {}; ///< When the latest poll was sent that this incarnation has answered.
     Time unresponsiveSince {};
     Time aliveUntil {}; ///< When the worker last showed a sign of life.
     Time brokenAt = never; ///< When the connection of a poll broke before its timeout, if the worker has not responded since.
--- a/src/worker_views.cpp
+++ b/src/worker_views.cpp
@@ -28,6 +28,7 @@
 
 void WorkerViews::start(const WorkTable& table, Time now, Duration maxLease)
 {
+    m_maxLease = maxLease;
     for (const auto& [number, record] : table.workers())
         add(table, record, number, now).lease.assumeGranted(now, maxLease);
 }
@@ -66,7 +67,20 @@
         if (WorkerView* known = find(number))
             known->info = record.info;
         else
-            add(table, record, number, now);
+            stopInheritedRuns(add(table, record, number, now), now);
+    }
+}
+
+/// Stops the runs that a new incarnation may have got by orders to the former one. Those orders may still
+/// be carried out until the new one has answered the stops.
+void WorkerViews::stopInheritedRuns(WorkerView& workerView, Time now) const
+{
+    if (!workerView.runs.empty())
+        workerView.lease.assumeGranted(now, m_maxLease);
+    for (auto& [run, runView] : workerView.runs) {
+        runView.phase = RunPhase::Starting;
+        runView.mayStartLate = true;
+        runView.isStopRequested = true;
     }
 }
 
--- a/src/worker_views.h
+++ b/src/worker_views.h
@@ -46,7 +46,9 @@
 
 private:
     WorkerView& add(const WorkTable& table, const FleetWorker& record, WorkerNumber number, Time now);
+    void stopInheritedRuns(WorkerView& workerView, Time now) const;
 
+    Duration m_maxLease {};
     std::map<WorkerNumber, WorkerView> m_views;
     std::set<std::pair<Time, WorkerNumber>> m_schedule;
 };
--- a/tests/support/fleet_cluster.h
+++ b/tests/support/fleet_cluster.h
@@ -172,6 +172,8 @@
     void setRunLength(Duration length) { m_runLength = length; }
     /// How long a crashed worker is away before its next incarnation.
     void setCrashLength(Duration length) { m_crashLength = length; }
+    /// How long the next incarnation of a worker is up before its first report.
+    void setFirstReportDelay(Duration reportDelay) { m_firstReportDelay = reportDelay; }
     /// Crashes a worker, as by a fault of its machine.
     void crashWorker(size_t worker) { crash(m_workers[worker]); }
     /// Takes a worker away for good.
@@ -197,6 +199,9 @@
         return found == m_jobCrashes.end() ? 0 : found->second;
     }
     size_t workerCrashes() const { return m_workerCrashes; }
+    /// Whether a worker has neither runs nor ends that were not acknowledged.
+    bool isIdle(size_t worker) const { return m_workers[worker].running.empty() && m_workers[worker].ends.empty(); }
+    size_t workerCount() const { return m_workers.size(); }
     /// A worker that runs a task of the job.
     std::optional<size_t> workerOf(JobKey job) const
     {
@@ -222,6 +227,7 @@
     static constexpr Duration reportPeriod = std::chrono::milliseconds(500);
     static constexpr Duration shrinkGrace = std::chrono::milliseconds(5500); ///< Contact time of 4 s and one report, as the rule on capacity allows.
     static constexpr Duration delay = std::chrono::milliseconds(2);
+    static constexpr size_t maxListedEnds = 500; ///< In one response of a worker.
 
     struct Disk {
         bool isUsed = false;
@@ -499,7 +505,8 @@
     {
         OrderResponse response;
         response.clockMs = workerClockMs();
-        response.startedAtMs = worker.info.startedAtMs;
+        if (order.kind == OrderKind::Poll)
+            response.startedAtMs = worker.info.startedAtMs;
         response.outcome = OrderOutcome::Accepted;
         if (order.fencingToken < worker.fencingToken) {
             response.outcome = OrderOutcome::Fenced;
@@ -597,7 +604,8 @@
         }
         for (const auto& [run, running] : worker.running)
             response.running.push_back({ run, {}, percentOf(running) });
-        response.ends.assign(worker.ends.begin(), worker.ends.end());
+        const size_t listed = std::min(worker.ends.size(), maxListedEnds);
+        response.ends.assign(worker.ends.begin(), worker.ends.begin() + static_cast<ptrdiff_t>(listed));
     }
 
     /// Ends an incarnation of a worker without notice. The next one starts later and knows nothing.
@@ -653,7 +661,7 @@
     {
         m_nextReport = m_now + reportPeriod;
         for (Worker& worker : m_workers) {
-            if (worker.isUnresponsive || worker.isDown(m_now))
+            if (worker.isUnresponsive || m_now < worker.backAt + m_firstReportDelay)
                 continue;
             const bool isLate = m_options.lateReportPercent && m_random.below(100) < m_options.lateReportPercent;
             const Duration reportDelay = isLate ? delay + std::chrono::milliseconds(m_random.below(3000)) : delay;
@@ -688,6 +696,7 @@
     bool m_losesConfigUpdates = false;
     Duration m_runLength = std::chrono::milliseconds(300);
     Duration m_crashLength = std::chrono::seconds(2);
+    Duration m_firstReportDelay {};
     Time m_nextReport {};
     uint64_t m_nextCall = 1;
     uint64_t m_nextIncarnation = 0;
--- a/tests/support/worker_dispatcher_fixture.h
+++ b/tests/support/worker_dispatcher_fixture.h
@@ -81,6 +81,39 @@
         m_dispatcher.updateWorkers(m_table, m_now);
     }
 
+    /// The worker starts again under its id. Its responses are of the new incarnation from now on.
+    void restartWorker()
+    {
+        m_startedAtMs += 1000;
+        m_clockOffsetMs = m_now.time_since_epoch() / std::chrono::milliseconds(1);
+    }
+
+    /// Like `restartWorker`, with a clock that goes on from where it was.
+    void restartWorkerWithItsClock() { m_startedAtMs += 1000; }
+
+    /// The first report of the present incarnation.
+    void reportWorker(const std::string& id = "worker")
+    {
+        WorkerInfo info = m_table.workers().begin()->second.info;
+        info.id = id;
+        info.startedAtMs = m_startedAtMs;
+        m_dispatcher.endFormerIncarnations(m_table, m_now, info);
+        for (WorkCommand& command : m_dispatcher.takeCommands())
+            m_commands.push_back(std::move(command));
+        applyCommands();
+        m_table.apply(m_now, SetFleetWorker { info });
+        m_dispatcher.updateWorkers(m_table, m_now);
+        tick();
+    }
+
+    /// Gives the dispatcher to another leader.
+    void changeLeader()
+    {
+        m_openOrders.clear();
+        m_dispatcher.start(m_table, m_now, ++m_fencingToken);
+        tick();
+    }
+
     void cancel(uint64_t key)
     {
         m_table.apply(m_now, CancelWork { JobKey { key } });
@@ -121,7 +154,10 @@
         m_openOrders.erase(found);
         FleetStep step;
         step.now = m_now;
-        m_dispatcher.handleResponse(step, m_table, call, response);
+        OrderResponse received = response;
+        if (kind != OrderKind::Poll)
+            received.startedAtMs.reset(); // Workers say it only of their lists of runs.
+        m_dispatcher.handleResponse(step, m_table, call, received);
         take(step);
         tick();
     }
@@ -155,8 +191,8 @@
         OrderResponse response;
         response.outcome = outcome;
         if (outcome != OrderOutcome::NoResponse) {
-            response.clockMs = m_now.time_since_epoch() / std::chrono::milliseconds(1);
-            response.startedAtMs = startedAtMs;
+            response.clockMs = m_now.time_since_epoch() / std::chrono::milliseconds(1) - m_clockOffsetMs;
+            response.startedAtMs = m_startedAtMs;
         }
         return response;
     }
@@ -199,6 +235,9 @@
     std::deque<CallWorker> m_openOrders;
     std::vector<WorkCommand> m_commands;
     bool m_areCommitsPaused = false;
+    int64_t m_startedAtMs = startedAtMs;
+    int64_t m_clockOffsetMs = 0; ///< Time at which the worker's clock was 0.
+    uint64_t m_fencingToken = 1;
 };
 
 } // namespace eelgrassloft::testing
--- /dev/null
+++ b/tests/worker_restart_test.cpp
@@ -0,0 +1,210 @@
+#include "support/fleet_cluster.h"
+#include "support/worker_dispatcher_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace eelgrassloft;
+using namespace eelgrassloft::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// How the leader learns that an idle worker has started again.
+enum class RestartSign : uint8_t {
+    Poll,
+    Report,
+    NextLeader,
+    Count
+};
+
+/// How the start that was on its way to the worker was answered.
+enum class StartAnswer : uint8_t {
+    Accepted,
+    Lost,
+    Pending,
+    Count
+};
+
+void showRestart(WorkerDispatcherFixture& fixture, RestartSign sign)
+{
+    if (sign == RestartSign::Report) {
+        fixture.reportWorker();
+        return;
+    }
+    if (sign == RestartSign::NextLeader)
+        fixture.changeLeader();
+    fixture.advance(300ms);
+    fixture.respond(OrderKind::Poll, fixture.accepted());
+}
+
+/// Responds to all polls with `running`, and to stops, for a second.
+void respondWith(WorkerDispatcherFixture& fixture, const std::vector<ReportedRun>& running, bool stopsAnswered)
+{
+    for (int i = 0; i < 10; ++i) {
+        fixture.advance(100ms);
+        OrderResponse response = fixture.accepted();
+        response.running = running;
+        fixture.respond(OrderKind::Poll, response);
+        if (stopsAnswered)
+            fixture.respond(OrderKind::Stop, OrderOutcome::Accepted);
+    }
+}
+
+/// Whether a task that the worker's next incarnation has or may get stays placed until that has stopped it.
+void checkStartOnNextIncarnation(RestartSign sign, StartAnswer answer, bool clockGoesOn)
+{
+    WorkerDispatcherFixture fixture;
+    fixture.advance(500ms);
+    if (clockGoesOn)
+        fixture.restartWorkerWithItsClock();
+    else
+        fixture.restartWorker();
+    const TaskRun run = fixture.place(1);
+    fixture.commit();
+    if (answer != StartAnswer::Pending)
+        fixture.respond(OrderKind::Start, answer == StartAnswer::Accepted ? OrderOutcome::Accepted : OrderOutcome::NoResponse);
+    showRestart(fixture, sign);
+    BOOST_TEST(!fixture.isRequeued(run));
+    if (sign != RestartSign::Report)
+        fixture.reportWorker();
+    BOOST_TEST(!fixture.isRequeued(run));
+    respondWith(fixture, { { run, {}, 10 } }, false);
+    BOOST_TEST(!fixture.isRequeued(run));
+    respondWith(fixture, {}, true);
+    BOOST_TEST(fixture.isRequeued(run));
+}
+
+constexpr Duration restartTime = 150ms;
+
+FleetConfig configWith(bool hasAdvice)
+{
+    FleetConfig config;
+    config.version = 1;
+    config.queues.push_back({ "queue", "host", "/", "pool", 0, 4, 2, 400ms, {} });
+    if (hasAdvice)
+        config.queues.back().advice = AdviceTiming { 10ms, 1ms, 2500ms };
+    config.pools.push_back({ "pool" });
+    return config;
+}
+
+/// Submits jobs, and every now and then starts an idle worker again.
+void submitWhileWorkersRestart(FleetCluster& fleet, uint64_t seed)
+{
+    fleet.setCrashLength(restartTime);
+    fleet.setFirstReportDelay(750ms);
+    Random random(seed);
+    SubmitJob job;
+    job.work.queue = "queue";
+    job.work.work.steps.emplace_back().size = { 1000, 1000, 0 };
+    constexpr uint64_t jobs = 200;
+    constexpr uint64_t jobsPerRestart = 5;
+    for (uint64_t key = 1; key <= jobs; ++key) {
+        job.work.key = JobKey { key };
+        fleet.call(job);
+        fleet.run(std::chrono::milliseconds(50 + random.below(100)));
+        const size_t worker = random.below(fleet.workerCount());
+        if (key % jobsPerRestart == 0 && fleet.isIdle(worker))
+            fleet.crashWorker(worker);
+    }
+    fleet.run(20s);
+}
+
+/// Whether all jobs end once while workers start again and some orders get no response and are carried out late.
+void checkRestarts(uint64_t seed, uint32_t noResponsePercent, Duration maxOrderDelay)
+{
+    FleetCluster::Options options;
+    options.seed = seed;
+    options.hasAdvice = seed % 2;
+    options.noResponsePercent = noResponsePercent;
+    options.maxOrderDelay = maxOrderDelay;
+    FleetCluster fleet(options);
+    BOOST_REQUIRE(fleet.callUntilOk(PutConfig { configWith(options.hasAdvice) }));
+    BOOST_REQUIRE(fleet.runUntil(10s, [&] { return fleet.table().workers().size() == options.workers; }));
+    submitWhileWorkersRestart(fleet, seed);
+    BOOST_TEST_CONTEXT("seed " << seed << ", unanswered " << noResponsePercent)
+    {
+        BOOST_TEST((fleet.violations().empty() ? "" : fleet.violations().front()) == "");
+        BOOST_TEST(fleet.table().openJobs().empty());
+        for (const auto& [key, record] : fleet.table().jobs())
+            BOOST_TEST((record.state == WorkState::Done));
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(WorkerRestartTests)
+
+/// A start that the next incarnation of an idle worker had carried out was taken for lost with the
+/// former one, and the task ran twice.
+BOOST_AUTO_TEST_CASE(startOnTheNextIncarnationOfAWorkerIsNotTakenForLost)
+{
+    forEachValue<RestartSign>([](RestartSign sign) {
+        forEachValue<StartAnswer>([&](StartAnswer answer) {
+            for (const bool clockGoesOn : { false, true }) {
+                BOOST_TEST_CONTEXT("sign " << static_cast<int>(sign) << ", answer " << static_cast<int>(answer) << ", same clock " << clockGoesOn)
+                checkStartOnNextIncarnation(sign, answer, clockGoesOn);
+            }
+        });
+    });
+}
+
+BOOST_AUTO_TEST_CASE(runsThatTheFormerIncarnationListedAreRequeuedAtOnce)
+{
+    WorkerDispatcherFixture fixture;
+    const TaskRun run = fixture.start(1);
+    fixture.advance(200ms);
+    OrderResponse response = fixture.accepted();
+    response.running = { { run, {}, 10 } };
+    fixture.respond(OrderKind::Poll, response);
+    fixture.restartWorker();
+    fixture.advance(200ms);
+    fixture.respond(OrderKind::Poll, fixture.accepted());
+    BOOST_TEST(fixture.isRequeued(run));
+}
+
+/// Orders name the id of the incarnation that they are for, and one with another id refuses them.
+BOOST_AUTO_TEST_CASE(runsAreRequeuedAtOnceIfTheNextIncarnationHasAnotherId)
+{
+    WorkerDispatcherFixture fixture;
+    const TaskRun run = fixture.start(1);
+    fixture.restartWorker();
+    fixture.reportWorker("successor");
+    BOOST_TEST(fixture.isRequeued(run));
+}
+
+BOOST_AUTO_TEST_CASE(runsOfAWorkerWhoseNextIncarnationNeverReportsAreRequeuedAfterItsLease)
+{
+    WorkerDispatcherFixture fixture;
+    fixture.advance(500ms);
+    fixture.restartWorker();
+    const TaskRun run = fixture.start(1);
+    fixture.advance(200ms);
+    fixture.respond(OrderKind::Poll, fixture.accepted());
+    fixture.advance(fixture.settings().maxLease);
+    BOOST_TEST(!fixture.isRequeued(run));
+    fixture.advance(fixture.settings().maxLease / 10);
+    BOOST_TEST((fixture.job().task(run.task)->phase == TaskPhase::Waiting));
+    BOOST_TEST(fixture.table().workers().empty());
+}
+
+/// Idle workers that start again between two reports, with and without advice, under a stream of jobs.
+BOOST_AUTO_TEST_CASE(noTaskRunsTwiceWhileIdleWorkersStartAgain)
+{
+    for (uint64_t seed = 1; seed <= 6; ++seed) {
+        for (const uint32_t noResponsePercent : { 0U, 15U })
+            checkRestarts(seed, noResponsePercent, restartTime / 2);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(LateStartTests)
+
+/// A copy of a start that was sent again is carried out by the next incarnation, after the run has ended.
+BOOST_AUTO_TEST_CASE(lateCopyOfAStartDoesNotRunOnTheNextIncarnation)
+{
+    for (uint64_t seed = 1; seed <= 6; ++seed)
+        checkRestarts(seed, 15, 2s);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
