Take no run for lost by a list of ends that may be cut

Cause: a run that a response lists neither as active nor as ended was requeued, also where the response had the most ends that a worker lists at once. The adapter now says so, and such a response shows no run to be lost.

--- a/src/worker_dispatcher.cpp
+++ b/src/worker_dispatcher.cpp
@@ -243,9 +243,12 @@
 }
 
 /// Requeues runs that were confirmed before the poll was sent but are reported neither as running
-/// nor as ended: they don't exist on the worker and can't start any more.
+/// nor as ended: they don't exist on the worker and can't start any more. A response that may leave out
+/// ends doesn't show that.
 void WorkerDispatcher::requeueUnlisted(FleetStep& step, WorkerView& workerView, Time pollSentAt, const OrderResponse& response)
 {
+    if (response.mayHaveMoreEnds)
+        return;
     std::set<TaskRun> listed;
     for (const ReportedRun& run : response.running)
         listed.insert(run.run);
--- a/src/worker_orders.h
+++ b/src/worker_orders.h
@@ -72,11 +72,13 @@
     std::optional<int64_t> clockMs; ///< The worker's steady clock at its response.
     std::optional<int64_t> startedAtMs;
     std::vector<ReportedRun> running; ///< For polls: the worker's active runs.
-    std::vector<EndedRun> ends; ///< For polls: ends that were not acknowledged yet.
+    std::vector<EndedRun> ends; ///< For polls: ends that were not acknowledged yet, the earliest first.
+    bool mayHaveMoreEnds = false; ///< For polls: whether the worker may have left out the latest ends.
 
     static constexpr auto members()
     {
-        return std::make_tuple(&OrderResponse::outcome, &OrderResponse::clockMs, &OrderResponse::startedAtMs, &OrderResponse::running, &OrderResponse::ends);
+        return std::make_tuple(&OrderResponse::outcome, &OrderResponse::clockMs, &OrderResponse::startedAtMs, &OrderResponse::running, &OrderResponse::ends,
+            &OrderResponse::mayHaveMoreEnds);
     }
 };
 
--- a/tests/support/fleet_cluster.h
+++ b/tests/support/fleet_cluster.h
@@ -606,6 +606,7 @@
             response.running.push_back({ run, {}, percentOf(running) });
         const size_t listed = std::min(worker.ends.size(), maxListedEnds);
         response.ends.assign(worker.ends.begin(), worker.ends.begin() + static_cast<ptrdiff_t>(listed));
+        response.mayHaveMoreEnds = listed == maxListedEnds;
     }
 
     /// Ends an incarnation of a worker without notice. The next one starts later and knows nothing.
