Acknowledge ends only to the incarnation that listed them

What callers saw: a task could run again after its success had been taken note of, once its worker had started again.

Cause: every poll carried the number of the last recorded end, also to a worker that had not answered since. Ends are numbered anew in each incarnation, so the next one forgot ends that were never recorded, and their runs counted as lost. Now a poll acknowledges only what is new, and only to a worker that has answered this leader's last poll.

Evidence: found by noTaskRunsTwiceWhileIdleWorkersStartAgain; endsAreAcknowledgedOnlyToTheIncarnationThatListedThem failed before.

--- a/src/worker_dispatcher.cpp
+++ b/src/worker_dispatcher.cpp
@@ -483,6 +483,14 @@
     return workerView.isUnresponsive ? workerView.lease.endMs() : workerView.lease.extend(now, m_settings.maxLease);
 }
 
+/// An acknowledgement is sent until it was answered, and only to a worker that has just responded: the
+/// next incarnation would take it for one of its own ends, whose numbers begin anew.
+uint64_t WorkerDispatcher::endToAcknowledge(const FleetWorker& record, const WorkerView& workerView)
+{
+    const bool isDue = workerView.isSynced && !workerView.isUnresponsive && record.lastEndNumber > workerView.endsAcknowledged;
+    return isDue ? record.lastEndNumber : 0;
+}
+
 void WorkerDispatcher::sendPoll(FleetStep& step, const WorkTable& table, WorkerView& workerView)
 {
     const FleetWorker* record = table.worker(workerView.number);
@@ -490,7 +498,7 @@
         return;
     WorkerOrder order;
     order.kind = OrderKind::Poll;
-    order.acknowledgedEnd = record->lastEndNumber;
+    order.acknowledgedEnd = endToAcknowledge(*record, workerView);
     // The first poll only reads the worker's clock, in terms of which leases are granted.
     if (workerView.lease.isClockKnown() && !workerView.runs.empty())
         order.leaseEndMs = leaseFor(workerView, step.now);
--- a/src/worker_dispatcher.h
+++ b/src/worker_dispatcher.h
@@ -95,6 +95,7 @@
     void sendPoll(FleetStep& step, const WorkTable& table, WorkerView& workerView);
     void send(FleetStep& step, const WorkerView& workerView, const PendingWorkerCall& call, WorkerOrder order);
     int64_t leaseFor(WorkerView& workerView, Time now) const;
+    static uint64_t endToAcknowledge(const FleetWorker& record, const WorkerView& workerView);
     bool needsPoll(const WorkTable& table, const WorkerView& workerView) const;
 
     FleetSettings m_settings;
--- a/tests/worker_ends_test.cpp
+++ b/tests/worker_ends_test.cpp
@@ -61,4 +61,30 @@
     BOOST_TEST(fixture.isRequeued(runs[2]));
 }
 
+/// The next incarnation of a worker took the acknowledgement of a former one's ends for its own ends, and
+/// forgot them before they were recorded.
+BOOST_AUTO_TEST_CASE(endsAreAcknowledgedOnlyToTheIncarnationThatListedThem)
+{
+    WorkerDispatcherFixture fixture;
+    const TaskRun run = fixture.start(1);
+    fixture.respond(OrderKind::Poll, fixture.accepted());
+    fixture.advance(200ms);
+    fixture.respond(OrderKind::Poll, responseWithEnds(fixture, { run }, 0, 2));
+    fixture.advance(200ms);
+    BOOST_TEST(fixture.lastPoll().acknowledgedEnd == 1U);
+    fixture.respond(OrderKind::Poll, OrderOutcome::NoResponse);
+    fixture.advance(200ms);
+    BOOST_TEST(fixture.ordersOf(OrderKind::Poll).size() == 1U);
+    BOOST_TEST(fixture.lastPoll().acknowledgedEnd == 0U); // Another incarnation may answer.
+    fixture.changeLeader();
+    BOOST_TEST(fixture.ordersOf(OrderKind::Poll).size() == 1U);
+    BOOST_TEST(fixture.lastPoll().acknowledgedEnd == 0U);
+    fixture.respond(OrderKind::Poll, fixture.accepted());
+    fixture.advance(200ms);
+    BOOST_TEST(fixture.lastPoll().acknowledgedEnd == 1U);
+    fixture.respond(OrderKind::Poll, fixture.accepted());
+    fixture.advance(1s);
+    BOOST_TEST(fixture.ordersOf(OrderKind::Poll).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
