--- a/tests/support/replica_cluster.h
+++ b/tests/support/replica_cluster.h
@@ -21,7 +21,7 @@
     using Result = uint64_t;
 
     std::vector<uint64_t> ids;
-    std::map<uint64_t, std::string> texts; ///< Those that aren't empty, by id.
+    std::map<uint64_t, std::string> texts {}; ///< Those that aren't empty, by id.
     static constexpr auto members() { return std::make_tuple(&ListMachine::ids, &ListMachine::texts); }
 
     Result apply(Time, const Command& command)
