Let tasks of any length end

Cause: a run that gained no percent in 1.2 s counted as stuck, whatever its length, was stopped and began anew. The time is now some percents by the estimate or by the progress so far, and doubles with each stop of the task, so that a wrong or missing estimate delays a task only. Stops get a line in the log (run-stuck).

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -141,7 +141,9 @@
 inline constexpr Duration maxReportDelay = 30s; ///< A report of a lower number that arrives within this time was overtaken on its way.
 inline constexpr uint32_t failuresToQuarantine = 2; ///< Distinct jobs that failed in a row on a worker.
 inline constexpr Duration quarantineDuration = 5s; ///< Afterwards the worker is on probation: one failure quarantines it again.
-inline constexpr Duration stuckRunTimeout = 1200ms; ///< Time without progress of a stuck run; even the longest runs gain one percent in less.
+inline constexpr Duration stuckRunTimeout = 1200ms; ///< Shortest time without progress of a stuck run.
+inline constexpr int stuckPercents = 3; ///< A stuck run makes no progress in the time that this many percent take.
+inline constexpr uint32_t maxStuckDoublings = 20; ///< Of that time, with each stop of the task.
 
 // Tasks that crash their workers.
 inline constexpr Duration crashProofTime = 300ms; ///< A run that has been at work for this long is no likely cause of a later crash.
--- a/src/worker_dispatcher.cpp
+++ b/src/worker_dispatcher.cpp
@@ -19,6 +19,16 @@
     m_calls.clear();
     m_commands.clear();
     m_startedJobs.clear();
+    m_stuckStops.clear();
+}
+
+void WorkerDispatcher::forget(JobKey job)
+{
+    m_startedJobs.erase(job);
+    const auto isOfJob = [&](const auto& entry) { return entry.first.job == job; };
+    auto i = m_stuckStops.lower_bound(TaskRef { job, 0, 0, 0 });
+    while (i != m_stuckStops.end() && isOfJob(*i))
+        i = m_stuckStops.erase(i);
 }
 
 void WorkerDispatcher::hostDown(FleetStep& step, const WorkTable& table, HostId host)
@@ -205,8 +215,14 @@
 {
     for (auto& [run, runView] : workerView.runs) {
         const StepSpec* spec = table.stepOf(run.task);
-        if (!spec || !runView.isStuck(*spec, step.now))
+        TaskRef stopped = run.task;
+        if (runView.isGang)
+            stopped.index = 0; // Its members stall and stop together.
+        const auto earlierStops = m_stuckStops.find(stopped);
+        if (!spec || !runView.isStuck(*spec, earlierStops == m_stuckStops.end() ? 0 : earlierStops->second, step.now))
             continue;
+        logRun(step, LogEventKind::RunStuck, workerView, run, "no-progress");
+        ++m_stuckStops[stopped];
         runView.isStopRequested = true;
         if (runView.isGang)
             m_workerViews.stopGang(step.now, run);
--- a/src/worker_dispatcher.h
+++ b/src/worker_dispatcher.h
@@ -31,7 +31,8 @@
     void stopJob(Time now, JobKey job) { m_workerViews.stopJob(now, job); }
     /// Whether a worker has confirmed a run of the job to this leader.
     bool hasStarted(JobKey job) const { return m_startedJobs.count(job) > 0; }
-    void forget(JobKey job) { m_startedJobs.erase(job); }
+    /// Forgets a job that has ended.
+    void forget(JobKey job);
     /// Requeues the runs of the worker's former incarnations, which a report of a later one shows to
     /// have ended, except those that the later one may have. Its commands have to be proposed before
     /// the report itself.
@@ -104,6 +105,7 @@
     WorkerCalls m_calls;
     std::vector<WorkCommand> m_commands;
     std::set<JobKey> m_startedJobs; ///< Open jobs with a run that a worker has confirmed.
+    std::map<TaskRef, uint32_t> m_stuckStops; ///< How often runs of a task of an open job were stopped as stuck.
     FleetCounters m_counters;
 };
 
--- a/src/worker_view.h
+++ b/src/worker_view.h
@@ -85,12 +85,21 @@
     }
 
     /// Whether the run is reported without making progress. The members of a gang make none until all
-    /// have started.
-    bool isStuck(const StepSpec& spec, Time now) const
+    /// have started. `earlierStops` is how often runs of the task were stopped for that.
+    bool isStuck(const StepSpec& spec, uint32_t earlierStops, Time now) const
     {
         const bool isWatched = !spec.isLongRunning && !spec.isBestEffort && isReported && !isStopRequested && percent < 100 && !(isGang && !percent);
-        const Duration stuckTimeout = isGang ? config::stuckRunTimeout * 2 : config::stuckRunTimeout;
-        return isWatched && now >= progressAt + stuckTimeout;
+        return isWatched && now >= progressAt + stuckTimeout(spec, earlierStops);
+    }
+
+    /// Time without progress after which the run counts as stuck: some times what a percent takes by the
+    /// estimate or by the progress so far. Both may be far too short or missing, so the time also
+    /// doubles with each stop, that a task of any length ends.
+    Duration stuckTimeout(const StepSpec& spec, uint32_t earlierStops) const
+    {
+        const Duration shortest = config::stuckRunTimeout * (isGang ? 2 : 1) * (int64_t { 1 } << std::min(earlierStops, config::maxStuckDoublings));
+        const Duration observed = percent > firstPercent ? (progressAt - reportedSince) / (percent - firstPercent) : Duration {};
+        return std::max(shortest, std::max(spec.estimate / 100, observed) * config::stuckPercents);
     }
 };
 
