Refuse jobs that the memory of the control hosts cannot hold

Cause: jobs were accepted whatever they take; each task of each occurrence has a record from the start. All hosts decide alike, as the table does when the entry is applied.

--- a/src/call_forwarder.h
+++ b/src/call_forwarder.h
@@ -60,9 +60,12 @@
         if (found == m_pending.end())
             return;
         PendingCall& pending = found->second;
-        if (message.reply.status == ControlStatus::NotAccepted && pending.uncertainAttempts)
+        const ControlStatus status = message.reply.status;
+        const bool hadNoEffect = status == ControlStatus::NotAccepted || status == ControlStatus::NoMemory;
+        if (hadNoEffect && pending.uncertainAttempts)
             --pending.uncertainAttempts; // This attempt had no effect and won't have one.
-        const bool isRetryable = message.reply.status == ControlStatus::Unavailable || message.reply.status == ControlStatus::NotAccepted;
+        const bool isOutcomeOpen = status == ControlStatus::NoMemory && pending.uncertainAttempts;
+        const bool isRetryable = status == ControlStatus::Unavailable || status == ControlStatus::NotAccepted || isOutcomeOpen;
         if (isRetryable) {
             // At the deadline, `tick` replies by whether another attempt may have had an effect.
             pending.isRefused = true;
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -349,7 +349,8 @@
 
     void sendReply(FleetStep& step, const ReplyTarget& to, ControlReply reply)
     {
-        if (reply.status == ControlStatus::NotAccepted && to.mayHaveRun)
+        const bool hadNoEffect = reply.status == ControlStatus::NotAccepted || reply.status == ControlStatus::NoMemory;
+        if (hadNoEffect && to.mayHaveRun)
             reply.status = ControlStatus::Unavailable;
         reply.configVersion = std::max(reply.configVersion, to.configVersion);
         ++m_counters.replies[reply.status];
@@ -601,6 +602,8 @@
             return { ControlStatus::UnknownQueue, {}, 0, {} };
         case WorkStatus::UnknownJob:
             return { ControlStatus::UnknownJob, {}, 0, {} };
+        case WorkStatus::NoMemory:
+            return { ControlStatus::NoMemory, {}, 0, {} };
         default:
             return {};
         }
@@ -613,6 +616,8 @@
     void didApply(FleetStep& step, const SubmitWork& command, const Applied& applied)
     {
         m_planPacer.request();
+        if (applied.result.status == WorkStatus::NoMemory)
+            step.log(LogEventKind::JobRefused, { { "job", hexText(command.key.value) }, { "queue", command.queue }, { "reason", std::string(name(applied.result.status)) }, { "openJobBytes", std::to_string(table().openJobBytes()) } });
         if (applied.result.status != WorkStatus::Applied)
             return;
         m_counters.add(FleetCounter::JobsAccepted);
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -101,12 +101,13 @@
     UnknownJob,
     Unavailable, ///< The outcome is unknown: the call may or may not have taken effect.
     NotAccepted, ///< The call had and will have no effect.
+    NoMemory, ///< Like `NotAccepted`, as the state has no room for the job. Sending it elsewhere doesn't help.
     Count
 };
 
 constexpr NameTable<ControlStatus> nameTable(ControlStatus)
 {
-    constexpr NameTable<ControlStatus> table { "ok", "unknown-queue", "unknown-job", "unavailable", "not-accepted" };
+    constexpr NameTable<ControlStatus> table { "ok", "unknown-queue", "unknown-job", "unavailable", "not-accepted", "no-memory" };
     static_assert(detail::isComplete<ControlStatus>(table));
     return table;
 }
--- a/src/work_table.cpp
+++ b/src/work_table.cpp
@@ -27,6 +27,16 @@
     return summary;
 }
 
+/// Memory that a job takes while it is open. All hosts have to count alike.
+uint64_t memoryOf(const WorkSpec& work)
+{
+    static_assert(sizeof(WorkTask) <= config::openTaskBytes && sizeof(StepSpec) <= config::openStepBytes);
+    uint64_t tasks = 0;
+    for (const StepSpec& step : work.steps)
+        tasks += step.count;
+    return config::openJobBytes + work.text.size() + work.steps.size() * config::openStepBytes + work.occurrenceCount() * tasks * config::openTaskBytes;
+}
+
 bool isSameIncarnation(const WorkerInfo& a, const WorkerInfo& b) { return a.id == b.id && a.startedAtMs == b.startedAtMs; }
 
 /// Whether those runs that most likely caused a crash belong to one job.
@@ -57,13 +67,16 @@
 void WorkTable::rebuild()
 {
     m_openJobs.clear();
+    m_openJobBytes = 0;
     m_workerById.clear();
     m_endedJobs.clear();
     for (const auto& [key, job] : m_jobs) {
-        if (isEnded(job.state))
+        if (isEnded(job.state)) {
             m_endedJobs.insert({ job.endedAt, key });
-        else
-            m_openJobs.insert(key);
+            continue;
+        }
+        m_openJobs.insert(key);
+        m_openJobBytes += memoryOf(job.work);
     }
     for (const auto& [number, worker] : m_workers)
         m_workerById[worker.info.id] = number;
@@ -131,6 +144,10 @@
     if (!queue)
         return { WorkStatus::UnknownQueue };
     removeExpiredJobs(at);
+    const uint64_t memory = memoryOf(command.work);
+    if (m_openJobBytes + memory > config::maxOpenJobBytes)
+        return { WorkStatus::NoMemory };
+    m_openJobBytes += memory;
     WorkJob& job = m_jobs[command.key];
     job.key = command.key;
     job.queue = *queue;
@@ -160,6 +177,7 @@
 void WorkTable::endJob(Time at, WorkJob& job, WorkState state)
 {
     m_endedByCommand.push_back(summaryOf(job));
+    m_openJobBytes -= memoryOf(job.work);
     job.occurrences = {};
     job.work.text = {};
     job.state = state;
--- a/src/work_table.h
+++ b/src/work_table.h
@@ -225,12 +225,13 @@
     Unchanged, ///< Nothing changed: the same command or a newer one was applied before.
     UnknownQueue,
     UnknownJob,
+    NoMemory, ///< The open jobs leave no room for the job.
     Count
 };
 
 constexpr NameTable<WorkStatus> nameTable(WorkStatus)
 {
-    constexpr NameTable<WorkStatus> table { "applied", "known", "unknown-queue", "unknown-job" };
+    constexpr NameTable<WorkStatus> table { "applied", "known", "unknown-queue", "unknown-job", "no-memory" };
     return table;
 }
 
@@ -292,6 +293,8 @@
     const FleetConfig& config() const { return m_config; }
     const std::map<WorkerNumber, FleetWorker>& workers() const { return m_workers; }
     const std::map<JobKey, WorkJob>& jobs() const { return m_jobs; }
+    /// Memory that open jobs take, as counted against `config::maxOpenJobBytes`.
+    uint64_t openJobBytes() const { return m_openJobBytes; }
     /// Jobs that have not ended.
     const std::set<JobKey>& openJobs() const { return m_openJobs; }
 
@@ -340,6 +343,7 @@
     std::map<JobKey, WorkJob> m_jobs;
 
     std::set<JobKey> m_openJobs;
+    uint64_t m_openJobBytes = 0;
     std::map<std::string, WorkerNumber> m_workerById;
     std::multimap<Time, JobKey> m_endedJobs;
     std::vector<EndedJob> m_endedByCommand; ///< Jobs that the command being applied has ended.
