--- a/src/work_table_crashes.cpp
+++ b/src/work_table_crashes.cpp
@@ -136,8 +136,7 @@
     const auto suspect = std::find_if(suspects.begin(), suspects.end(), [&](const LostRun& candidate) { return candidate.mayBeInherited && candidate.run == lost.run; });
     if (suspect == suspects.end())
         return;
-    const LostRun counted = *suspect;
-    countCrashAgainst(at, worker, counted, areOfOneJob(suspects));
+    countCrashAgainst(at, worker, *suspect, areOfOneJob(suspects));
 }
 
 void WorkTable::countCrashAgainst(Time at, const FleetWorker& worker, const LostRun& lost, bool wasAlone)
