--- a/src/worker_incarnations.cpp
+++ b/src/worker_incarnations.cpp
@@ -16,7 +16,7 @@
 
 /// Requeues the runs of an incarnation that has ended, except those that the next one under the same id
 /// may have. Of these, the log only keeps what they may have to do with a crash. Returns whether there
-/// are such.
+/// are such runs.
 bool WorkerDispatcher::requeueEnded(WorkerView& workerView, Time now)
 {
     std::vector<TaskRun> ended;
@@ -34,22 +34,22 @@
         if (workerView.runs.at(lost.run).isGang)
             m_workerViews.stopGang(now, lost.run);
     }
-    const bool hasHeirs = !inherited.runs.empty();
-    if (hasHeirs)
+    const bool hasInherited = !inherited.runs.empty();
+    if (hasInherited)
         m_commands.push_back(std::move(inherited));
-    return hasHeirs;
+    return hasInherited;
 }
 
 /// Ends a view whose worker has another incarnation. With another id it carries out no orders to this one;
 /// under the same id it may have, so that the record of such runs stays until its first report.
 void WorkerDispatcher::endIncarnation(WorkerView& workerView, Time now, OrderOutcome outcome)
 {
-    bool hasHeirs = false;
+    bool hasInherited = false;
     if (outcome == OrderOutcome::OtherIncarnation)
         requeueAll(workerView, now);
     else
-        hasHeirs = requeueEnded(workerView, now);
-    if (!hasHeirs)
+        hasInherited = requeueEnded(workerView, now);
+    if (!hasInherited)
         m_commands.push_back(RemoveFleetWorker { workerView.number, true });
     workerView.isSynced = false;
     workerView.isUnresponsive = true;
