Tests of the fleet share one configuration

Two includes and a parameter that nothing used are gone. All checks are as they were; product code is unchanged.

--- a/tests/fleet_crash_test.cpp
+++ b/tests/fleet_crash_test.cpp
@@ -1,4 +1,5 @@
 #include "support/fleet_cluster.h"
+#include "support/fleet_config.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -10,15 +11,6 @@
 
 constexpr uint64_t crashingKey = 1000;
 
-FleetConfig configOf()
-{
-    FleetConfig config;
-    config.version = 1;
-    config.queues.push_back({ "queue", "host", "/jobs/", "pool", 0, 4, 2, 400ms, {} });
-    config.pools.push_back({ "pool" });
-    return config;
-}
-
 SubmitJob jobOf(uint64_t key, uint32_t tasks, bool isGang = false)
 {
     StepSpec step;
@@ -35,7 +27,7 @@
         : FleetCluster(options)
     {
         BOOST_REQUIRE(runUntil(10s, [&] { return leader().has_value(); }));
-        BOOST_REQUIRE(callUntilOk(PutConfig { configOf() }));
+        BOOST_REQUIRE(callUntilOk(PutConfig { configWithOneQueue() }));
         run(1s);
     }
 
@@ -340,7 +332,7 @@
     FleetCluster::Options options;
     options.workers = 24;
     CrashFleet fleet(options);
-    FleetConfig config = configOf();
+    FleetConfig config = configWithOneQueue();
     config.version = 2;
     config.queues.push_back({ "gangs", "host", "/gangs/", "pool", 1, 4, 2, 1200ms, {} });
     BOOST_REQUIRE(fleet.callUntilOk(PutConfig { config }));
--- a/tests/fleet_random_test.cpp
+++ b/tests/fleet_random_test.cpp
@@ -1,4 +1,5 @@
 #include "support/fleet_cluster.h"
+#include "support/fleet_config.h"
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
@@ -42,15 +43,6 @@
         rc::gen::inRange<uint32_t>(0, 12), rc::gen::inRange<uint32_t>(50, 4000), rc::gen::inRange<uint32_t>(0, 1500));
 }
 
-FleetConfig configOf()
-{
-    FleetConfig config;
-    config.version = 1;
-    config.queues.push_back({ "queue", "host", "/jobs/", "pool", 0, 20, 2, 400ms, {} });
-    config.pools.push_back({ "pool" });
-    return config;
-}
-
 /// A job of two steps, of which the second depends on the first.
 SubmitJob jobOf(uint64_t key, uint32_t tasks = 2)
 {
@@ -69,7 +61,7 @@
     explicit FaultScenario(FleetCluster::Options options)
         : m_cluster(options)
     {
-        RC_ASSERT(m_cluster.callUntilOk(PutConfig { configOf() }));
+        RC_ASSERT(m_cluster.callUntilOk(PutConfig { configWithOneQueue(20) }));
         m_cluster.run(1s);
     }
 
--- a/tests/long_tasks_test.cpp
+++ b/tests/long_tasks_test.cpp
@@ -1,4 +1,5 @@
 #include "support/fleet_cluster.h"
+#include "support/fleet_config.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -15,16 +16,12 @@
     size_t mostStarts = 0; ///< Of each task.
 };
 
-/// Starts of one task of the given length until its job is done.
+/// Whether a job with tasks of the given length is done, after no more starts than allowed.
 void checkEnds(const LongTask& task)
 {
     constexpr uint32_t count = 2;
     FleetCluster fleet({});
-    FleetConfig config;
-    config.version = 1;
-    config.queues.push_back({ "queue", "host", "/", "pool", 0, 4, 2, 400ms, {} });
-    config.pools.push_back({ "pool" });
-    BOOST_REQUIRE(fleet.callUntilOk(PutConfig { config }));
+    BOOST_REQUIRE(fleet.callUntilOk(PutConfig { configWithOneQueue() }));
     fleet.setRunLength(task.length);
     SubmitJob job;
     job.work.key = JobKey { 1 };
--- a/tests/open_jobs_memory_test.cpp
+++ b/tests/open_jobs_memory_test.cpp
@@ -1,6 +1,5 @@
-#include "call_forwarder.h"
-#include "snapshot_parts.h"
 #include "support/fleet_cluster.h"
+#include "support/fleet_config.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -10,15 +9,6 @@
 
 namespace {
 
-FleetConfig configWithQueue()
-{
-    FleetConfig config;
-    config.version = 1;
-    config.queues.push_back({ "queue", "host", "/", "pool", 0, 4, 2, 400ms, {} });
-    config.pools.push_back({ "pool" });
-    return config;
-}
-
 SubmitWork jobOf(uint64_t key, uint32_t tasks, uint32_t repeats = 0, size_t textBytes = 0)
 {
     SubmitWork work { JobKey { key }, "queue", {} };
@@ -31,7 +21,7 @@
 WorkTable tableWithQueue()
 {
     WorkTable table;
-    table.apply({}, SetFleetConfig { configWithQueue() });
+    table.apply({}, SetFleetConfig { configWithOneQueue() });
     return table;
 }
 
@@ -72,7 +62,7 @@
 BOOST_AUTO_TEST_CASE(callerIsToldAtOnceAndOthersAreServed)
 {
     FleetCluster fleet({});
-    BOOST_REQUIRE(fleet.callUntilOk(PutConfig { configWithQueue() }));
+    BOOST_REQUIRE(fleet.callUntilOk(PutConfig { configWithOneQueue() }));
     const CallId large = fleet.call(SubmitJob { jobOf(1, 4000, 200), {} });
     BOOST_REQUIRE(fleet.runUntil(500ms, [&] { return fleet.reply(large).has_value(); }));
     BOOST_TEST((fleet.reply(large)->status == ControlStatus::NoMemory));
--- a/tests/replica_snapshot_test.cpp
+++ b/tests/replica_snapshot_test.cpp
@@ -126,10 +126,10 @@
     size_t snapshotThreshold = 0;
 };
 
-/// Proposes the load's entries, a few at a time, with ids from `firstId` on.
-void proposeLoad(ReplicaCluster& cluster, const LargeLoad& load, uint64_t firstId)
+/// Proposes the load's entries, a few at a time.
+void proposeLoad(ReplicaCluster& cluster, const LargeLoad& load)
 {
-    for (uint64_t id = firstId; id < firstId + load.entries; ++id) {
+    for (uint64_t id = 1; id <= load.entries; ++id) {
         BOOST_REQUIRE(cluster.propose(id, std::string(load.bytes, 'x')));
         if (id % 8 == 0)
             cluster.run(2ms);
@@ -169,7 +169,7 @@
             ReplicaCluster cluster(options);
             cluster.run(3s);
             requireLeader(cluster);
-            proposeLoad(cluster, load, 1);
+            proposeLoad(cluster, load);
             for (const uint32_t lost : { 2U, 1U, 0U }) {
                 cluster.stop(lost);
                 cluster.run(1s);
--- a/tests/worker_capacity_test.cpp
+++ b/tests/worker_capacity_test.cpp
@@ -1,4 +1,5 @@
 #include "support/fleet_cluster.h"
+#include "support/fleet_config.h"
 #include "support/worker_dispatcher_fixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -12,21 +13,12 @@
 /// Number of the starts in flight.
 size_t startsOf(const WorkerDispatcherFixture& fixture) { return fixture.ordersOf(OrderKind::Start).size(); }
 
-FleetConfig configOf()
-{
-    FleetConfig config;
-    config.version = 1;
-    config.queues.push_back({ "queue", "host", "/jobs/", "pool", 0, 4, 2, 400ms, {} });
-    config.pools.push_back({ "pool" });
-    return config;
-}
-
 /// A fleet with a leader, a configuration and one worker.
 struct Fleet : FleetCluster {
     Fleet()
         : FleetCluster(Options { 1 })
     {
-        BOOST_REQUIRE(callUntilOk(PutConfig { configOf() }));
+        BOOST_REQUIRE(callUntilOk(PutConfig { configWithOneQueue() }));
         BOOST_REQUIRE(runUntil(5s, [&] { return !table().workers().empty(); }));
     }
 
--- a/tests/worker_restart_test.cpp
+++ b/tests/worker_restart_test.cpp
@@ -1,4 +1,5 @@
 #include "support/fleet_cluster.h"
+#include "support/fleet_config.h"
 #include "support/worker_dispatcher_fixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -78,12 +79,9 @@
 
 FleetConfig configWith(bool hasAdvice)
 {
-    FleetConfig config;
-    config.version = 1;
-    config.queues.push_back({ "queue", "host", "/", "pool", 0, 4, 2, 400ms, {} });
+    FleetConfig config = configWithOneQueue();
     if (hasAdvice)
         config.queues.back().advice = AdviceTiming { 10ms, 1ms, 2500ms };
-    config.pools.push_back({ "pool" });
     return config;
 }
 
