--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,4 +1,5 @@
-// Heartbeats of another writer under the ids of executors, with a service that is not named.
+// A client that gets no answer to its job, cancels it, is told that there is no such job, and has it
+// run all the same.
 
 #include "../support-2/fleet.h"
 
@@ -7,35 +8,39 @@
 namespace {
 
 constexpr size_t executorCount = 8;
-constexpr int64_t calmMs = 20'000; ///< Longer than the 4 s and 3 s of the rule.
+constexpr int64_t freezeMs = 7500; ///< The site has freezes of up to 7.8 s.
+constexpr int64_t cancelMs = 3000;
+constexpr const char* path = "/batch/00000000000000d1";
+constexpr const char* task = "00000000000000d1.0.0.0";
 
 int run(Fleet& fleet)
 {
-    fleet.startSystem({ { "/stand/", 1, 4 } });
+    fleet.startSystem({ { "/batch/", 1, 4 } });
     for (size_t i = 0; i < executorCount; ++i)
         fleet.startExecutor(i);
     sleepMs(2500);
-    std::map<std::string, int64_t> born;
-    for (const ExecutorRow& row : fleet.executorRows())
-        born[row.executor] = row.born;
-    for (size_t i = 0; i < executorCount && fleet.hasTrouble(); ++i) {
-        const std::string id = Fleet::executorId(i);
-        const Json beat { { "service", "no-such-service" }, { "addr", fleet.executorAddress(i).text() }, { "zone", Fleet::zoneOf(i) }, { "version", "v1" }, { "slots", 8 }, { "state", "ready" },
-            { "coldLeftMs", 0 }, { "capacity", { { "cpu", 16000 }, { "memMb", 32768 }, { "gpu", 0 } } }, { "labels", { "a", "r1-0" } }, { "machine", "m-" + id.substr(2) }, { "clockMs", 1 }, { "born", born[id] }, { "seq", 1000 } };
-        const Address to = fleet.controlAddress(i % Fleet::controlCount);
-        const HttpReply reply = httpCall(to, "PUT", "/eelgrassloft/instances/" + id, to.text(), beat.dump(), 1000, {}, fleet.ip(4));
-        fleet.note("trouble", "another writer: PUT instances/" + id + " " + beat.dump() + " -> " + std::to_string(reply.status));
+    const int64_t beganAt = steadyMs();
+    if (fleet.hasTrouble()) {
+        fleet.note("trouble", "entry-0 freezes");
+        fleet.process("entry", 0).signal(SIGSTOP);
+    }
+    const Json job { { "spec", "work=20000" }, { "phases", { { { "count", 1 }, { "cpu", 1000 }, { "memMb", 512 }, { "estMs", 20'000 } } } } };
+    fleet.call("POST", path, job.dump(), 0);
+    const HttpReply cancelled = fleet.call("DELETE", path, {}, 1);
+    if (cancelled.status / 100 != 2 && cancelled.status != 410)
+        throw NotRun { "the cancelling is not acknowledged" };
+    const int64_t acknowledgedAt = unixMs();
+    sleepMs(std::max<int64_t>(0, beganAt + freezeMs - steadyMs()));
+    if (fleet.hasTrouble()) {
+        fleet.note("trouble", "entry-0 goes on");
+        fleet.process("entry", 0).signal(SIGCONT);
     }
-    sleepMs(4000);
-    const std::string path = "/stand/00000000000000e1";
-    const Json job { { "spec", "lasts" }, { "phases", { { { "count", 2 }, { "cpu", 1000 }, { "memMb", 512 }, { "estMs", 1000 }, { "longRunning", true } } } } };
-    if (!fleet.submit(path, job))
-        throw NotRun { "the job is not accepted" };
-    sleepMs(calmMs);
-    size_t missing = 0;
-    for (const char* task : { "00000000000000e1.0.0.0", "00000000000000e1.0.0.1" })
-        missing += !fleet.runnerOf(task);
-    return fleet.verdict(missing > 0, std::to_string(missing) + " of 2 tasks have no run " + std::to_string(calmMs / 1000) + " s after the job was accepted; all executors have sent a heartbeat every 1.5 s, and nothing else runs");
+    sleepMs(10'000);
+    bool isLate = false;
+    for (const ExecutorRow& row : fleet.executorRows())
+        isLate = isLate || (row.task == task && row.event == "start" && row.at > acknowledgedAt + cancelMs);
+    const std::string state = fleet.stateOf(path);
+    return fleet.verdict(isLate, "the cancelling was acknowledged with " + std::to_string(cancelled.status) + (isLate ? "; a task was started over " : "; no task was started over ") + std::to_string(cancelMs) + " ms later, and the job is shown as " + state);
 }
 
 } // namespace
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,108 +1,47 @@
-// A start order that is carried out late, by the next life of its executor, after its task was done.
+// Tasks of standing jobs that fail now and then, on executors that all serve other standing jobs too.
 
 #include "../support-2/fleet.h"
 
-#include <atomic>
-
 using namespace review;
 
 namespace {
 
-constexpr size_t executorCount = 8;
-constexpr size_t labelled = 0; ///< The only executor with the label that the job needs.
-constexpr int64_t delayMs = 11'000; ///< Of the order; the pages allow 2 to 12 s.
-constexpr int64_t downMs = 2000;
-constexpr const char* path = "/batch/00000000000000c1";
-constexpr const char* task = "00000000000000c1.0.0.0";
-
-/// The way from the system to one executor. It leaves the first start order without a response and
-/// delivers it `delayMs` later.
-class Proxy {
-public:
-    Proxy(Fleet& fleet, Address listen, Address executor, bool isDelaying)
-        : m_fleet(fleet)
-        , m_listener(listenOn(listen))
-        , m_executor(std::move(executor))
-        , m_isDelaying(isDelaying)
-    {
-        if (m_listener < 0)
-            throw NotRun { "the proxy can't listen" };
-        std::thread([this] { serveForever(m_listener, m_handler); }).detach();
-    }
-
-    bool hasDelivered() const { return m_hasDelivered; }
-
-private:
-    std::optional<HttpReply> forward(const HttpRequest& request)
-    {
-        std::string headers;
-        if (const auto expected = request.headers.find("x-eelgrassloft-expect-instance"); expected != request.headers.end())
-            headers = "X-Eelgrassloft-Expect-Instance: " + expected->second + "\r\n";
-        const auto deliver = [this, request, headers] { return httpCall(m_executor, request.method, request.path, m_executor.text(), request.body, 3000, headers); };
-        if (m_isDelaying && request.path == "/eelgrassloft/run-start" && !m_hasDelayed.exchange(true)) {
-            m_fleet.note("trouble", "the order is on its way for " + std::to_string(delayMs) + " ms: " + request.body);
-            std::thread([this, deliver] {
-                sleepMs(delayMs);
-                const HttpReply reply = deliver();
-                m_fleet.note("trouble", "the order arrives -> " + std::to_string(reply.status) + " " + reply.body);
-                m_hasDelivered = true;
-            }).detach();
-            sleepMs(2000); // Longer than the caller waits.
-            return std::nullopt;
-        }
-        const HttpReply reply = deliver();
-        return reply.status ? std::optional(reply) : std::nullopt;
-    }
+constexpr size_t executorCount = 4;
+constexpr int64_t failAfterMs = 4000;
+constexpr int64_t calmMs = 20'000; ///< After the failures: longer than the 6 s and 3 s of the rule, and than any pause of an executor.
 
-    Fleet& m_fleet;
-    int m_listener;
-    Address m_executor;
-    bool m_isDelaying;
-    std::atomic<bool> m_hasDelayed = false;
-    std::atomic<bool> m_hasDelivered = false;
-    HttpHandler m_handler = [this](const HttpRequest& request) { return forward(request); };
-};
+Json standing(const std::string& spec)
+{
+    return { { "spec", spec }, { "phases", { { { "count", executorCount }, { "cpu", 1000 }, { "memMb", 512 }, { "estMs", 1000 }, { "longRunning", true }, { "antiAffinity", 1 } } } } };
+}
 
 int run(Fleet& fleet)
 {
-    fleet.startSystem({ { "/batch/", 1, 4 } });
-    const Address reported { fleet.ip(90), fleet.executorAddress(labelled).port };
-    // Outlives this function's threads until the process ends.
-    auto* proxy = new Proxy(fleet, reported, fleet.executorAddress(labelled), fleet.hasTrouble());
-    const auto startLabelled = [&] { fleet.startExecutor(labelled, { "--kind", "b", "--reported-address", reported.text() }); };
-    startLabelled();
-    for (size_t i = 1; i < executorCount; ++i)
+    fleet.startSystem({ { "/stand/", 1, 4 }, { "/batch/", 2, 4 } });
+    for (size_t i = 0; i < executorCount; ++i)
         fleet.startExecutor(i);
     sleepMs(2500);
-    const Json job { { "spec", "work=1000" }, { "phases", { { { "count", 1 }, { "cpu", 1000 }, { "memMb", 512 }, { "estMs", 1000 }, { "constraints", "b" } } } } };
-    if (!fleet.submit(path, job))
-        throw NotRun { "the job is not accepted" };
-    const int64_t submittedAt = steadyMs();
-    while (fleet.stateOf(path) != "done") {
-        if (steadyMs() > submittedAt + 6000)
-            throw NotRun { "the job is not done in time" };
-        sleepMs(200);
-    }
-    if (fleet.hasTrouble()) {
-        fleet.crashExecutor(labelled);
-        sleepMs(downMs);
-        startLabelled();
-    }
-    while (fleet.hasTrouble() && !proxy->hasDelivered()) {
-        if (steadyMs() > submittedAt + 2 * delayMs)
-            throw NotRun { "the order was not delivered" };
-        sleepMs(100);
+    // Three standing jobs, each with one task on each executor. In two of them each task fails once.
+    const std::string failing = fleet.hasTrouble() ? "lasts fails=1@" : "lasts";
+    const auto failingAt = [&](int64_t ms) { return fleet.hasTrouble() ? failing + std::to_string(ms) : failing; };
+    const std::map<std::string, std::string> specs { { "00000000000000b1", "lasts" }, { "00000000000000b2", failingAt(failAfterMs) }, { "00000000000000b3", failingAt(failAfterMs * 2) } };
+    for (const auto& [id, spec] : specs) {
+        if (!fleet.submit("/stand/" + id, standing(spec)))
+            throw NotRun { "a job is not accepted" };
     }
-    sleepMs(2000);
-    bool isDone = false;
-    size_t startsAfterDone = 0;
-    for (const ExecutorRow& row : fleet.executorRows()) {
-        if (row.task != task)
-            continue;
-        isDone = isDone || (row.event == "end" && row.how == "done");
-        startsAfterDone += isDone && row.event == "start";
+    sleepMs(failAfterMs * 2 + 1000);
+    const std::string batch = "/batch/00000000000000b4";
+    const Json batchJob { { "spec", "work=1000" }, { "phases", { { { "count", 2 }, { "cpu", 1000 }, { "memMb", 512 }, { "estMs", 1000 } } } } };
+    if (!fleet.submit(batch, batchJob))
+        throw NotRun { "the batch is not accepted" };
+    sleepMs(calmMs);
+    size_t missing = 0;
+    for (const auto& [id, spec] : specs) {
+        for (size_t task = 0; task < executorCount; ++task)
+            missing += !fleet.runnerOf(id + ".0.0." + std::to_string(task));
     }
-    return fleet.verdict(startsAfterDone > 0, "the task was started " + std::to_string(startsAfterDone) + " times after it had ended `done`, that end was taken note of and the job was shown as `done`");
+    const std::string state = fleet.stateOf(batch);
+    return fleet.verdict(missing > 0 || state != "done", std::to_string(missing) + " of " + std::to_string(specs.size() * executorCount) + " tasks that last have no run, and a batch of two 1 s tasks is shown as " + state + ", after " + std::to_string(calmMs / 1000) + " s without any trouble; under a fifth of each executor is in use");
 }
 
 } // namespace
