--- a/review/support-2/executor.cpp
+++ b/review/support-2/executor.cpp
@@ -4,7 +4,9 @@
 //   work=MS       a run ends after MS of work
 //   lasts         a run never ends by itself
 //   fails=A@MS    runs up to attempt A end `failed` after MS
-// Each life is a process of its own, so that a crash is a SIGKILL.
+// Each life is a process of its own, so that a crash is a SIGKILL. A life with `--sick 1` leaves its first
+// start order unanswered, answers 503 to the next without doing anything, and crashes once it has
+// answered the stop that follows.
 
 #include "http.h"
 
@@ -39,6 +41,7 @@
     int64_t maxHoldMs = 10'000;
     int64_t stopMs = 400;
     int64_t heartbeatMs = 1500;
+    bool isSick = false;
     int64_t drainMs = 2500;
     int64_t lingerMs = 500; ///< Of serving after `drainMs`.
 };
@@ -142,6 +145,13 @@
         }
     }
 
+    void crashSoon()
+    {
+        sleepMs(100);
+        note("crash");
+        ::_exit(1);
+    }
+
     /// Ends after an acknowledged report that it drains.
     void leave(const Address& control)
     {
@@ -161,6 +171,8 @@
         const Json body = Json::parse(request.body, nullptr, false);
         if (!body.is_object())
             return HttpReply { 400, "{}" };
+        if (request.path == "/eelgrassloft/run-start" && m_options.isSick)
+            return failStart(body);
         if (request.path == "/eelgrassloft/run-start")
             return start(body);
         if (request.path == "/eelgrassloft/run-stop")
@@ -223,8 +235,20 @@
         return accepted();
     }
 
+    std::optional<HttpReply> failStart(const Json& body)
+    {
+        const bool isFirst = !m_failedStarts++;
+        note("refused-start " + nameOf({ body.at("task").get<std::string>(), body.at("attempt").get<int64_t>() }) + (isFirst ? " no-answer" : " status-503"));
+        if (!isFirst)
+            return HttpReply { 503, "{}" };
+        sleepMs(2000); // Longer than the caller waits; the process has crashed before it would carry the order out.
+        return std::nullopt;
+    }
+
     HttpReply stop(const Json& body)
     {
+        if (m_failedStarts > 1)
+            std::thread([this] { crashSoon(); }).detach();
         const std::lock_guard lock(m_mutex);
         const RunKey key { body.at("task").get<std::string>(), body.at("attempt").get<int64_t>() };
         if (isFenced(body))
@@ -274,6 +298,7 @@
     int64_t m_born;
     int m_record = -1;
     std::atomic<bool> m_isDraining = false;
+    std::atomic<int> m_failedStarts = 0; ///< Of a sick life.
     std::mutex m_mutex;
     int64_t m_fence = 0;
     int64_t m_leaseEnd = 0;
@@ -313,6 +338,8 @@
             options.kind = value;
         else if (name == "--rack")
             options.rack = value;
+        else if (name == "--sick")
+            options.isSick = value == "1";
         else if (name == "--max-hold-ms")
             options.maxHoldMs = std::stoll(value);
     }
--- a/review/support-2/fleet.h
+++ b/review/support-2/fleet.h
@@ -212,6 +212,8 @@
         note("executor", executorId(index) + " crash");
     }
 
+    bool isExecutorRunning(size_t index) { return m_executors[index].isRunning(); }
+
     void drainExecutor(size_t index)
     {
         note("trouble", "executor " + executorId(index) + " is to drain and leave");
