A cancelled job never runs, whichever call arrives first

Cause: CancelWork for a job that was not in the table had no effect but was acknowledged. A submission on its way, in a frozen process, a socket or a forwarder's retry, was accepted afterwards.

The job stays unknown to GET. Both decisions are logged. Why it works: what was acknowledged is now an entry of the log, and a submission is only accepted by a later entry of it.

State and messages between hosts changed their format: all hosts are updated together.

--- a/include/eelgrassloft/effects.h
+++ b/include/eelgrassloft/effects.h
@@ -43,6 +43,7 @@
     JobEnded,
     JobAccepted,
     JobRefused,
+    JobCancelledEarly, ///< Cancelled before it was submitted.
     CallUnanswered,
     OrderRefused,
     RunFailed,
@@ -66,7 +67,7 @@
     constexpr NameTable<LogEventKind> table { "leader-changed", "revision-in-force", "change-accepted",
         "change-refused", "upstream-announced", "upstream-leaving", "upstream-set-aside", "worker-joined",
         "worker-lost", "worker-set-aside", "time-leap", "draining",
-        "log-formed", "membership-changed", "incarnation-changed", "job-ended", "job-accepted", "job-refused", "call-unanswered", "order-refused",
+        "log-formed", "membership-changed", "incarnation-changed", "job-ended", "job-accepted", "job-refused", "job-cancelled-early", "call-unanswered", "order-refused",
         "run-failed", "run-lost", "run-stuck", "worker-silent", "worker-back", "worker-clock-went-back", "advice-unanswered",
         "leader-summary", "storage-refused", "storage-restored", "task-suspected", "job-given-up", "readiness-changed" };
     static_assert(detail::isComplete<LogEventKind>(table));
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -370,6 +370,9 @@
         if (table().job(request.work.key)) {
             m_counters.add(FleetCounter::JobsResubmitted);
             sendReply(step, to, {});
+        } else if (table().isCancelledEarly(request.work.key)) {
+            logRefusal(step, request.work, WorkStatus::CancelledEarly);
+            sendReply(step, to, { ControlStatus::CancelledEarly, {}, 0, {} });
         } else if (const ControlReply found = findQueue(request.work.queue, request.address); found.queue) {
             SubmitWork work = request.work;
             work.queue = found.queue->name;
@@ -602,6 +605,8 @@
             return { ControlStatus::UnknownQueue, {}, 0, {} };
         case WorkStatus::UnknownJob:
             return { ControlStatus::UnknownJob, {}, 0, {} };
+        case WorkStatus::CancelledEarly:
+            return { ControlStatus::CancelledEarly, {}, 0, {} };
         case WorkStatus::NoMemory:
             return { ControlStatus::NoMemory, {}, 0, {} };
         default:
@@ -616,8 +621,8 @@
     void didApply(FleetStep& step, const SubmitWork& command, const Applied& applied)
     {
         m_planPacer.request();
-        if (applied.result.status == WorkStatus::NoMemory)
-            step.log(LogEventKind::JobRefused, { { "job", hexText(command.key.value) }, { "queue", command.queue }, { "reason", std::string(name(applied.result.status)) }, { "openJobBytes", std::to_string(table().openJobBytes()) } });
+        if (applied.result.status == WorkStatus::NoMemory || applied.result.status == WorkStatus::CancelledEarly)
+            logRefusal(step, command, applied.result.status);
         if (applied.result.status != WorkStatus::Applied)
             return;
         m_counters.add(FleetCounter::JobsAccepted);
@@ -627,6 +632,11 @@
             step.measure(FleetTimer::SubmitToCommit, step.now - pending->second.proposedAt);
     }
 
+    void logRefusal(FleetStep& step, const SubmitWork& work, WorkStatus reason) const
+    {
+        step.log(LogEventKind::JobRefused, { { "job", hexText(work.key.value) }, { "queue", work.queue }, { "reason", std::string(name(reason)) }, { "openJobBytes", std::to_string(table().openJobBytes()) } });
+    }
+
     void didApply(FleetStep&, const PlaceRuns&, const Applied&) { m_planPacer.request(); }
     void didApply(FleetStep& step, const RequeueLostRuns&, const Applied& applied)
     {
@@ -634,7 +644,13 @@
         noteCrashes(step, applied.result);
     }
 
-    void didApply(FleetStep& step, const CancelWork&, const Applied& applied) { jobsEnded(step, applied.result.ended); }
+    void didApply(FleetStep& step, const CancelWork& command, const Applied& applied)
+    {
+        if (applied.result.status == WorkStatus::UnknownJob)
+            step.log(LogEventKind::JobCancelledEarly, { { "job", hexText(command.key.value) }, { "index", std::to_string(applied.index) } });
+        jobsEnded(step, applied.result.ended);
+    }
+
     void didApply(FleetStep& step, const SetFleetWorker&, const Applied& applied) { updateWorkers(step, applied.result); }
     void didApply(FleetStep& step, const RemoveFleetWorker&, const Applied& applied) { updateWorkers(step, applied.result); }
 
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -98,16 +98,17 @@
 enum class ControlStatus : uint8_t {
     Ok,
     UnknownQueue, ///< No such queue in the configuration in force.
-    UnknownJob,
+    UnknownJob, ///< To a cancellation also: the job won't be accepted.
+    CancelledEarly, ///< The job was cancelled before it was submitted; it was not accepted and never runs.
     Unavailable, ///< The outcome is unknown: the call may or may not have taken effect.
     NotAccepted, ///< The call had and will have no effect.
-    NoMemory, ///< Like `NotAccepted`, as the state has no room for the job. Sending it elsewhere doesn't help.
+    NoMemory, ///< Like `NotAccepted`, as the state has no room for the job or its cancellation. Sending it elsewhere doesn't help.
     Count
 };
 
 constexpr NameTable<ControlStatus> nameTable(ControlStatus)
 {
-    constexpr NameTable<ControlStatus> table { "ok", "unknown-queue", "unknown-job", "unavailable", "not-accepted", "no-memory" };
+    constexpr NameTable<ControlStatus> table { "ok", "unknown-queue", "unknown-job", "cancelled-early", "unavailable", "not-accepted", "no-memory" };
     static_assert(detail::isComplete<ControlStatus>(table));
     return table;
 }
--- a/src/work_table.cpp
+++ b/src/work_table.cpp
@@ -54,6 +54,7 @@
     m_openJobBytes = 0;
     m_workerById.clear();
     m_endedJobs.clear();
+    m_earlyCancellations.rebuild();
     for (const auto& [key, job] : m_jobs) {
         if (isEnded(job.state)) {
             m_endedJobs.insert({ job.endedAt, key });
@@ -124,10 +125,12 @@
 {
     if (m_jobs.count(command.key))
         return { WorkStatus::Unchanged };
+    removeExpiredJobs(at);
+    if (isCancelledEarly(command.key))
+        return { WorkStatus::CancelledEarly };
     const QueueSpec* queue = m_config.queue(command.queue);
     if (!queue)
         return { WorkStatus::UnknownQueue };
-    removeExpiredJobs(at);
     const uint64_t memory = memoryOf(command.work);
     if (m_openJobBytes + memory > config::maxOpenJobBytes)
         return { WorkStatus::NoMemory };
@@ -149,7 +152,7 @@
 {
     const auto found = m_jobs.find(command.key);
     if (found == m_jobs.end())
-        return { WorkStatus::UnknownJob };
+        return { m_earlyCancellations.add(at, command.key) ? WorkStatus::UnknownJob : WorkStatus::NoMemory };
     if (isEnded(found->second.state))
         return { WorkStatus::Unchanged };
     endJob(at, found->second, WorkState::Cancelled);
@@ -176,6 +179,7 @@
         m_jobs.erase(m_endedJobs.begin()->second);
         m_endedJobs.erase(m_endedJobs.begin());
     }
+    m_earlyCancellations.removeExpired(at);
 }
 
 // Configuration.
--- a/src/work_table.h
+++ b/src/work_table.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "early_cancellations.h"
+
 #include "eelgrassloft/config.h"
 #include "eelgrassloft/work.h"
 
@@ -149,6 +151,7 @@
     static constexpr auto members() { return std::make_tuple(&SubmitWork::key, &SubmitWork::queue, &SubmitWork::work); }
 };
 
+/// Ends a job. One that was not submitted yet is not accepted any more, as its submission may be on its way.
 struct CancelWork {
     JobKey key;
 
@@ -224,14 +227,15 @@
     Applied,
     Unchanged, ///< Nothing changed: the same command or a newer one was applied before.
     UnknownQueue,
-    UnknownJob,
-    NoMemory, ///< The open jobs leave no room for the job.
+    UnknownJob, ///< Nothing was there to cancel, and the job won't be accepted.
+    CancelledEarly, ///< The job was cancelled before it was submitted.
+    NoMemory, ///< There is no room for the job or its cancellation.
     Count
 };
 
 constexpr NameTable<WorkStatus> nameTable(WorkStatus)
 {
-    constexpr NameTable<WorkStatus> table { "applied", "known", "unknown-queue", "unknown-job", "no-memory" };
+    constexpr NameTable<WorkStatus> table { "applied", "known", "unknown-queue", "unknown-job", "cancelled-early", "no-memory" };
     return table;
 }
 
@@ -281,14 +285,14 @@
 
     static constexpr auto members()
     {
-        return std::make_tuple(&WorkTable::m_config, &WorkTable::m_workers, &WorkTable::m_nextWorker, &WorkTable::m_jobs);
+        return std::make_tuple(&WorkTable::m_config, &WorkTable::m_workers, &WorkTable::m_nextWorker, &WorkTable::m_jobs, &WorkTable::m_earlyCancellations);
     }
 
     Result apply(Time at, const Command& command);
 
     /// Rebuilds the indexes from the decoded members.
     void rebuild();
-    size_t recordCount() const { return m_jobs.size() * 4 + m_workers.size(); }
+    size_t recordCount() const { return m_jobs.size() * 4 + m_workers.size() + m_earlyCancellations.size(); }
 
     const FleetConfig& config() const { return m_config; }
     const std::map<WorkerNumber, FleetWorker>& workers() const { return m_workers; }
@@ -299,6 +303,8 @@
     const std::set<JobKey>& openJobs() const { return m_openJobs; }
 
     const WorkJob* job(JobKey key) const;
+    /// Whether the job was cancelled before it was submitted.
+    bool isCancelledEarly(JobKey key) const { return m_earlyCancellations.contains(key); }
     const FleetWorker* worker(WorkerNumber number) const;
     const StepSpec* stepOf(const TaskRef& task) const;
     /// Whether the run is the latest one of its task, and its job has not ended.
@@ -341,6 +347,7 @@
     std::map<WorkerNumber, FleetWorker> m_workers;
     uint32_t m_nextWorker = 1;
     std::map<JobKey, WorkJob> m_jobs;
+    EarlyCancellations m_earlyCancellations;
 
     std::set<JobKey> m_openJobs;
     uint64_t m_openJobBytes = 0;
--- a/tests/support/fleet_cluster.h
+++ b/tests/support/fleet_cluster.h
@@ -90,6 +90,15 @@
         return id;
     }
 
+    /// Lets a call arrive at a host after some time, as if it had been on its way for so long. It is lost if
+    /// the host crashes meanwhile.
+    CallId callAt(uint32_t host, ControlRequest request, Duration after, Duration timeout = std::chrono::seconds(2))
+    {
+        const CallId id { m_nextCall++ };
+        post(HostId { host }, ControlCallReceived { id, std::move(request), m_now + after + timeout }, after);
+        return id;
+    }
+
     std::optional<ControlReply> reply(CallId call) const
     {
         const auto found = m_replies.find(call);
