Long-running tasks don't keep their worker on probation

Cause: probation after a quarantine ended only by a run that ended as done, and a worker on probation got a task only while it had none. A long-running task never ends as done and never leaves. Evidence: the leader's summary on the base shows workers=4 accepting=0 onProbation=4 running=8, and no suspect.

The summary counts as before. Why it works: each way out of probation is now open whatever the worker runs, by time at the latest.

--- a/src/capacity_view.cpp
+++ b/src/capacity_view.cpp
@@ -23,7 +23,7 @@
     for (const auto& [number, workerView] : workerViews) {
         if (!workerView.acceptsPlacements(now) || workerView.isolatedRuns)
             continue;
-        m_workers.push_back({ &workerView, workerView.freeCapacity(), {}, workerView.isOnProbation });
+        m_workers.push_back({ &workerView, workerView.freeCapacity(), {}, workerView.isOnProbation(now) });
         m_numbers.push_back(number);
     }
 }
--- a/src/leader_summary.h
+++ b/src/leader_summary.h
@@ -100,7 +100,7 @@
             unresponsive += view.isUnresponsive;
             unansweredStart += view.hasUnansweredStart;
             quarantined += now < view.quarantinedUntil;
-            onProbation += view.isOnProbation;
+            onProbation += view.isOnProbation(now);
             for (const auto& [run, runView] : view.runs) {
                 ++runs[runView.phase];
                 stopping += runView.isStopRequested;
--- a/src/worker_dispatcher.cpp
+++ b/src/worker_dispatcher.cpp
@@ -192,6 +192,7 @@
     workerView.nextPoll = std::max(step.now, call.sentAt + config::pollInterval);
     processEnds(step, table, workerView, response.ends);
     noteActiveRuns(table, workerView, step.now, response.running);
+    workerView.noteLastingRuns(step.now);
     for (const ReportedRun& listed : response.running)
         markStarted(table, listed.run.task.job);
     requeueUnlisted(step, workerView, call.sentAt, response);
@@ -237,7 +238,8 @@
         workerView.endsProposed = end.number;
         if (end.runOutcome == RunOutcome::Failed)
             logRun(step, LogEventKind::RunFailed, workerView, end.run, name(end.runOutcome));
-        if (workerView.noteOutcome(end))
+        const auto ended = workerView.runs.find(end.run);
+        if (workerView.noteOutcome(step.now, end, ended == workerView.runs.end() ? nullptr : &ended->second))
             quarantine(step, workerView);
         markStarted(table, end.run.task.job);
         workerView.removeRun(end.run);
--- a/src/worker_view.h
+++ b/src/worker_view.h
@@ -181,16 +181,20 @@
     Time lastReport {};
     uint64_t reportSequence = 0; ///< Number of that report.
     std::vector<JobKey> failedJobs; ///< Distinct jobs with failures since the last success on the worker.
+    Time evidenceSince {}; ///< Runs placed since then, after the last failure or quarantine, show whether the worker still fails.
     Time quarantinedUntil {};
-    bool isOnProbation = false; ///< Was quarantined; gets one task at a time until one succeeds.
+    Time probationUntil {}; ///< Until then, after its quarantine, the worker gets one task at a time, or until one succeeds.
 
     bool acceptsPlacements(Time now) const
     {
         if (!isSynced || isUnresponsive || hasUnansweredStart || info.isLeaving || now < quarantinedUntil)
             return false;
-        return !isOnProbation || runs.empty();
+        return !isOnProbation(now) || std::none_of(runs.begin(), runs.end(), [&](const auto& entry) { return isOnTrial(entry.first, entry.second); });
     }
 
+    /// Whether the worker is or was quarantined and has to prove that it doesn't fail what it starts.
+    bool isOnProbation(Time now) const { return now < probationUntil; }
+
     Resources freeCapacity() const { return used.fitsIn(info.capacity) ? info.capacity - used : Resources {}; }
 
     /// Resources taken by the runs that may be active on the worker.
@@ -251,26 +255,43 @@
     }
 
     /// Tracks consecutive failures. Returns whether the worker is to be quarantined, since the runs of
-    /// distinct jobs failed on it.
-    bool noteOutcome(const EndedRun& end)
+    /// distinct jobs failed on it. `ended` is the run's view, null if it is unknown.
+    bool noteOutcome(Time now, const EndedRun& end, const RunView* ended)
     {
         if (end.runOutcome == RunOutcome::Done) {
-            failedJobs.clear();
-            isOnProbation = false;
+            noteSuccess();
             return false;
         }
         if (end.runOutcome != RunOutcome::Failed)
             return false;
-        const JobKey job = end.run.task.job;
-        if (std::find(failedJobs.begin(), failedJobs.end(), job) == failedJobs.end())
-            failedJobs.push_back(job);
-        return failedJobs.size() >= config::failuresToQuarantine || isOnProbation;
+        if (probationUntil != Time {} && !isOnProbation(now))
+            noteSuccess(); // Nothing has failed since the quarantine.
+        const bool isEvidence = !ended || !ended->isLongRunning || isOnTrial(end.run, *ended);
+        if (!hasFailed(end.run.task.job))
+            failedJobs.push_back(end.run.task.job);
+        if (isOnProbation(now))
+            return isEvidence;
+        evidenceSince = now;
+        return failedJobs.size() >= config::failuresToQuarantine;
+    }
+
+    /// Notes a success if a long-running task that was placed after the last failure is at work.
+    void noteLastingRuns(Time now)
+    {
+        if (failedJobs.empty() && probationUntil == Time {})
+            return;
+        const auto isProof = [&](const auto& entry) {
+            const RunView& run = entry.second;
+            return run.isLongRunning && run.percent == 100 && run.placedAt >= evidenceSince && now >= run.progressAt + config::lastingRunProof;
+        };
+        if (std::any_of(runs.begin(), runs.end(), isProof))
+            noteSuccess();
     }
 
     void quarantine(Time now)
     {
-        quarantinedUntil = now + config::quarantineDuration;
-        isOnProbation = true;
+        quarantinedUntil = evidenceSince = now + config::quarantineDuration;
+        probationUntil = quarantinedUntil + config::probationDuration;
     }
 
     bool hasUnprovenRuns() const
@@ -287,6 +308,23 @@
             size.processorMillis = 0;
         return size;
     }
+
+private:
+    bool hasFailed(JobKey job) const { return std::find(failedJobs.begin(), failedJobs.end(), job) != failedJobs.end(); }
+
+    void noteSuccess()
+    {
+        failedJobs.clear();
+        probationUntil = {};
+    }
+
+    /// Whether the outcome of a run shows if the worker still fails what it starts. A long-running task may
+    /// fail at any time and is started again for ever, so that one which failed here before shows nothing.
+    bool isOnTrial(const TaskRun& run, const RunView& runView) const
+    {
+        const bool isNew = runView.phase == RunPhase::Reserved || runView.placedAt >= evidenceSince;
+        return isNew && !(runView.isLongRunning && hasFailed(run.task.job));
+    }
 };
 
 } // namespace eelgrassloft
--- a/tests/support/fleet_cluster.h
+++ b/tests/support/fleet_cluster.h
@@ -177,7 +177,20 @@
 
     /// Makes all tasks of the job crash their worker after running for `runTime`.
     void setCrashing(JobKey job, Duration runTime = std::chrono::milliseconds(60)) { m_crashingJobs[job] = runTime; }
-    /// How long tasks run that start from now on.
+    /// Makes all runs of the job fail that start from now on, after running for `runTime`.
+    void setFailingJob(JobKey job, Duration runTime) { m_failingJobs[job] = runTime; }
+    /// Ends the present runs of a job as failed.
+    void failRuns(JobKey job)
+    {
+        for (Worker& worker : m_workers) {
+            const std::map<TaskRun, RunningTask> running = worker.running;
+            for (const auto& [run, task] : running) {
+                if (run.task.job == job)
+                    endRun(worker, run, RunOutcome::Failed);
+            }
+        }
+    }
+    /// How long tasks run that start from now on, unless they run until they are stopped.
     void setRunLength(Duration length) { m_runLength = length; }
     /// How long a crashed worker is away before its next incarnation.
     void setCrashLength(Duration length) { m_crashLength = length; }
@@ -221,6 +234,14 @@
         }
         return std::nullopt;
     }
+    /// Number of active runs of a job.
+    size_t runningCount(JobKey job) const
+    {
+        size_t count = 0;
+        for (const Worker& worker : m_workers)
+            count += static_cast<size_t>(std::count_if(worker.running.begin(), worker.running.end(), [&](const auto& entry) { return entry.first.task.job == job; }));
+        return count;
+    }
     /// Number of calls to workers that a host made.
     size_t workerCalls(uint32_t id) const
     {
@@ -236,6 +257,7 @@
     static constexpr Duration reportPeriod = std::chrono::milliseconds(500);
     static constexpr Duration shrinkGrace = std::chrono::milliseconds(5500); ///< Contact time of 4 s and one report, as the rule on capacity allows.
     static constexpr Duration delay = std::chrono::milliseconds(2);
+    static constexpr Duration startupTime = std::chrono::milliseconds(200); ///< Of a task that runs until it is stopped.
     static constexpr size_t maxListedEnds = 500; ///< In one response of a worker.
 
     struct Disk {
@@ -254,8 +276,9 @@
     struct RunningTask {
         Resources size;
         Time startedAt {};
-        Time endsAt {};
+        Time endsAt {}; ///< `never` if it runs until it is stopped.
         Time crashesAt = never; ///< When the task crashes its worker.
+        bool willFail = false;
     };
 
     /// Crashes of workers that ran a task, and its starts after the third.
@@ -560,7 +583,11 @@
             m_violations.push_back("a task was started three times more after three workers had crashed under it");
         const auto crashing = m_crashingJobs.find(task.job);
         const Time crashesAt = crashing == m_crashingJobs.end() ? never : m_now + crashing->second;
-        worker.running[order.run] = { size, m_now, m_now + m_runLength, crashesAt };
+        const auto failing = m_failingJobs.find(task.job);
+        const bool willFail = failing != m_failingJobs.end();
+        const bool lasts = step && step->isLongRunning && !willFail && !worker.isFailing;
+        const Time endsAt = lasts ? never : m_now + (willFail ? failing->second : m_runLength);
+        worker.running[order.run] = { size, m_now, endsAt, crashesAt, willFail };
         Resources used;
         for (const auto& [run, running] : worker.running)
             used += running.size;
@@ -601,6 +628,8 @@
 
     uint32_t percentOf(const RunningTask& running) const
     {
+        if (running.endsAt == never)
+            return m_now >= running.startedAt + startupTime ? 100 : 0;
         return static_cast<uint32_t>(100 * (m_now - running.startedAt) / (running.endsAt - running.startedAt));
     }
 
@@ -663,7 +692,7 @@
             if (hasLapsed)
                 endRun(worker, run, RunOutcome::Lapsed);
             else if (m_now >= task.endsAt)
-                endRun(worker, run, worker.isFailing ? RunOutcome::Failed : RunOutcome::Done);
+                endRun(worker, run, worker.isFailing || task.willFail ? RunOutcome::Failed : RunOutcome::Done);
         }
     }
 
@@ -700,6 +729,7 @@
     std::vector<LogEvent> m_log;
     std::multimap<Time, DelayedOrder> m_delayedOrders; ///< By time of execution.
     std::map<JobKey, Duration> m_crashingJobs; ///< How long their tasks run before they crash their worker.
+    std::map<JobKey, Duration> m_failingJobs; ///< How long their runs take to fail.
     std::map<JobKey, size_t> m_jobCrashes;
     std::map<TaskRef, TaskCrashes> m_taskCrashes;
     size_t m_workerCrashes = 0;
