A quarantined worker with services is tried again

Seen: nothing by callers yet. Failures of services that were there before prolonged the pause by 5 minutes each, and one plan could place several tasks on a worker that was to be tried with one.

Change: the log keeps the task on trial, in place of asking for an empty worker; a service that has run for 30 s is a success, and without a failure that counts probation ends after 5 minutes.

The data centre's state changed its format: all hosts are updated together.

--- a/src/capacity_index.cpp
+++ b/src/capacity_index.cpp
@@ -33,12 +33,21 @@
     worker.capacity = record->capacity;
     worker.freeCapacity = record->freeCapacity();
     worker.preemptible = record->preemptible;
-    // After its quarantine a worker is on probation: it gets one task at a time until one succeeds.
-    const bool isOnProbation = record->state == WorkerState::Quarantined && now >= record->quarantinedUntil && record->tasks.empty();
-    worker.isSchedulable = record->state == WorkerState::Ready || isOnProbation;
+    const bool isFree = record->state == WorkerState::Ready || record->hasPassedProbation(now);
+    worker.takesOneTask = !isFree && record->awaitsTrial(now);
+    worker.isSchedulable = isFree || worker.takesOneTask;
     addToOrders(slot);
 }
 
+void CapacityIndex::allocate(WorkerSlot slot, const Resources& size)
+{
+    setFreeCapacity(slot, m_workers[slot.value].freeCapacity - size);
+    if (!m_workers[slot.value].takesOneTask)
+        return;
+    removeFromOrders(slot);
+    m_workers[slot.value].isSchedulable = false;
+}
+
 WorkerSlot CapacityIndex::find(const std::string& workerName) const
 {
     const auto found = m_byName.find(workerName);
--- a/src/capacity_index.h
+++ b/src/capacity_index.h
@@ -39,6 +39,7 @@
         Resources freeCapacity;
         Resources preemptible;
         bool isSchedulable = false; ///< Accepts new tasks.
+        bool takesOneTask = false; ///< On probation after a quarantine: it gets one task at a time.
         uint32_t reservations = 0; ///< Number of waiting jobs that the worker is reserved for.
     };
 
@@ -47,7 +48,8 @@
     /// Updates one worker from the table, or adds it.
     void update(const TaskTable& tasks, const std::string& workerName, Time now);
 
-    void allocate(WorkerSlot slot, const Resources& size) { setFreeCapacity(slot, m_workers[slot.value].freeCapacity - size); }
+    /// Takes the capacity of one task. A worker that takes one task gets no other before its next update.
+    void allocate(WorkerSlot slot, const Resources& size);
     void release(WorkerSlot slot, const Resources& size) { setFreeCapacity(slot, m_workers[slot.value].freeCapacity + size); }
     /// Reserves a whole worker for a waiting job, or ends one such reservation.
     void reserve(WorkerSlot slot) { ++m_workers[slot.value].reservations; }
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -11,7 +11,7 @@
 {
     if (!index.fits(slot, size))
         return 0;
-    return std::min(limit, detail::fittingTasks(index.at(slot).freeCapacity, size));
+    return std::min(index.at(slot).takesOneTask ? 1 : limit, detail::fittingTasks(index.at(slot).freeCapacity, size));
 }
 
 /// Number of tasks that fit on the workers of a rack.
--- a/src/task_table.cpp
+++ b/src/task_table.cpp
@@ -228,20 +228,23 @@
 
 // Placement.
 
-bool TaskTable::canPlace(const Placement& placement) const
+bool TaskTable::canPlace(Time at, const Placement& placement) const
 {
     const TaskRecord* record = task(placement.task);
     const WorkerRecord* target = worker(placement.worker);
-    return record && target && record->state == TaskState::Queued && placement.epoch == record->epoch + 1
+    return record && target && target->admitsPlacements(at) && record->state == TaskState::Queued && placement.epoch == record->epoch + 1
         && target->incarnation == placement.workerIncarnation
-        && (target->state == WorkerState::Ready || target->state == WorkerState::Quarantined)
         && target->hasCapacityFor(record->size);
 }
 
-void TaskTable::place(const Placement& placement)
+void TaskTable::place(Time at, const Placement& placement)
 {
     TaskRecord& task = m_tasks[placement.task];
     WorkerRecord& worker = m_workers[placement.worker];
+    if (worker.hasPassedProbation(at))
+        recordWorkerSuccess(worker);
+    if (worker.state == WorkerState::Quarantined)
+        worker.trial = placement.task;
     task.epoch = placement.epoch;
     task.worker = placement.worker;
     task.workerIncarnation = placement.workerIncarnation;
@@ -251,16 +254,16 @@
     checkCommitted(worker);
 }
 
-TaskCommandResult TaskTable::handle(Time, const PlaceTasks& command)
+TaskCommandResult TaskTable::handle(Time at, const PlaceTasks& command)
 {
     TaskCommandResult result;
     std::vector<Placement> placed;
     for (const Placement& placement : command.placements) {
-        if (!canPlace(placement)) {
+        if (!canPlace(at, placement)) {
             ++result.refused;
             continue;
         }
-        place(placement);
+        place(at, placement);
         placed.push_back(placement);
     }
     if (command.isAllOrNothing && result.refused) {
@@ -280,6 +283,8 @@
     const auto found = m_workers.find(task.worker);
     requireInvariant(found != m_workers.end() && found->second.tasks.erase(id) == 1, "a task on a worker is listed by exactly that worker");
     found->second.committed -= task.size;
+    if (found->second.trial == id)
+        found->second.endTrial();
     if (isPreemptible(task))
         found->second.preemptible -= task.size;
     recordWorkerChange(task.worker);
@@ -321,6 +326,8 @@
         if (task.state != TaskState::Starting)
             return false;
         setState(report.task, task, TaskState::Running);
+        if (WorkerRecord& worker = m_workers[task.worker]; worker.trial == report.task && m_jobs.at(task.job).spec.kind == JobKind::Service)
+            worker.serviceSince = at;
         return true;
     }
     if (!isEnded(report.state))
@@ -347,7 +354,7 @@
 void TaskTable::applyFailure(Time at, TaskId id, const std::string& detail)
 {
     TaskRecord& task = m_tasks[id];
-    recordWorkerFailure(at, m_workers[task.worker], task.job);
+    recordWorkerFailure(at, m_workers[task.worker], id);
     task.detail = detail;
     ++task.failures;
     const bool isCancelled = task.state == TaskState::Stopping && task.stateAfterStop == TaskState::Cancelled;
@@ -362,17 +369,27 @@
 void TaskTable::recordWorkerSuccess(WorkerRecord& worker)
 {
     worker.failedJobs.clear();
+    worker.endTrial();
     if (worker.state == WorkerState::Quarantined)
         worker.state = WorkerState::Ready;
 }
 
-/// Each job counts once, so a job that fails on every worker quarantines none of them.
-void TaskTable::recordWorkerFailure(Time at, WorkerRecord& worker, const std::string& job)
+/// Each job counts once, so a job that fails on every worker quarantines none of them. On probation any
+/// failure quarantines the worker again, but for a service's: it may fail at any time and is started again for
+/// ever, so that only the first one on trial shows something.
+void TaskTable::recordWorkerFailure(Time at, WorkerRecord& worker, TaskId id)
 {
+    if (worker.hasPassedProbation(at))
+        recordWorkerSuccess(worker);
+    const TaskRecord& task = m_tasks[id];
     auto& failed = worker.failedJobs;
-    if (std::find(failed.begin(), failed.end(), job) == failed.end())
-        failed.push_back(job);
-    if (failed.size() < config::failedJobsToQuarantine && worker.state != WorkerState::Quarantined)
+    const bool isRepeated = std::find(failed.begin(), failed.end(), task.job) != failed.end();
+    if (!isRepeated)
+        failed.push_back(task.job);
+    const bool isService = m_jobs.at(task.job).spec.kind == JobKind::Service;
+    const bool isEvidence = !isService || (worker.trial == id && !isRepeated);
+    const bool mustPause = worker.state == WorkerState::Quarantined ? isEvidence : failed.size() >= config::failedJobsToQuarantine;
+    if (!mustPause)
         return;
     worker.state = WorkerState::Quarantined;
     worker.quarantinedUntil = at + config::workerQuarantine;
--- a/src/task_table.h
+++ b/src/task_table.h
@@ -54,19 +54,44 @@
     WorkerState state = WorkerState::Ready;
     Time quarantinedUntil {};
     std::vector<std::string> failedJobs; ///< Distinct jobs whose tasks failed here since the last success.
+    TaskId trial; ///< Task that was placed here after the quarantine, to see if it fails too; invalid if there is none.
+    Time serviceSince = never; ///< When the trial was reported as running, if it is a service's.
     std::set<TaskId> tasks; ///< Tasks that occupy this worker. Derived.
     Resources preemptible; ///< Sum of the sizes of the tasks that urgent ones may preempt. Derived.
 
     static constexpr auto members()
     {
         return std::make_tuple(&WorkerRecord::incarnation, &WorkerRecord::rack, &WorkerRecord::capacity,
-            &WorkerRecord::committed, &WorkerRecord::state, &WorkerRecord::quarantinedUntil, &WorkerRecord::failedJobs);
+            &WorkerRecord::committed, &WorkerRecord::state, &WorkerRecord::quarantinedUntil, &WorkerRecord::failedJobs, &WorkerRecord::trial,
+            &WorkerRecord::serviceSince);
     }
 
     /// Free capacity; nothing where the worker lowered its capacity below what is committed.
     Resources freeCapacity() const { return committed.fitsIn(capacity) ? capacity - committed : Resources {}; }
 
     bool hasCapacityFor(const Resources& size) const { return committed.fitsIn(capacity) && size.fitsIn(capacity - committed); }
+
+    /// Whether its quarantine has ended and its probation has begun, over or not.
+    bool hasLeftQuarantine(Time now) const { return state == WorkerState::Quarantined && now >= quarantinedUntil; }
+    /// Whether its probation is over: a service task has been at work for long enough, or nothing failed for
+    /// as long as a probation may last. Both come by time alone; the next placement makes it `Ready`.
+    bool hasPassedProbation(Time now) const
+    {
+        const bool isProven = serviceSince != never && now >= serviceSince + config::serviceProof;
+        return hasLeftQuarantine(now) && (isProven || now >= quarantinedUntil + config::maxWorkerProbation);
+    }
+    void endTrial()
+    {
+        trial = {};
+        serviceSince = never;
+    }
+    /// Whether a plan may give it a task on trial.
+    bool awaitsTrial(Time now) const { return hasLeftQuarantine(now) && !trial.isValid(); }
+    /// Whether the state allows a placement. One that was planned before the quarantine is on trial too.
+    bool admitsPlacements(Time now) const
+    {
+        return state == WorkerState::Ready || (state == WorkerState::Quarantined && !trial.isValid()) || hasPassedProbation(now);
+    }
 };
 
 /// Changes the reservation of a queued task to the size learned from its usage.
@@ -231,11 +256,11 @@
     void addTasks(JobRecord& job);
     void cancelJob(JobRecord& job);
     void stopTask(TaskId id, TaskState stateAfterStop);
-    bool canPlace(const Placement& placement) const;
-    void place(const Placement& placement);
+    bool canPlace(Time at, const Placement& placement) const;
+    void place(Time at, const Placement& placement);
     bool applyReport(Time at, const TaskReport& report);
     void applyFailure(Time at, TaskId id, const std::string& detail);
-    static void recordWorkerFailure(Time at, WorkerRecord& worker, const std::string& job);
+    void recordWorkerFailure(Time at, WorkerRecord& worker, TaskId id);
     static void recordWorkerSuccess(WorkerRecord& worker);
     void detachFromWorker(TaskId id, TaskRecord& task);
     void setState(TaskId id, TaskRecord& task, TaskState state);
