Say in the leader's summary what is in the way of waiting steps

The summary showed that work waited beside free workers, but not why: whether room, tickets, members of a gang or the limits on suspects of crashes were missing. The planner now names it for each step.

--- a/src/leader_summary.h
+++ b/src/leader_summary.h
@@ -23,6 +23,7 @@
         m_queries += plan.queries.size();
         m_placements += plan.runs.size();
         m_preemptions += plan.preemptions.size();
+        m_obstacles = plan.obstacles;
         for (const auto& [priority, steps] : plan.placedSteps)
             m_advice[shownPriority(priority)].placedSteps += steps;
     }
@@ -47,6 +48,7 @@
             { "openJobs", std::to_string(table.openJobs().size()) }, { "adviceCalls", std::to_string(advice.pendingCount()) }, { "adviceHosts", std::to_string(advice.hostCount()) } };
         addAdvice(fields);
         addWaiting(fields, ready, step.now);
+        forEachValue<PlacementObstacle>([&](PlacementObstacle obstacle) { fields.push_back({ name(obstacle), std::to_string(m_obstacles[obstacle]) }); });
         addWorkers(fields, dispatcher, step.now);
         step.log(LogEventKind::LeaderSummary, std::move(fields));
         m_previousCalls = std::exchange(m_currentCalls, {});
@@ -132,6 +134,7 @@
     Time m_next {};
     std::set<std::pair<HostId, uint64_t>> m_currentCalls; ///< Forwarded calls of this second.
     std::set<std::pair<HostId, uint64_t>> m_previousCalls;
+    EnumArray<PlacementObstacle, size_t> m_obstacles; ///< Of the latest plan.
     uint64_t m_calls = 0;
     uint64_t m_repeatedCalls = 0; ///< Sent more than once by the same host, in this second and the one before.
     uint64_t m_plans = 0;
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -19,11 +19,31 @@
     std::string ticket;
 };
 
+/// Why none of a step's waiting tasks was placed.
+enum class PlacementObstacle : uint8_t {
+    None, ///< Some were placed.
+    Capacity, ///< No worker that may run the step has room.
+    Ticket, ///< No worker with room is known to be allowed by the advice service.
+    GangMembers, ///< Other members of the gang can't be placed yet.
+    IsolationTurn, ///< Other suspects come first.
+    IsolationLimit, ///< As many workers as allowed are isolated.
+    IsolationWorker, ///< The workers with room have other runs to lose.
+    Count
+};
+
+constexpr NameTable<PlacementObstacle> nameTable(PlacementObstacle)
+{
+    constexpr NameTable<PlacementObstacle> table { "placed", "noCapacity", "noTicket", "gangMembers", "isolationTurn", "isolationLimit", "isolationWorker" };
+    static_assert(detail::isComplete<PlacementObstacle>(table));
+    return table;
+}
+
 struct WorkPlan {
     std::vector<PlannedRun> runs;
     std::vector<RunPlacement> preemptions; ///< Runs to stop in favour of a gang.
     std::vector<AdviceClient::Query> queries;
     std::map<uint32_t, size_t> placedSteps; ///< Steps of which tasks are placed, by the priority of their queue.
+    EnumArray<PlacementObstacle, size_t> obstacles; ///< Number of waiting steps by what is in their way.
     size_t examinedJobs = 0; ///< Jobs whose tasks were gone through.
     Time nextDue = never; ///< When the next occurrence of a job becomes due.
 };
@@ -60,7 +80,7 @@
                 if (plan.runs.size() >= config::maxPlacementsPerStep)
                     break;
                 if (step->isSuspect == isSuspect)
-                    place(plan, table, capacityView, advice, *step, now);
+                    ++plan.obstacles[place(plan, table, capacityView, advice, *step, now)];
             }
         }
         return plan;
@@ -145,17 +165,15 @@
         return allowed;
     }
 
-    void place(WorkPlan& plan, const WorkTable& table, CapacityView& capacityView, const AdviceClient& advice, const ReadyStep& step, Time now)
+    PlacementObstacle place(WorkPlan& plan, const WorkTable& table, CapacityView& capacityView, const AdviceClient& advice, const ReadyStep& step, Time now)
     {
         const StepSpec& spec = step.spec();
         const QueueSpec& queue = queueOf(table, step);
-        if (step.isSuspect) {
-            placeSuspectStep(plan, capacityView, advice, queue, step, now);
-            return;
-        }
+        if (step.isSuspect)
+            return placeSuspectStep(plan, capacityView, advice, queue, step, now);
         holdForUrgent(capacityView, queue.priority);
         if (!spec.isGang && !capacityView.hasCapacityFor(spec))
-            return;
+            return PlacementObstacle::Capacity;
         const StepAdvice* stepAdvice = queue.advice ? advice.find(step.step) : nullptr;
         std::vector<Worker*> candidates = fittingWorkers(capacityView, queue, step, stepAdvice, now);
         const size_t firstRun = plan.runs.size();
@@ -165,10 +183,20 @@
         if (spec.isGang && !placedCount) {
             if (m_reservedGangs[queue.priority] < maxReserved)
                 reserveForGang(plan, capacityView, advice, queue, step, stepAdvice, now);
-            return;
+            return obstacleOf(queue, candidates);
         }
         if (queue.advice && placedCount < step.waiting.size() && !(stepAdvice && stepAdvice->isQueryPending))
             planQuery(plan, capacityView, advice, queue, step, stepAdvice, step.waiting.size() - placedCount, now);
+        if (plan.runs.size() > firstRun)
+            return PlacementObstacle::None;
+        return spec.isGang ? PlacementObstacle::GangMembers : obstacleOf(queue, candidates);
+    }
+
+    /// What is in the way of a step that was not placed. `candidates` are the workers with room for a task of
+    /// it, and its tickets.
+    static PlacementObstacle obstacleOf(const QueueSpec& queue, const std::vector<Worker*>& candidates)
+    {
+        return queue.advice && candidates.empty() ? PlacementObstacle::Ticket : PlacementObstacle::Capacity;
     }
 
     size_t placeAll(WorkPlan& plan, CapacityView& capacityView, std::vector<Worker*>& candidates, const ReadyStep& step, const StepAdvice* stepAdvice)
@@ -191,16 +219,20 @@
 
     /// Places suspects on isolated workers. Where that is not possible yet, withholds workers for them
     /// and asks for the tickets that they need there.
-    void placeSuspectStep(WorkPlan& plan, CapacityView& capacityView, const AdviceClient& advice, const QueueSpec& queue, const ReadyStep& step, Time now)
+    PlacementObstacle placeSuspectStep(WorkPlan& plan, CapacityView& capacityView, const AdviceClient& advice, const QueueSpec& queue, const ReadyStep& step, Time now)
     {
         if (!m_isolation.takeTurn())
-            return;
+            return PlacementObstacle::IsolationTurn;
         const StepAdvice* stepAdvice = queue.advice ? advice.find(step.step) : nullptr;
         m_isolation.setWithheldFree(capacityView, true);
-        const size_t placedCount = placeSuspects(plan, capacityView, fittingWorkers(capacityView, queue, step, stepAdvice, now), step, stepAdvice);
+        const std::vector<Worker*> candidates = fittingWorkers(capacityView, queue, step, stepAdvice, now);
+        const size_t firstRun = plan.runs.size();
+        const size_t placedCount = placeSuspects(plan, capacityView, candidates, step, stepAdvice);
         m_isolation.setWithheldFree(capacityView, false);
         if (placedCount)
-            return;
+            return plan.runs.size() > firstRun ? PlacementObstacle::None : PlacementObstacle::GangMembers;
+        const PlacementObstacle obstacle = !m_isolation.hasRoom() ? PlacementObstacle::IsolationLimit : candidates.empty() ? obstacleOf(queue, candidates)
+                                                                                                                           : PlacementObstacle::IsolationWorker;
         std::vector<Worker*> eligible;
         for (Worker& worker : capacityView.workers()) {
             const bool isDenied = stepAdvice && stepAdvice->denied.count(worker.view->number);
@@ -210,6 +242,7 @@
         m_isolation.withhold(eligible, step.spec().isGang ? step.spec().count : 1);
         if (queue.advice && !(stepAdvice && stepAdvice->isQueryPending))
             planSuspectQuery(plan, advice, queue, step, stepAdvice, eligible, now);
+        return obstacle;
     }
 
     /// Queries the workers on which a suspect may run soon, and for which it has no ticket that is valid
