Tasks that may have crashed a worker leave hosts to ask for others' advice

Cause: suspects are looked at first, as they would otherwise get no tickets, and one that can't be placed yet asks anew whenever its tickets expire. Nothing bounded that, so that all hosts asked for suspects.

Change: suspects ask by half of the hosts at most.

Test: WorkPlannerTests/suspectsTakeAllCallsForAdvice, which failed before (8 of 8 hosts, 12 of 12, 2 of 2).

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -201,6 +201,7 @@
 inline constexpr size_t maxAdviceWorkers = 100; ///< Named in one advice request.
 inline constexpr size_t hostsForShortAdvice = 3; ///< Hosts that make no long advice calls, so that short ones do not wait.
 inline constexpr size_t hostsPerShortAdvice = 6; ///< In large fleets, one such host for this many hosts.
+inline constexpr size_t hostsPerSuspectAdvice = 2; ///< One host for this many may ask for tasks that may have crashed a worker.
 inline constexpr Duration longAdviceThreshold = 200ms; ///< An advice call expected to take at least this is long.
 inline constexpr int longAdviceFactor = 5; ///< So is one that takes this multiple of the shortest ones.
 inline constexpr size_t fleetMailboxCapacity = 65536; ///< Messages.
--- a/src/advice_client.h
+++ b/src/advice_client.h
@@ -61,6 +61,7 @@
         AdviceTiming timing;
         uint32_t priority = 0;
         std::map<WorkerNumber, Resources> expectedUse {}; ///< Free capacity that the step is expected to take once the query is answered.
+        bool isForSuspects = false; ///< Whether the step's tasks may have crashed a worker.
     };
 
     /// Sets the hosts that may call the service, including the leader. Calls of other hosts are dropped.
@@ -89,6 +90,19 @@
         return busy + (isLong(timing, workers) ? hostsForShort : 0) < m_hosts.size();
     }
 
+    /// The same for a step of suspects. Those that can't be placed yet ask again whenever their tickets expire,
+    /// so that they would take all hosts from the others; they get a part of them.
+    bool canQueryForSuspects(const AdviceTiming& timing, size_t workers, const std::vector<Query>& planned) const
+    {
+        size_t ofSuspects = 0;
+        for (const Query& query : planned)
+            ofSuspects += query.isForSuspects;
+        for (const auto& [number, pendingQuery] : m_pendingQueries)
+            ofSuspects += pendingQuery.query.isForSuspects;
+        const size_t mostHosts = std::max<size_t>(1, m_hosts.size() / config::hostsPerSuspectAdvice);
+        return ofSuspects < mostHosts && canQuery(timing, workers, planned.size());
+    }
+
     /// Notes the queues, whose timings tell which calls are long beside others.
     void setQueues(const std::vector<QueueSpec>& queues)
     {
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -251,13 +251,14 @@
         const std::vector<Worker*>& eligible, Time now) const
     {
         AdviceClient::Query query { step.step, {}, *queue.advice, queue.priority };
+        query.isForSuspects = true;
         for (const Worker* worker : eligible) {
             const WorkerNumber number = worker->view->number;
             const bool hasTicket = stepAdvice && stepAdvice->hasValidTicket(number, now + config::orderTimeout);
             if (m_isolation.isIntended(*worker) && !hasTicket && query.workers.size() < config::gangAdviceWorkers)
                 query.workers.push_back(number);
         }
-        if (!query.workers.empty() && advice.canQuery(*queue.advice, query.workers.size(), plan.queries.size()))
+        if (!query.workers.empty() && advice.canQueryForSuspects(*queue.advice, query.workers.size(), plan.queries))
             plan.queries.push_back(std::move(query));
     }
 
--- a/tests/work_planner_test.cpp
+++ b/tests/work_planner_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace eelgrassloft;
 using namespace std::chrono_literals;
 
@@ -59,6 +61,24 @@
         table.apply(start, SubmitWork { JobKey { key }, queue, { "text", { step }, 0, {}, {} } });
     }
 
+    /// Submits jobs whose tasks may have crashed a worker, as they had just started there when it was lost.
+    void submitSuspects(uint64_t firstKey, uint64_t count, const std::string& queue)
+    {
+        const WorkerNumber worker = table.workers().begin()->first;
+        for (uint64_t key = firstKey; key < firstKey + count; ++key) {
+            submit(key, false, queue);
+            RequeueLostRuns lost { worker, {} };
+            PlaceRuns placed;
+            for (uint32_t index = 0; index < tasksPerJob; ++index) {
+                const TaskRun run { { JobKey { key }, 0, 0, index }, 1 };
+                placed.placements.push_back({ run, worker });
+                lost.runs.push_back({ run, {}, CrashEvidence::Strong });
+            }
+            table.apply(start, placed);
+            table.apply(start, lost);
+        }
+    }
+
     WorkPlan plan() { return planner.plan(table, workerViews, advice, {}, start); }
 
     /// Sends the plan's queries and allows every worker that they name.
@@ -164,4 +184,24 @@
     BOOST_TEST((next.runs.front().placement.run.task.job == JobKey { 1 }));
 }
 
+/// Tasks that may have crashed a worker asked for new tickets all the time, and left no host to ask for others.
+BOOST_AUTO_TEST_CASE(suspectsTakeAllCallsForAdvice)
+{
+    for (const uint32_t hosts : { 2U, 8U, 12U }) {
+        BOOST_TEST_CONTEXT(hosts << " hosts")
+        {
+            Fixture fixture;
+            fixture.addWorkers(40);
+            fixture.setAdviceHosts(hosts);
+            fixture.submitSuspects(1, 40, "queue");
+            for (uint64_t key = 101; key <= 140; ++key)
+                fixture.submit(key);
+            const WorkPlan plan = fixture.plan();
+            const auto ofSuspects = std::count_if(plan.queries.begin(), plan.queries.end(), [](const AdviceClient::Query& query) { return query.step.job.value <= 40; });
+            BOOST_TEST(plan.queries.size() == hosts);
+            BOOST_TEST(ofSuspects == hosts / 2);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
