Tasks that may have crashed a worker leave workers to others

Cause: the limit on isolated workers was those already isolated and half of the idle ones.

Change: while steps of other jobs lack room, now or within the last second, suspects take a third of the workers or half of the idle ones at most; otherwise up to three quarters, so that they are through soon. The summary's obstacles now tell a lack of room from an answer that is awaited.

Test: WorkPlannerTests/suspectsTakeAllWorkersFromOthers, which failed before (15 of 16, 59 of 60 workers).

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -162,7 +162,9 @@
 inline constexpr uint32_t doubtfulCrashesToSuspect = 2; ///< Of workers to which a start of the task had been sent without a response.
 inline constexpr Duration crashEvidenceLifetime = 30s; ///< How long a lost worker's next incarnation is waited for, which shows that it crashed.
 inline constexpr size_t minIsolatedWorkers = 2; ///< Workers that suspects may take at a time.
-inline constexpr size_t workersPerIsolated = 8; ///< In larger fleets, one for this many workers.
+inline constexpr size_t workersPerIsolated = 3; ///< In larger fleets, one for this many workers, while other tasks lack room.
+inline constexpr size_t maxIsolatedPercent = 75; ///< Of all workers, while other tasks have room.
+inline constexpr Duration roomLackMemory = 1s; ///< How long suspects stay limited to these after other tasks found no room.
 
 // Intervals between the fleet's plans.
 inline constexpr Duration minPlanInterval = 5ms; ///< Between two plans.
--- a/src/crash_isolation.cpp
+++ b/src/crash_isolation.cpp
@@ -5,7 +5,7 @@
 
 namespace eelgrassloft {
 
-void CrashIsolation::begin(const std::map<WorkerNumber, WorkerView>& workerViews, CapacityView& capacityView, Time now)
+void CrashIsolation::begin(const std::map<WorkerNumber, WorkerView>& workerViews, CapacityView& capacityView, bool lackOthersRoom, Time now)
 {
     m_now = now;
     const bool wereSuspectsWaiting = std::exchange(m_areSuspectsWaiting, false);
@@ -20,7 +20,10 @@
         if (wereSuspectsWaiting)
             m_nextWithheld[number] = now - maxClearingTime; // The next suspects take it once these are proven.
     }
-    m_maxIsolated = std::max({ config::minIsolatedWorkers, workerViews.size() / config::workersPerIsolated, m_isolated + idle / 2 });
+    if (lackOthersRoom)
+        m_maxIsolated = std::max({ config::minIsolatedWorkers, workerViews.size() / config::workersPerIsolated, (m_isolated + idle) / 2 });
+    else
+        m_maxIsolated = std::max({ config::minIsolatedWorkers, workerViews.size() * config::maxIsolatedPercent / 100, m_isolated + idle / 2 });
     m_turns = m_maxIsolated * 2;
     setWithheldFree(capacityView, false);
 }
--- a/src/crash_isolation.h
+++ b/src/crash_isolation.h
@@ -12,8 +12,10 @@
 public:
     using Workers = std::vector<CapacityView::Worker*>;
 
-    /// Begins a plan, and withholds the workers that the last plan chose.
-    void begin(const std::map<WorkerNumber, WorkerView>& workerViews, CapacityView& capacityView, Time now);
+    /// Begins a plan, and withholds the workers that the last plan chose. Suspects may take most
+    /// workers, but only a few that are in use and half of the idle ones while others lack room: each suspect
+    /// may take its worker away for seconds.
+    void begin(const std::map<WorkerNumber, WorkerView>& workerViews, CapacityView& capacityView, bool lackOthersRoom, Time now);
     void clear() { *this = {}; }
 
     /// Whether this plan may look at one more step of suspects. With a limit, those that it looks at get
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -23,7 +23,7 @@
 enum class PlacementObstacle : uint8_t {
     None, ///< Some were placed.
     Capacity, ///< No worker that may run the step has room.
-    Ticket, ///< No worker with room is known to be allowed by the advice service.
+    Ticket, ///< The advice service has not answered yet which workers with room are allowed, or no host is free to ask it.
     GangMembers, ///< Other members of the gang can't be placed yet.
     IsolationTurn, ///< Other suspects come first.
     IsolationLimit, ///< As many workers as allowed are isolated.
@@ -68,21 +68,27 @@
         const auto steps = sortedSteps(inFlight, partlyInFlight, now);
         CapacityView capacityView(workerViews, now);
         capacityView.markReserved(m_reserved);
-        m_isolation.begin(workerViews, capacityView, now);
+        m_isolation.begin(workerViews, capacityView, now < m_roomLackedUntil, now);
         m_previouslyReserved = std::exchange(m_reserved, {});
         m_reservedGangs.clear();
         std::erase_if(m_waitingSince, [&](const auto& entry) { return !m_previouslyReserved.count(entry.first); });
         collectPendingQueries(advice);
         // Suspects only take workers that are idle or withheld for them, and a few tickets. After all others,
         // they would get no tickets while the fleet is busy.
+        size_t withoutRoom = 0; // Steps that are no suspects.
         for (const bool isSuspect : { true, false }) {
             for (const auto& [key, step] : steps) {
                 if (plan.runs.size() >= config::maxPlacementsPerStep)
                     break;
-                if (step->isSuspect == isSuspect)
-                    ++plan.obstacles[place(plan, table, capacityView, advice, *step, now)];
+                if (step->isSuspect != isSuspect)
+                    continue;
+                const PlacementObstacle obstacle = place(plan, table, capacityView, advice, *step, now);
+                ++plan.obstacles[obstacle];
+                withoutRoom += !isSuspect && obstacle == PlacementObstacle::Capacity;
             }
         }
+        if (withoutRoom > workerViews.size() / workersPerWaitingStep)
+            m_roomLackedUntil = now + config::roomLackMemory;
         return plan;
     }
 
@@ -91,6 +97,7 @@
     {
         m_ready.clear();
         m_isolation.clear();
+        m_roomLackedUntil = {};
     }
 
     const ReadySteps& readySteps() const { return m_ready; }
@@ -183,20 +190,24 @@
         if (spec.isGang && !placedCount) {
             if (m_reservedGangs[queue.priority] < maxReserved)
                 reserveForGang(plan, capacityView, advice, queue, step, stepAdvice, now);
-            return obstacleOf(queue, candidates);
+            return obstacleOf(plan, advice, queue, step, candidates);
         }
         if (queue.advice && placedCount < step.waiting.size() && !(stepAdvice && stepAdvice->isQueryPending))
             planQuery(plan, capacityView, advice, queue, step, stepAdvice, step.waiting.size() - placedCount, now);
         if (plan.runs.size() > firstRun)
             return PlacementObstacle::None;
-        return spec.isGang ? PlacementObstacle::GangMembers : obstacleOf(queue, candidates);
+        return spec.isGang ? PlacementObstacle::GangMembers : obstacleOf(plan, advice, queue, step, candidates);
     }
 
     /// What is in the way of a step that was not placed. `candidates` are the workers with room for a task of
     /// it, and its tickets.
-    static PlacementObstacle obstacleOf(const QueueSpec& queue, const std::vector<Worker*>& candidates)
+    static PlacementObstacle obstacleOf(const WorkPlan& plan, const AdviceClient& advice, const QueueSpec& queue, const ReadyStep& step, const std::vector<Worker*>& candidates)
     {
-        return queue.advice && candidates.empty() ? PlacementObstacle::Ticket : PlacementObstacle::Capacity;
+        if (!queue.advice || !candidates.empty())
+            return PlacementObstacle::Capacity;
+        const StepAdvice* stepAdvice = advice.find(step.step);
+        const bool isQueried = (stepAdvice && stepAdvice->isQueryPending) || (!plan.queries.empty() && plan.queries.back().step == step.step);
+        return isQueried || !advice.canQuery(*queue.advice, 1, plan.queries.size()) ? PlacementObstacle::Ticket : PlacementObstacle::Capacity;
     }
 
     size_t placeAll(WorkPlan& plan, CapacityView& capacityView, std::vector<Worker*>& candidates, const ReadyStep& step, const StepAdvice* stepAdvice)
@@ -231,7 +242,7 @@
         m_isolation.setWithheldFree(capacityView, false);
         if (placedCount)
             return plan.runs.size() > firstRun ? PlacementObstacle::None : PlacementObstacle::GangMembers;
-        const PlacementObstacle obstacle = !m_isolation.hasRoom() ? PlacementObstacle::IsolationLimit : candidates.empty() ? obstacleOf(queue, candidates)
+        const PlacementObstacle obstacle = !m_isolation.hasRoom() ? PlacementObstacle::IsolationLimit : candidates.empty() ? PlacementObstacle::Ticket
                                                                                                                            : PlacementObstacle::IsolationWorker;
         std::vector<Worker*> eligible;
         for (Worker& worker : capacityView.workers()) {
@@ -582,6 +593,7 @@
         return true;
     }
 
+    static constexpr size_t workersPerWaitingStep = 16; // Of one for this many workers it does not matter that it has to wait.
     static constexpr double queryMargin = 1.5; // expected allowed tasks per missing task
     static constexpr double reservedPenalty = 10; // in remaining fractions of a worker
 
@@ -591,6 +603,7 @@
     Forecast m_forecast;
     ReadySteps m_ready;
     CrashIsolation m_isolation;
+    Time m_roomLackedUntil {}; ///< Until then steps that are no suspects count as lacking room.
     std::vector<const AdviceClient::Query*> m_pendingQueries; ///< Of the current plan, that it has not marked yet; the most urgent last.
     std::vector<ShortClaim> m_shortClaims; ///< Of short queries under way and of those that the current plan has made.
     size_t m_heldClaims = 0; ///< The first of these are held from less urgent steps.
--- a/tests/work_planner_test.cpp
+++ b/tests/work_planner_test.cpp
@@ -79,6 +79,23 @@
         }
     }
 
+    /// Starts the runs of a plan, and crashes their workers.
+    void startAndCrash(const WorkPlan& plan)
+    {
+        PlaceRuns command;
+        for (const PlannedRun& run : plan.runs) {
+            command.placements.push_back(run.placement);
+            RunView view;
+            view.size = { 2500, 2000, 0 };
+            view.isSuspect = true;
+            view.phase = RunPhase::Running;
+            WorkerView& worker = workerViews.at(run.placement.worker);
+            worker.addRun(run.placement.run, view);
+            worker.isUnresponsive = true;
+        }
+        table.apply(start, command);
+    }
+
     WorkPlan plan() { return planner.plan(table, workerViews, advice, {}, start); }
 
     /// Sends the plan's queries and allows every worker that they name.
@@ -204,4 +221,28 @@
     }
 }
 
+/// Tasks that crash their worker were given half of the workers left, again and again, while others
+/// found no room.
+BOOST_AUTO_TEST_CASE(suspectsTakeAllWorkersFromOthers)
+{
+    for (const uint32_t workers : { 16U, 60U }) {
+        BOOST_TEST_CONTEXT(workers << " workers")
+        {
+            Fixture fixture;
+            fixture.addWorkers(workers);
+            StepSpec large;
+            large.size = { 17000, 2000, 0 }; // More than any worker has.
+            for (uint64_t key = 1000; key < 1000 + workers; ++key)
+                fixture.table.apply(start, SubmitWork { JobKey { key }, "later", { "text", { large }, 0, {}, {} } });
+            fixture.plan();
+            fixture.submitSuspects(1, workers * 2, "later");
+            for (int round = 0; round < 20; ++round)
+                fixture.startAndCrash(fixture.plan());
+            const auto crashed = std::count_if(fixture.workerViews.begin(), fixture.workerViews.end(), [](const auto& entry) { return entry.second.isUnresponsive; });
+            BOOST_TEST(crashed > 0);
+            BOOST_TEST(crashed <= workers / 2);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
