One name for calls without effect, and one text of a list of hosts

The predicate stood twice in the same words (control_node.h, call_forwarder.h), the text of a list of hosts twice alike; endFormerIncarnations had a parameter that it didn't use.

--- a/src/call_forwarder.h
+++ b/src/call_forwarder.h
@@ -61,8 +61,7 @@
             return;
         PendingCall& pending = found->second;
         const ControlStatus status = message.reply.status;
-        const bool hadNoEffect = status == ControlStatus::NotAccepted || status == ControlStatus::NoMemory;
-        if (hadNoEffect && pending.uncertainAttempts)
+        if (hadNoEffect(status) && pending.uncertainAttempts)
             --pending.uncertainAttempts; // This attempt had no effect and won't have one.
         const bool isOutcomeOpen = status == ControlStatus::NoMemory && pending.uncertainAttempts;
         const bool isRetryable = status == ControlStatus::Unavailable || status == ControlStatus::NotAccepted || isOutcomeOpen;
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -3,6 +3,7 @@
 #include "call_forwarder.h"
 #include "call_relay.h"
 #include "config_history.h"
+#include "hosts_text.h"
 #include "job_report.h"
 #include "leader_summary.h"
 #include "log_formation.h"
@@ -174,7 +175,8 @@
             return;
         m_connectMembership = m_replica.membership();
         updateElectionDelay();
-        step.log(LogEventKind::MembershipChanged, { { "log", "fleet" }, { "voters", hostsText(m_connectMembership->voters) }, { "learners", hostsText(m_connectMembership->learners) }, { "lastIndex", std::to_string(m_replica.lastIndex()) } });
+        const auto hostOf = [](const Member& member) { return member.host; };
+        step.log(LogEventKind::MembershipChanged, { { "log", "fleet" }, { "voters", hostsText(m_connectMembership->voters, hostOf) }, { "learners", hostsText(m_connectMembership->learners, hostOf) }, { "lastIndex", std::to_string(m_replica.lastIndex()) } });
         std::set<HostId> hosts(m_settings.seeds.begin(), m_settings.seeds.end());
         for (const auto* list : { &m_replica.membership().voters, &m_replica.membership().learners }) {
             for (const Member& member : *list)
@@ -187,14 +189,6 @@
         step.emit(ConnectHosts { { hosts.begin(), hosts.end() } });
     }
 
-    static std::string hostsText(const std::vector<Member>& members)
-    {
-        std::string text;
-        for (const Member& member : members)
-            text += (text.empty() ? "" : ",") + std::to_string(member.host.value);
-        return text.empty() ? "none" : text;
-    }
-
     ControlStatusReport status() const
     {
         ControlStatusReport report;
@@ -349,8 +343,7 @@
 
     void sendReply(FleetStep& step, const ReplyTarget& to, ControlReply reply)
     {
-        const bool hadNoEffect = reply.status == ControlStatus::NotAccepted || reply.status == ControlStatus::NoMemory;
-        if (hadNoEffect && to.mayHaveRun)
+        if (hadNoEffect(reply.status) && to.mayHaveRun)
             reply.status = ControlStatus::Unavailable;
         reply.configVersion = std::max(reply.configVersion, to.configVersion);
         ++m_counters.replies[reply.status];
@@ -456,7 +449,7 @@
             sendReply(step, to, { ControlStatus::UnknownQueue, {}, 0, {} });
             return;
         }
-        m_dispatcher.endFormerIncarnations(table(), step.now, request.info);
+        m_dispatcher.endFormerIncarnations(step.now, request.info);
         proposeDispatcherCommands(step);
         propose(step, SetFleetWorker { request.info, request.sequence }, to);
     }
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -1,21 +1,11 @@
 #include "entry_node.h"
 
+#include "hosts_text.h"
+
 #include <algorithm>
 
 namespace eelgrassloft {
 
-namespace {
-
-std::string hostsText(const std::set<HostId>& hosts)
-{
-    std::string text;
-    for (const HostId host : hosts)
-        text += (text.empty() ? "" : ",") + std::to_string(host.value);
-    return text.empty() ? "none" : text;
-}
-
-} // namespace
-
 std::vector<FleetEffect> EntryNode::receive(Time now, const FleetEvent& event)
 {
     noteTime(now);
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -113,6 +113,9 @@
     return table;
 }
 
+/// Whether a call with this status had no effect and won't have one, whatever its other attempts did.
+constexpr bool hadNoEffect(ControlStatus status) { return status == ControlStatus::NotAccepted || status == ControlStatus::NoMemory; }
+
 struct ControlReply {
     ControlStatus status = ControlStatus::Ok;
     WorkState state = WorkState::Queued; ///< State of the requested job.
--- a/src/worker_dispatcher.h
+++ b/src/worker_dispatcher.h
@@ -36,7 +36,7 @@
     /// Requeues the runs of the worker's former incarnations, which a report of a later one shows to
     /// have ended, except those that the later one may have. Its commands have to be proposed before
     /// the report itself.
-    void endFormerIncarnations(const WorkTable& table, Time now, const WorkerInfo& info);
+    void endFormerIncarnations(Time now, const WorkerInfo& info);
     /// Notes a report of a worker, changed or not. Returns false if it was sent before one that arrived
     /// earlier, and tells nothing new.
     bool noteWorkerReport(WorkerNumber number, uint64_t sequence, Time now) { return m_workerViews.noteReport(number, sequence, now); }
--- a/src/worker_incarnations.cpp
+++ b/src/worker_incarnations.cpp
@@ -70,7 +70,7 @@
     m_commands.push_back(RemoveFleetWorker { workerView.number, true });
 }
 
-void WorkerDispatcher::endFormerIncarnations(const WorkTable&, Time now, const WorkerInfo& info)
+void WorkerDispatcher::endFormerIncarnations(Time now, const WorkerInfo& info)
 {
     for (auto& [number, former] : m_workerViews.all()) {
         if (former.hasEnded || former.runs.empty() || former.info.startedAtMs >= info.startedAtMs || !former.info.isSameWorker(info))
--- a/tests/support/worker_dispatcher_fixture.h
+++ b/tests/support/worker_dispatcher_fixture.h
@@ -97,7 +97,7 @@
         WorkerInfo info = m_table.workers().begin()->second.info;
         info.id = id;
         info.startedAtMs = m_startedAtMs;
-        m_dispatcher.endFormerIncarnations(m_table, m_now, info);
+        m_dispatcher.endFormerIncarnations(m_now, info);
         for (WorkCommand& command : m_dispatcher.takeCommands())
             m_commands.push_back(std::move(command));
         applyCommands();
