Workspaces: keys, quotas and the share meter

A configuration may name workspaces with keys, a weight and a quota. Entry hosts look up the caller's workspace together with its queue, and answer 401 to unknown keys; jobs belong to the workspace that submitted them. The work table keeps a ledger of what each workspace has on the workers, which the planner keeps within the quotas.

--- a/include/eelgrassloft/effects.h
+++ b/include/eelgrassloft/effects.h
@@ -59,6 +59,7 @@
     TaskSuspected,
     JobGivenUp,
     ReadinessChanged,
+    QuotaTooSmall, ///< A step of an accepted job can never fit the quota of its workspace.
     Count
 };
 
@@ -69,7 +70,7 @@
         "worker-lost", "worker-set-aside", "time-leap", "draining",
         "log-formed", "membership-changed", "incarnation-changed", "job-ended", "job-accepted", "job-refused", "job-cancelled-early", "call-unanswered", "order-refused",
         "run-failed", "run-lost", "run-stuck", "worker-silent", "worker-back", "worker-clock-went-back", "advice-unanswered",
-        "leader-summary", "storage-refused", "storage-restored", "task-suspected", "job-given-up", "readiness-changed" };
+        "leader-summary", "storage-refused", "storage-restored", "task-suspected", "job-given-up", "readiness-changed", "quota-too-small" };
     static_assert(detail::isComplete<LogEventKind>(table));
     return table;
 }
--- a/include/eelgrassloft/work.h
+++ b/include/eelgrassloft/work.h
@@ -4,6 +4,7 @@
 #include "eelgrassloft/name_table.h"
 #include "eelgrassloft/record.h"
 #include "eelgrassloft/resources.h"
+#include "eelgrassloft/workspace.h"
 
 #include <string>
 #include <vector>
@@ -105,11 +106,13 @@
     double stretch = 1; ///< A job should end within `stretch` times its critical path, plus `targetLatency`.
     Duration targetLatency {};
     std::optional<AdviceTiming> advice;
+    bool isPublic = false; ///< Whether calls need no key even if the configuration has workspaces.
 
     static constexpr auto members()
     {
         return std::make_tuple(&QueueSpec::name, &QueueSpec::host, &QueueSpec::pathPrefix, &QueueSpec::service,
-            &QueueSpec::priority, &QueueSpec::maxAttempts, &QueueSpec::stretch, &QueueSpec::targetLatency, &QueueSpec::advice);
+            &QueueSpec::priority, &QueueSpec::maxAttempts, &QueueSpec::stretch, &QueueSpec::targetLatency, &QueueSpec::advice,
+            &QueueSpec::isPublic);
     }
 
     friend bool operator==(const QueueSpec&, const QueueSpec&) = default;
@@ -124,17 +127,19 @@
     static constexpr auto members() { return std::make_tuple(&PoolSpec::name, &PoolSpec::hasAdmissionControl, &PoolSpec::isStandby); }
 };
 
-/// Configuration of the queues and pools. The one with the highest version is in force.
+/// Configuration of the queues, pools and workspaces. The one with the highest version is in force.
 struct FleetConfig {
     uint64_t version = 0; ///< 0: no configuration yet.
     std::string text; ///< The operator's document, unchanged.
     std::vector<QueueSpec> queues;
     std::vector<PoolSpec> pools;
     uint64_t maxBodyBytes = 0;
+    std::vector<WorkspaceSpec> workspaces; ///< Empty: calls need no key.
 
     static constexpr auto members()
     {
-        return std::make_tuple(&FleetConfig::version, &FleetConfig::text, &FleetConfig::queues, &FleetConfig::pools, &FleetConfig::maxBodyBytes);
+        return std::make_tuple(&FleetConfig::version, &FleetConfig::text, &FleetConfig::queues, &FleetConfig::pools, &FleetConfig::maxBodyBytes,
+            &FleetConfig::workspaces);
     }
 
     const QueueSpec* queue(const std::string& name) const
@@ -155,6 +160,25 @@
         return nullptr;
     }
 
+    const WorkspaceSpec* workspace(const std::string& name) const
+    {
+        for (const WorkspaceSpec& candidate : workspaces) {
+            if (candidate.name == name)
+                return &candidate;
+        }
+        return nullptr;
+    }
+
+    /// Returns the workspace that holds the key, or null.
+    const WorkspaceSpec* workspaceOfKey(std::string_view key) const
+    {
+        for (const WorkspaceSpec& candidate : workspaces) {
+            if (candidate.hasKey(key))
+                return &candidate;
+        }
+        return nullptr;
+    }
+
     /// Returns the queue of `host` with the longest prefix of `path`, or null.
     const QueueSpec* queueAt(std::string_view host, std::string_view path) const
     {
--- a/src/config_history.cpp
+++ b/src/config_history.cpp
@@ -31,6 +31,12 @@
         m_removedCount -= !isNew && !revision.spec;
         revision = { *spec, m_version };
     }
+    for (const WorkspaceSpec& workspace : config.workspaces)
+        m_digest += recordHash(workspace);
+    if (m_workspaces != config.workspaces) {
+        m_workspaces = config.workspaces;
+        m_workspacesVersion = m_version;
+    }
     if (m_removedCount > config::maxRemovedQueues)
         forgetRemovedQueues();
 }
@@ -68,6 +74,8 @@
         part.lastQueue = name;
     }
     part.isLast = true;
+    if (!part.baseVersion || m_workspacesVersion > part.baseVersion)
+        part.workspaces = m_workspaces;
     return part;
 }
 
--- a/src/config_history.h
+++ b/src/config_history.h
@@ -6,8 +6,9 @@
 
 namespace eelgrassloft {
 
-/// Configurations that a control host has seen in force, as changes of their queues. Answers entry
-/// hosts that ask for what changed since a version, in parts of a bounded size.
+/// Configurations that a control host has seen in force, as changes of their queues and workspaces.
+/// Answers entry hosts that ask for what changed since a version, in parts of a bounded size. The
+/// workspaces are few, so that all go together, once one has changed.
 class ConfigHistory {
 public:
     /// Latest version observed; 0 for none.
@@ -30,8 +31,10 @@
     std::map<std::string, QueueRevision> m_queues;
     size_t m_removedCount = 0;
     uint64_t m_version = 0;
-    uint64_t m_digest = 0; ///< Sum of the hashes of all queues.
+    uint64_t m_digest = 0; ///< Sum of the hashes of all queues and workspaces.
     uint64_t m_completeSince = 0; ///< All changes after this version are known.
+    std::vector<WorkspaceSpec> m_workspaces;
+    uint64_t m_workspacesVersion = 0; ///< Version that brought the workspaces.
 };
 
 } // namespace eelgrassloft
--- a/src/config_receiver.cpp
+++ b/src/config_receiver.cpp
@@ -73,6 +73,7 @@
     m_requestTimeout = config::configPartTimeout;
     if (isRestart) {
         m_queues.clear();
+        m_workspaces.clear();
         m_baseVersion = m_lowestVersion = m_highestVersion = 0;
     }
     apply(part);
@@ -86,6 +87,8 @@
         m_queues[queue.name] = queue;
     for (const std::string& name : part.removedQueues)
         m_queues.erase(name);
+    if (part.workspaces)
+        m_workspaces = *part.workspaces;
     m_lowestVersion = m_lowestVersion ? std::min(m_lowestVersion, part.version) : part.version;
     m_highestVersion = std::max(m_highestVersion, part.version);
     m_afterQueue = part.lastQueue;
@@ -106,6 +109,8 @@
         return;
     for (const auto& [name, queue] : m_queues)
         digest -= recordHash(queue);
+    for (const WorkspaceSpec& workspace : m_workspaces)
+        digest -= recordHash(workspace);
     if (digest) {
         m_queues.clear();
         m_baseVersion = 0;
@@ -115,7 +120,8 @@
     m_config.queues.clear();
     for (const auto& [name, queue] : m_queues)
         m_config.queues.push_back(queue);
-    step.log(LogEventKind::RevisionInForce, { { "version", std::to_string(m_config.version) }, { "queues", std::to_string(m_queues.size()) }, { "parts", std::to_string(std::exchange(m_partCount, 0)) }, { "tookMs", std::to_string((step.now - m_startedAt) / std::chrono::milliseconds(1)) } });
+    m_config.workspaces = m_workspaces;
+    step.log(LogEventKind::RevisionInForce, { { "version", std::to_string(m_config.version) }, { "queues", std::to_string(m_queues.size()) }, { "workspaces", std::to_string(m_workspaces.size()) }, { "parts", std::to_string(std::exchange(m_partCount, 0)) }, { "tookMs", std::to_string((step.now - m_startedAt) / std::chrono::milliseconds(1)) } });
 }
 
 } // namespace eelgrassloft
--- a/src/config_receiver.h
+++ b/src/config_receiver.h
@@ -59,6 +59,7 @@
     uint64_t m_latestVersion = 0;
     std::map<HostId, Source> m_sources;
     std::map<std::string, QueueSpec> m_queues; ///< Of the configuration, with the changes received in this pass.
+    std::vector<WorkspaceSpec> m_workspaces; ///< Likewise.
     uint64_t m_baseVersion = 0; ///< Version at which this pass started.
     std::string m_afterQueue; ///< Last queue up to which this pass has come.
     uint64_t m_lowestVersion = 0; ///< Of the parts of this pass; 0 before the first.
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -360,36 +360,48 @@
 
     void process(FleetStep& step, const ReplyTarget& to, const SubmitJob& request)
     {
-        if (table().job(request.work.key)) {
+        const WorkJob* known = table().job(request.work.key);
+        if (known && mayUseJob(request.work.workspace, known->workspace)) {
             m_counters.add(FleetCounter::JobsResubmitted);
             sendReply(step, to, {});
-        } else if (table().isCancelledEarly(request.work.key)) {
-            logRefusal(step, request.work, WorkStatus::CancelledEarly);
+            return;
+        }
+        const ControlReply found = findQueue(request.work.queue, request.address);
+        if (!found.queue) {
+            sendReply(step, to, found);
+            return;
+        }
+        SubmitWork work = request.work;
+        work.queue = found.queue->name;
+        work.workspace = found.workspace;
+        if (known) {
+            sendReply(step, to, { ControlStatus::NameTaken, {}, 0, {} });
+        } else if (table().isCancelledEarly(work.key, work.workspace)) {
+            logRefusal(step, work, WorkStatus::CancelledEarly);
             sendReply(step, to, { ControlStatus::CancelledEarly, {}, 0, {} });
-        } else if (const ControlReply found = findQueue(request.work.queue, request.address); found.queue) {
-            SubmitWork work = request.work;
-            work.queue = found.queue->name;
+        } else {
             ReplyTarget target = to;
             target.configVersion = found.configVersion;
             propose(step, std::move(work), target);
-        } else {
-            sendReply(step, to, found);
         }
     }
 
     void process(FleetStep& step, const ReplyTarget& to, const GetJobState& request)
     {
         const WorkJob* job = table().job(request.key);
-        sendReply(step, to, { job ? ControlStatus::Ok : ControlStatus::UnknownJob, job ? job->state : WorkState::Queued, 0, {} });
+        const bool isVisible = job && mayUseJob(request.workspace, job->workspace);
+        sendReply(step, to, { isVisible ? ControlStatus::Ok : ControlStatus::UnknownJob, isVisible ? job->state : WorkState::Queued, 0, {} });
     }
 
     void process(FleetStep& step, const ReplyTarget& to, const CancelJob& request)
     {
         const WorkJob* job = table().job(request.key);
-        if (job && isEnded(job->state))
+        if (job && !mayUseJob(request.workspace, job->workspace))
+            sendReply(step, to, { ControlStatus::UnknownJob, {}, 0, {} });
+        else if (job && isEnded(job->state))
             sendReply(step, to, {});
         else
-            propose(step, CancelWork { request.key }, to);
+            propose(step, CancelWork { request.key, request.workspace }, to);
     }
 
     void process(FleetStep& step, const ReplyTarget& to, const CountPendingJobs& request)
@@ -602,6 +614,8 @@
             return { ControlStatus::CancelledEarly, {}, 0, {} };
         case WorkStatus::NoMemory:
             return { ControlStatus::NoMemory, {}, 0, {} };
+        case WorkStatus::NameTaken:
+            return { ControlStatus::NameTaken, {}, 0, {} };
         default:
             return {};
         }
@@ -620,11 +634,21 @@
             return;
         m_counters.add(FleetCounter::JobsAccepted);
         step.log(LogEventKind::JobAccepted, { { "job", hexText(command.key.value) }, { "queue", command.queue }, { "index", std::to_string(applied.index) }, { "term", std::to_string(applied.term) } });
+        logUnfittingSteps(step, command);
         const auto pending = m_pending.find(applied.index);
         if (pending != m_pending.end())
             step.measure(FleetTimer::SubmitToCommit, step.now - pending->second.proposedAt);
     }
 
+    /// Names the steps of a new job that wait until the quota of its workspace is raised.
+    void logUnfittingSteps(FleetStep& step, const SubmitWork& command) const
+    {
+        for (size_t i = 0; i < command.work.steps.size(); ++i) {
+            if (!canEverFitQuota(table().config(), command.workspace, command.work.steps[i]))
+                step.log(LogEventKind::QuotaTooSmall, { { "job", hexText(command.key.value) }, { "step", std::to_string(i) }, { "workspace", command.workspace } });
+        }
+    }
+
     void logRefusal(FleetStep& step, const SubmitWork& work, WorkStatus reason) const
     {
         step.log(LogEventKind::JobRefused, { { "job", hexText(work.key.value) }, { "queue", work.queue }, { "reason", std::string(name(reason)) }, { "openJobBytes", std::to_string(table().openJobBytes()) } });
--- a/src/early_cancellations.h
+++ b/src/early_cancellations.h
@@ -13,17 +13,25 @@
 class EarlyCancellations {
 public:
     /// Adds a job, or renews it. Returns false if there is no room.
-    bool add(Time at, JobKey job);
-    bool contains(JobKey job) const { return m_cancelledAt.count(job) > 0; }
+    bool add(Time at, JobKey job, const std::string& workspace);
+    /// Whether the job was cancelled by a caller of its workspace.
+    bool contains(JobKey job, const std::string& workspace) const;
     void removeExpired(Time at);
-    size_t size() const { return m_cancelledAt.size(); }
+    size_t size() const { return m_cancellations.size(); }
 
-    static constexpr auto members() { return std::make_tuple(&EarlyCancellations::m_cancelledAt); }
+    static constexpr auto members() { return std::make_tuple(&EarlyCancellations::m_cancellations); }
     /// Rebuilds the index from the decoded members.
     void rebuild();
 
 private:
-    std::map<JobKey, Time> m_cancelledAt;
+    struct Cancellation {
+        Time at {};
+        std::string workspace; ///< Of the caller; empty for none.
+
+        static constexpr auto members() { return std::make_tuple(&Cancellation::at, &Cancellation::workspace); }
+    };
+
+    std::map<JobKey, Cancellation> m_cancellations;
     std::set<std::pair<Time, JobKey>> m_byTime;
 };
 
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -8,12 +8,13 @@
 
 // Calls of callers, operators and workers, which may arrive at any host.
 
-/// Host name and path of a caller's request, which select its queue.
+/// Host name and path of a caller's request, which select its queue, and the key that it carries.
 struct QueueAddress {
     std::string host;
     std::string path;
+    std::string key {}; ///< Empty if the request carries none.
 
-    static constexpr auto members() { return std::make_tuple(&QueueAddress::host, &QueueAddress::path); }
+    static constexpr auto members() { return std::make_tuple(&QueueAddress::host, &QueueAddress::path, &QueueAddress::key); }
 };
 
 struct SubmitJob {
@@ -25,14 +26,16 @@
 
 struct GetJobState {
     JobKey key;
+    std::string workspace {}; ///< For which the caller acts; empty for none.
 
-    static constexpr auto members() { return std::make_tuple(&GetJobState::key); }
+    static constexpr auto members() { return std::make_tuple(&GetJobState::key, &GetJobState::workspace); }
 };
 
 struct CancelJob {
     JobKey key;
+    std::string workspace {}; ///< For which the caller acts; empty for none.
 
-    static constexpr auto members() { return std::make_tuple(&CancelJob::key); }
+    static constexpr auto members() { return std::make_tuple(&CancelJob::key, &CancelJob::workspace); }
 };
 
 struct CountPendingJobs {
@@ -103,12 +106,14 @@
     Unavailable, ///< The outcome is unknown: the call may or may not have taken effect.
     NotAccepted, ///< The call had and will have no effect.
     NoMemory, ///< Like `NotAccepted`, as the state has no room for the job or its cancellation. Sending it elsewhere doesn't help.
+    UnknownKey, ///< The queue needs a key, and no workspace of the configuration in force has the call's.
+    NameTaken, ///< Another workspace has a job of this name, so the job was not accepted and never runs.
     Count
 };
 
 constexpr NameTable<ControlStatus> nameTable(ControlStatus)
 {
-    constexpr NameTable<ControlStatus> table { "ok", "unknown-queue", "unknown-job", "cancelled-early", "unavailable", "not-accepted", "no-memory" };
+    constexpr NameTable<ControlStatus> table { "ok", "unknown-queue", "unknown-job", "cancelled-early", "unavailable", "not-accepted", "no-memory", "unknown-key", "name-taken" };
     static_assert(detail::isComplete<ControlStatus>(table));
     return table;
 }
@@ -123,11 +128,12 @@
     std::string text; ///< The configuration in force.
     std::optional<QueueSpec> queue {}; ///< The requested queue.
     uint64_t configVersion = 0; ///< Version by which the call's queue was found; 0 in replies to other calls.
+    std::string workspace {}; ///< For which the caller of a requested queue acts; empty for none.
     Duration retryAfter {}; ///< When the caller of a refused call should come back. Set by the host that took the call; not sent to others.
 
     static constexpr auto members()
     {
-        return std::make_tuple(&ControlReply::status, &ControlReply::state, &ControlReply::count, &ControlReply::text, &ControlReply::queue, &ControlReply::configVersion);
+        return std::make_tuple(&ControlReply::status, &ControlReply::state, &ControlReply::count, &ControlReply::text, &ControlReply::queue, &ControlReply::configVersion, &ControlReply::workspace);
     }
 };
 
@@ -184,14 +190,15 @@
     std::string afterQueue;
     std::string lastQueue;
     bool isLast = false; ///< No queue after `lastQueue` has changed.
-    uint64_t digest = 0; ///< Sum of the hashes of all queues of `version`.
+    uint64_t digest = 0; ///< Sum of the hashes of all queues and workspaces of `version`.
     std::vector<QueueSpec> queues; ///< Added or changed.
     std::vector<std::string> removedQueues;
+    std::optional<std::vector<WorkspaceSpec>> workspaces; ///< All of `version`, in the last part if any may have changed.
 
     static constexpr auto members()
     {
         return std::make_tuple(&ConfigPart::version, &ConfigPart::baseVersion, &ConfigPart::afterQueue, &ConfigPart::lastQueue,
-            &ConfigPart::isLast, &ConfigPart::digest, &ConfigPart::queues, &ConfigPart::removedQueues);
+            &ConfigPart::isLast, &ConfigPart::digest, &ConfigPart::queues, &ConfigPart::removedQueues, &ConfigPart::workspaces);
     }
 };
 
--- a/src/queue_lookup.h
+++ b/src/queue_lookup.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "access_control.h"
 #include "fleet_messages.h"
 
 namespace eelgrassloft {
@@ -15,13 +16,21 @@
 
 } // namespace detail
 
-/// Looks up the queue that serves an address in a configuration that is in force. `NotAccepted` if there
-/// is no configuration yet.
+/// Looks up the queue that serves an address, and the workspace of the caller, in a configuration that is
+/// in force. `NotAccepted` if there is no configuration yet.
 inline ControlReply lookUpQueue(const FleetConfig& config, const QueueAddress& address)
 {
     if (!config.version)
         return { ControlStatus::NotAccepted, {}, 0, {} };
-    return detail::lookupReply(config, config.queueAt(address.host, address.path));
+    const QueueSpec* queue = config.queueAt(address.host, address.path);
+    ControlReply reply = detail::lookupReply(config, queue);
+    if (!queue)
+        return reply;
+    Access access = accessOf(config, *queue, address.key);
+    if (!access.isAllowed)
+        return { ControlStatus::UnknownKey, {}, 0, {}, {}, config.version };
+    reply.workspace = std::move(access.workspace);
+    return reply;
 }
 
 /// Looks up a queue by its name.
--- a/src/record_hash.h
+++ b/src/record_hash.h
@@ -23,6 +23,11 @@
     } else if constexpr (detail::IsOptional<T>::value) {
         hash = recordHash(value.has_value(), hash);
         return value ? recordHash(*value, hash) : hash;
+    } else if constexpr (detail::IsVector<T>::value) {
+        hash = recordHash(value.size(), hash);
+        for (const auto& element : value)
+            hash = recordHash(element, hash);
+        return hash;
     } else {
         static_assert(Record<T>);
         forEachMember(value, [&](const auto& member) { hash = recordHash(member, hash); });
--- a/src/work_table.cpp
+++ b/src/work_table.cpp
@@ -1,5 +1,7 @@
 #include "work_table.h"
 
+#include "access_control.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -63,8 +65,20 @@
         m_openJobs.insert(key);
         m_openJobBytes += memoryOf(job.work);
     }
-    for (const auto& [number, worker] : m_workers)
+    m_ledger.clear();
+    for (const auto& [number, worker] : m_workers) {
         m_workerById[worker.info.id] = number;
+        for (const TaskRun& run : worker.runs)
+            charge(run);
+    }
+}
+
+/// Charges a run to the workspace of its job. The size is that of the job, also once that has ended.
+void WorkTable::charge(const TaskRun& run)
+{
+    const auto found = m_jobs.find(run.task.job);
+    if (found != m_jobs.end() && run.task.step < found->second.work.steps.size())
+        m_ledger.charge(run, found->second.workspace, found->second.work.steps[run.task.step].size);
 }
 
 const WorkJob* WorkTable::job(JobKey key) const
@@ -123,10 +137,10 @@
 
 WorkTable::Result WorkTable::handle(Time at, const SubmitWork& command)
 {
-    if (m_jobs.count(command.key))
-        return { WorkStatus::Unchanged };
+    if (const WorkJob* known = job(command.key))
+        return { mayUseJob(command.workspace, known->workspace) ? WorkStatus::Unchanged : WorkStatus::NameTaken };
     removeExpiredJobs(at);
-    if (isCancelledEarly(command.key))
+    if (isCancelledEarly(command.key, command.workspace))
         return { WorkStatus::CancelledEarly };
     const QueueSpec* queue = m_config.queue(command.queue);
     if (!queue)
@@ -140,6 +154,9 @@
     job.queue = *queue;
     job.work = command.work;
     job.submittedAt = at;
+    job.workspace = command.workspace;
+    const WorkspaceSpec* workspace = m_config.workspace(command.workspace);
+    job.isBeyondShare = workspace && !m_shares.admit(at, workspace->name, workspace->weight);
     OccurrenceRecord occurrence;
     for (const StepSpec& step : command.work.steps)
         occurrence.steps.push_back({ std::vector<WorkTask>(step.count), 0 });
@@ -152,7 +169,9 @@
 {
     const auto found = m_jobs.find(command.key);
     if (found == m_jobs.end())
-        return { m_earlyCancellations.add(at, command.key) ? WorkStatus::UnknownJob : WorkStatus::NoMemory };
+        return { m_earlyCancellations.add(at, command.key, command.workspace) ? WorkStatus::UnknownJob : WorkStatus::NoMemory };
+    if (!mayUseJob(command.workspace, found->second.workspace))
+        return { WorkStatus::UnknownJob };
     if (isEnded(found->second.state))
         return { WorkStatus::Unchanged };
     endJob(at, found->second, WorkState::Cancelled);
@@ -189,6 +208,7 @@
     if (command.config.version <= m_config.version)
         return { WorkStatus::Unchanged };
     m_config = command.config;
+    m_shares.retain([&](const std::string& workspace) { return m_config.workspace(workspace) != nullptr; });
     return {};
 }
 
@@ -266,6 +286,7 @@
         task->attempt = placement.run.attempt;
         task->worker = placement.worker;
         worker->second.runs.push_back(placement.run);
+        charge(placement.run);
         takeCrashSuspects(worker->second); // It has responded since.
         if (found->second.state == WorkState::Queued)
             found->second.startedAt = at;
@@ -286,6 +307,7 @@
         worker->second.lastEndNumber = end.number;
         recordEnd(at, command.worker, end);
         std::erase(worker->second.runs, end.run);
+        m_ledger.release(end.run);
     }
     return {};
 }
@@ -374,8 +396,10 @@
 {
     const TaskRun& run = lost.run;
     const auto record = m_workers.find(worker);
-    if (record != m_workers.end() && !lost.mayBeInherited)
+    if (record != m_workers.end() && !lost.mayBeInherited) {
         std::erase(record->second.runs, run);
+        m_ledger.release(run);
+    }
     const auto found = m_jobs.find(run.task.job);
     if (found == m_jobs.end())
         return;
--- a/src/work_table.h
+++ b/src/work_table.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "early_cancellations.h"
+#include "share_meter.h"
+#include "workspace_ledger.h"
 
 #include "eelgrassloft/config.h"
 #include "eelgrassloft/work.h"
@@ -77,12 +79,15 @@
     TaskRun endedBy; ///< The run that ended the job; attempt 0 if the job was cancelled.
     std::vector<OccurrenceRecord> occurrences; ///< Empty once the job has ended.
     uint32_t doneOccurrences = 0;
+    std::string workspace; ///< Of the caller that submitted the job; empty for none.
+    bool isBeyondShare = false; ///< Whether the job exceeded the weight of its workspace when it was submitted.
     uint64_t changes = 0; ///< Number of changes to the tasks, for what is derived from them; not part of the stored state.
 
     static constexpr auto members()
     {
         return std::make_tuple(&WorkJob::key, &WorkJob::queue, &WorkJob::work, &WorkJob::state, &WorkJob::submittedAt,
-            &WorkJob::startedAt, &WorkJob::endedAt, &WorkJob::endedBy, &WorkJob::occurrences, &WorkJob::doneOccurrences);
+            &WorkJob::startedAt, &WorkJob::endedAt, &WorkJob::endedBy, &WorkJob::occurrences, &WorkJob::doneOccurrences,
+            &WorkJob::workspace, &WorkJob::isBeyondShare);
     }
 
     /// Whether any run of the job has succeeded or failed.
@@ -147,15 +152,17 @@
     JobKey key;
     std::string queue;
     WorkSpec work;
+    std::string workspace {}; ///< Of the caller; empty for none.
 
-    static constexpr auto members() { return std::make_tuple(&SubmitWork::key, &SubmitWork::queue, &SubmitWork::work); }
+    static constexpr auto members() { return std::make_tuple(&SubmitWork::key, &SubmitWork::queue, &SubmitWork::work, &SubmitWork::workspace); }
 };
 
 /// Ends a job. One that was not submitted yet is not accepted any more, as its submission may be on its way.
 struct CancelWork {
     JobKey key;
+    std::string workspace {}; ///< Of the caller; empty for none. A job of another one is left as it is.
 
-    static constexpr auto members() { return std::make_tuple(&CancelWork::key); }
+    static constexpr auto members() { return std::make_tuple(&CancelWork::key, &CancelWork::workspace); }
 };
 
 struct SetFleetConfig {
@@ -230,12 +237,13 @@
     UnknownJob, ///< Nothing was there to cancel, and the job won't be accepted.
     CancelledEarly, ///< The job was cancelled before it was submitted.
     NoMemory, ///< There is no room for the job or its cancellation.
+    NameTaken, ///< Another workspace has a job of this name.
     Count
 };
 
 constexpr NameTable<WorkStatus> nameTable(WorkStatus)
 {
-    constexpr NameTable<WorkStatus> table { "applied", "known", "unknown-queue", "unknown-job", "cancelled-early", "no-memory" };
+    constexpr NameTable<WorkStatus> table { "applied", "known", "unknown-queue", "unknown-job", "cancelled-early", "no-memory", "name-taken" };
     return table;
 }
 
@@ -285,7 +293,8 @@
 
     static constexpr auto members()
     {
-        return std::make_tuple(&WorkTable::m_config, &WorkTable::m_workers, &WorkTable::m_nextWorker, &WorkTable::m_jobs, &WorkTable::m_earlyCancellations);
+        return std::make_tuple(&WorkTable::m_config, &WorkTable::m_workers, &WorkTable::m_nextWorker, &WorkTable::m_jobs, &WorkTable::m_earlyCancellations,
+            &WorkTable::m_shares);
     }
 
     Result apply(Time at, const Command& command);
@@ -303,8 +312,10 @@
     const std::set<JobKey>& openJobs() const { return m_openJobs; }
 
     const WorkJob* job(JobKey key) const;
-    /// Whether the job was cancelled before it was submitted.
-    bool isCancelledEarly(JobKey key) const { return m_earlyCancellations.contains(key); }
+    /// Whether the job of a workspace was cancelled before it was submitted.
+    bool isCancelledEarly(JobKey key, const std::string& workspace) const { return m_earlyCancellations.contains(key, workspace); }
+    /// What the workspaces have on the workers.
+    const WorkspaceLedger& ledger() const { return m_ledger; }
     const FleetWorker* worker(WorkerNumber number) const;
     const StepSpec* stepOf(const TaskRef& task) const;
     /// Whether the run is the latest one of its task, and its job has not ended.
@@ -325,6 +336,7 @@
     Result handle(Time at, const RecordRunOutcomes& command);
     Result handle(Time at, const RequeueLostRuns& command);
 
+    void charge(const TaskRun& run);
     void recordEnd(Time at, WorkerNumber worker, const EndedRun& end);
     void storeCheckpoint(WorkJob& job, const TaskRef& task, const std::string& checkpoint);
     bool countFailure(WorkJob& job, const TaskRun& run);
@@ -348,8 +360,10 @@
     uint32_t m_nextWorker = 1;
     std::map<JobKey, WorkJob> m_jobs;
     EarlyCancellations m_earlyCancellations;
+    ShareMeter m_shares;
 
     std::set<JobKey> m_openJobs;
+    WorkspaceLedger m_ledger;
     uint64_t m_openJobBytes = 0;
     std::map<std::string, WorkerNumber> m_workerById;
     std::multimap<Time, JobKey> m_endedJobs;
