Order waiting work by what its delay costs callers

Strict priorities let the least urgent queue pay for the bursts of all others. TardinessCostPolicy orders by value, remaining work and slack across queues; work beyond a workspace's share goes behind what is owed. Gangs with a reservation keep it against smaller steps of less urgent queues.

--- a/src/control_node.h
+++ b/src/control_node.h
@@ -27,7 +27,7 @@
 /// Core of a control host, which is a member of the fleet's replicated log. The leader plans
 /// placements, sends orders to the workers and replies to calls; the other members forward calls
 /// to it.
-template <QueuePolicy Policy = LastChancePolicy>
+template <QueuePolicy Policy = TardinessCostPolicy>
 class ControlNode {
 public:
     ControlNode(ControlNodeOptions options)
--- a/src/queue_policy.h
+++ b/src/queue_policy.h
@@ -2,6 +2,8 @@
 
 #include "work_table.h"
 
+#include <algorithm>
+#include <cmath>
 #include <concepts>
 
 namespace eelgrassloft {
@@ -16,14 +18,20 @@
     Time lateLimit {}; ///< When the job's result loses its value to the caller.
     Duration remainingCriticalPath {}; ///< Critical path of the job from this step on.
     double remainingWork = 0; ///< Estimated processor time of the job's tasks from this step on that are not done; only compared.
+    double relativeWork = 1; ///< Estimated processor time of the whole job against the usual one of its queue.
+    double remainingShare = 1; ///< Part of the job's work that `remainingWork` is.
 
     const StepSpec& spec() const { return job->work.steps[step.step]; }
 };
 
-/// Order in which waiting steps are placed: lowest key first.
+/// Order in which waiting steps are placed: lowest key first. `hasStrictPriorities` tells whether a step
+/// always goes before those of less urgent queues that have not lost their value.
 template <typename T>
 concept QueuePolicy = requires(const T policy, const ReadyStep& step, Time now)
 {
+    {
+        T::hasStrictPriorities
+        } -> std::convertible_to<bool>;
     {
         policy.key(step, now)
         } -> std::totally_ordered;
@@ -31,6 +39,7 @@
 
 /// Baseline policy: first come, first served within a priority.
 struct ArrivalPolicy {
+    static constexpr bool hasStrictPriorities = true;
     using Key = std::pair<uint32_t, Time>;
     Key key(const ReadyStep& step, Time) const { return { step.job->queue.priority, step.job->submittedAt }; }
 };
@@ -40,6 +49,8 @@
 /// objective go first, by least slack; late jobs follow by least remaining work, so that as many as
 /// possible finish before their limit.
 struct DeadlinePolicy {
+    static constexpr bool hasStrictPriorities = true;
+
     struct Key {
         bool isPastLimit = false;
         uint32_t priority = 0;
@@ -62,6 +73,8 @@
 /// smaller late ones until their results have lost their value. A late job goes first again once its
 /// late limit is near.
 struct LastChancePolicy {
+    static constexpr bool hasStrictPriorities = true;
+
     enum class Chance : uint8_t {
         Last, ///< Late, and soon past its limit.
         InTime,
@@ -97,4 +110,49 @@
     static constexpr int lastChanceDivisor = 4; ///< Of the time between the objective and the late limit.
 };
 
+/// Policy for overload by several queues at once, where strict priorities let the last one pay for the
+/// bursts of all others. Orders by apparent tardiness cost (Vepsalainen and Morton, 1987): what the caller
+/// loses if the job misses its next limit, for the work that it still needs, discounted while there is
+/// slack. A caller's loss grows with the job's work, but part of it is the same for every job of a queue.
+/// What is beyond its workspace's share goes behind all that is owed, and jobs that have lost their value
+/// go last. No job waits for ever: the cost of one rises until its late limit, and those past it go by their
+/// remaining work.
+struct TardinessCostPolicy {
+    static constexpr bool hasStrictPriorities = false;
+
+    struct Key {
+        bool isPastLimit = false;
+        bool isBeyondShare = false;
+        double rank = 0;
+
+        friend auto operator<=>(const Key&, const Key&) = default;
+    };
+
+    Key key(const ReadyStep& step, Time now) const
+    {
+        const Time earliest = now + step.remainingCriticalPath;
+        const bool isBeyondShare = step.job->isBeyondShare;
+        if (earliest > step.lateLimit)
+            return { true, isBeyondShare, step.remainingWork };
+        const bool isInTime = earliest <= step.objective;
+        const Time limit = isInTime ? step.objective : step.lateLimit;
+        const double value = (isInTime ? 1 : lateValue) * priorityWeight(step.job->queue.priority) * (baseValue + (1 - baseValue) * step.relativeWork);
+        const double work = std::max(step.relativeWork * step.remainingShare, leastWork);
+        const double slack = std::chrono::duration<double>(limit - earliest).count();
+        const double horizon = lookahead * std::chrono::duration<double>(std::max(step.remainingCriticalPath, shortestPath)).count();
+        return { false, isBeyondShare, -value / work * std::exp(-slack / horizon) };
+    }
+
+private:
+    static constexpr double lateValue = 0.25; ///< Of a result after its objective, against one in time.
+    static constexpr double baseValue = 0.3; ///< Part of a usual job's value that does not depend on its work.
+    static constexpr double leastWork = 0.02; ///< Against the usual work of a queue; estimates may be far too low.
+    static constexpr double lookahead = 12; ///< Slack, in critical paths, at which the cost is 1/e of that without slack.
+    static constexpr double urgencyGain = 9; ///< By which a job of priority 0 counts more than one of the lowest priority.
+    static constexpr Duration shortestPath = std::chrono::milliseconds(100);
+
+    /// Each priority stands out less from the next one than the one before it.
+    static double priorityWeight(uint32_t priority) { return 1 + urgencyGain / ((1.0 + priority) * (1.0 + priority)); }
+};
+
 } // namespace eelgrassloft
--- a/src/ready_steps.cpp
+++ b/src/ready_steps.cpp
@@ -9,6 +9,19 @@
 /// A job's result has no value to its caller after this multiple of its objective.
 constexpr int lateLimitFactor = 3;
 
+constexpr double sampleWeight = 0.02; ///< Of a job in the average work of its queue.
+
+double workOf(const StepSpec& step) { return static_cast<double>(step.count) * step.size.processorMillis * static_cast<double>(step.estimate.count()); }
+
+/// Estimated processor time of one occurrence of a job.
+double totalWork(const WorkSpec& work)
+{
+    double total = 0;
+    for (const StepSpec& step : work.steps)
+        total += workOf(step);
+    return total;
+}
+
 Duration scaled(Duration duration, double factor)
 {
     return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
@@ -76,6 +89,11 @@
 void ReadySteps::examine(JobEntry& entry, Time now)
 {
     const WorkJob& job = *entry.job;
+    if (entry.changes == neverExamined) {
+        const double work = totalWork(job.work);
+        double& usual = m_usualWork.try_emplace(job.queue.name, work).first->second;
+        usual += (work - usual) * sampleWeight;
+    }
     entry.changes = job.changes;
     entry.nextDue = never;
     entry.steps.clear();
@@ -93,6 +111,8 @@
 {
     const WorkJob& job = *entry.job;
     const OccurrenceRecord& occurrence = job.occurrences[index];
+    const double total = totalWork(job.work);
+    const double usual = m_usualWork.at(job.queue.name);
     for (uint32_t s = 0; s < occurrence.steps.size(); ++s) {
         const StepRecord& record = occurrence.steps[s];
         if (record.isDone() || !areDependenciesDone(occurrence, job.work.steps[s]))
@@ -115,6 +135,10 @@
             const uint32_t openTasks = other.count - std::min(other.count, occurrence.steps[later].doneCount);
             step.remainingWork += static_cast<double>(openTasks) * other.size.processorMillis * static_cast<double>(other.estimate.count());
         }
+        if (total > 0 && usual > 0) {
+            step.relativeWork = total / usual;
+            step.remainingShare = step.remainingWork / total;
+        }
         addWaiting(entry, std::move(step));
     }
 }
--- a/src/ready_steps.h
+++ b/src/ready_steps.h
@@ -25,7 +25,11 @@
     /// Brings the steps up to date with the table. Returns the number of jobs that it had to examine.
     size_t update(const WorkTable& table, Time now);
     /// Forgets all jobs. Needed where the table may have been replaced.
-    void clear() { m_jobs.clear(); }
+    void clear()
+    {
+        m_jobs.clear();
+        m_usualWork.clear();
+    }
 
     /// Calls `visit` with each step.
     template <typename Visitor>
@@ -50,13 +54,14 @@
 
     static constexpr uint64_t neverExamined = UINT64_MAX;
 
-    static void examine(JobEntry& entry, Time now);
-    static void addOccurrence(JobEntry& entry, uint32_t index, Time begin);
+    void examine(JobEntry& entry, Time now);
+    void addOccurrence(JobEntry& entry, uint32_t index, Time begin);
     static void addWaiting(JobEntry& entry, ReadyStep step);
     static bool areDependenciesDone(const OccurrenceRecord& occurrence, const StepSpec& step);
 
     std::map<JobKey, JobEntry> m_jobs;
     Time m_nextDue = never;
+    std::map<std::string, double> m_usualWork; ///< Moving average of a job's estimated work, by queue.
 };
 
 /// Length of the critical path that starts at the step `from`, by the steps' estimates.
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -7,6 +7,7 @@
 #include "workspace_room.h"
 
 #include <deque>
+#include <limits>
 
 namespace eelgrassloft {
 
@@ -27,7 +28,7 @@
         plan.examinedJobs = m_ready.update(table, now);
         plan.nextDue = m_ready.nextDue();
         std::deque<ReadyStep> partlyInFlight;
-        const auto steps = sortedSteps(inFlight, partlyInFlight, now);
+        const auto steps = sortedSteps(mostUrgentPriority(table.config()), inFlight, partlyInFlight, now);
         CapacityView capacityView(workerViews, now);
         capacityView.markReserved(m_reserved);
         m_isolation.begin(workerViews, capacityView, now < m_roomLackedUntil, now);
@@ -68,11 +69,48 @@
 private:
     using Worker = CapacityView::Worker;
 
-    using SortedSteps = std::vector<std::pair<typename Policy::Key, const ReadyStep*>>;
+    /// Parts of the order of steps, for policies whose priorities are not strict.
+    enum class OrderGroup : uint8_t {
+        MostUrgent, ///< Of the most urgent priority.
+        Reserved, ///< Gangs with a reservation, so that smaller steps do not take what becomes free for them.
+        Others,
+        PastLimit,
+        Count
+    };
+
+    struct SortKey {
+        OrderGroup group = OrderGroup::Others;
+        typename Policy::Key key;
+
+        friend auto operator<=>(const SortKey&, const SortKey&) = default;
+    };
+
+    using SortedSteps = std::vector<std::pair<SortKey, const ReadyStep*>>;
+
+    OrderGroup groupOf(const ReadyStep& step, uint32_t mostUrgentPriority, Time now) const
+    {
+        if (Policy::hasStrictPriorities)
+            return OrderGroup::Others;
+        if (now + step.remainingCriticalPath > step.lateLimit)
+            return OrderGroup::PastLimit;
+        if (step.job->isBeyondShare)
+            return OrderGroup::Others;
+        if (step.job->queue.priority == mostUrgentPriority)
+            return OrderGroup::MostUrgent;
+        return m_reserved.count(step.step) ? OrderGroup::Reserved : OrderGroup::Others;
+    }
+
+    static uint32_t mostUrgentPriority(const FleetConfig& config)
+    {
+        uint32_t priority = std::numeric_limits<uint32_t>::max();
+        for (const QueueSpec& queue : config.queues)
+            priority = std::min(priority, queue.priority);
+        return priority;
+    }
 
     /// The waiting steps in the order of the policy. Tasks in `inFlight`, whose placement is proposed
     /// but not yet committed, are left out; `partlyInFlight` holds the steps that this concerns.
-    SortedSteps sortedSteps(const std::set<TaskRef>& inFlight, std::deque<ReadyStep>& partlyInFlight, Time now) const
+    SortedSteps sortedSteps(uint32_t mostUrgentPriority, const std::set<TaskRef>& inFlight, std::deque<ReadyStep>& partlyInFlight, Time now) const
     {
         SortedSteps sorted;
         m_ready.forEach([&](const ReadyStep& step) {
@@ -85,7 +123,7 @@
                     return;
                 waiting = &partlyInFlight.back();
             }
-            sorted.push_back({ m_policy.key(*waiting, now), waiting });
+            sorted.push_back({ { groupOf(*waiting, mostUrgentPriority, now), m_policy.key(*waiting, now) }, waiting });
         });
         std::sort(sorted.begin(), sorted.end(), [](const auto& a, const auto& b) {
             return a.first != b.first ? a.first < b.first : a.second->step < b.second->step;
