Check of a configuration before it is sent

`eelgrassctl check-configuration` and `eelgrassloft-platform check-configuration` list the errors and contradictions of a configuration, and what differs from the version in force, as text or JSON with documented exit codes. The checks and the comparison are pure functions of the core; each program has its reader, and both share the report. Hosts do not use the check: what they accept is as before. Keys are masked in all output.

--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -1,6 +1,8 @@
 #include "ctl/commands.h"
 
 #include "ctl/client.h"
+#include "io/config_check_report.h"
+#include "io/fleet_config_json.h"
 #include "io/json_fields.h"
 #include "io/read_file.h"
 #include "io/settings_json.h"
@@ -133,6 +135,18 @@
     return ExitCode::Success;
 }
 
+ExitCode checkConfiguration(const CommandLine& line)
+{
+    switch (io::checkConfigFiles({ line.arguments[0], line.inForceFile, line.output }, io::FleetConfigReader(), std::cout, std::cerr)) {
+    case io::ConfigCheckExit::NoErrors:
+        return ExitCode::Success;
+    case io::ConfigCheckExit::Errors:
+        return ExitCode::Failed;
+    default:
+        return ExitCode::Usage;
+    }
+}
+
 ExitCode sendManifest(const CommandLine& line)
 {
     const auto text = readFile(line.arguments[0]);
@@ -161,6 +175,7 @@
 {
     switch (command) {
     case CommandKind::CheckSettings:
+    case CommandKind::CheckConfiguration:
     case CommandKind::Apply:
     case CommandKind::Diff:
     case CommandKind::Explain:
@@ -185,6 +200,8 @@
     switch (line.command) {
     case CommandKind::CheckSettings:
         return checkSettings(line);
+    case CommandKind::CheckConfiguration:
+        return checkConfiguration(line);
     case CommandKind::Apply:
     case CommandKind::Diff:
         return sendManifest(line);
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "eelgrassloft/name_table.h"
+#include "io/output_kind.h"
 
 #include <optional>
 #include <string>
@@ -10,6 +10,7 @@
 
 enum class CommandKind : uint8_t {
     CheckSettings,
+    CheckConfiguration,
     Apply,
     Diff,
     Status,
@@ -23,7 +24,7 @@
 
 constexpr NameTable<CommandKind> nameTable(CommandKind)
 {
-    constexpr NameTable<CommandKind> table { "check-settings", "apply", "diff", "status", "jobs", "workers", "upstreams", "explain", "cancel" };
+    constexpr NameTable<CommandKind> table { "check-settings", "check-configuration", "apply", "diff", "status", "jobs", "workers", "upstreams", "explain", "cancel" };
     static_assert(detail::isComplete<CommandKind>(table));
     return table;
 }
@@ -32,6 +33,7 @@
 constexpr NameTable<CommandKind> commandHelp()
 {
     constexpr NameTable<CommandKind> table { "check-settings FILE      check a settings file",
+        "check-configuration FILE check a fleet's configuration before it is sent",
         "apply MANIFEST           apply a manifest of jobs, quotas and limits",
         "diff MANIFEST            show what a manifest would change",
         "status                   show a host, its logs, and the revision in force on every host",
@@ -44,22 +46,12 @@
     return table;
 }
 
-enum class OutputKind : uint8_t {
-    Text,
-    Json,
-    Count
-};
-
-constexpr NameTable<OutputKind> nameTable(OutputKind)
-{
-    constexpr NameTable<OutputKind> table { "text", "json" };
-    return table;
-}
+using io::OutputKind;
 
 /// Exit codes; docs/OPERATIONS.md lists them.
 enum class ExitCode : uint8_t {
     Success,
-    Failed, ///< The host answered with an error.
+    Failed, ///< The host answered with an error, or a check found errors.
     Usage,
     Unreachable,
     Conflict, ///< Another operator's change was committed first.
@@ -73,6 +65,7 @@
     OutputKind output = OutputKind::Text;
     std::optional<uint64_t> expectRevision;
     std::string operationId;
+    std::string inForceFile; ///< Of `check-configuration`; empty if there is none.
     std::vector<std::string> arguments;
 };
 
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -18,7 +18,7 @@
     for (const std::string_view line : commandHelp())
         std::cout << "  " << line << "\n";
     std::cout << "\n"
-              << description << "\nexit codes: 0 success, 1 rejected by the host, 2 invalid usage, 3 host unreachable, 4 conflict\n";
+              << description << "\nexit codes: 0 success, 1 rejected by the host or errors found, 2 invalid usage, 3 host unreachable, 4 conflict\n";
 }
 
 } // namespace
@@ -30,7 +30,7 @@
     std::string output;
     uint64_t expectRevision = 0;
     options::options_description visible("options");
-    visible.add_options()("help,h", "print this text")("host", options::value(&line.host)->default_value("127.0.0.1:7101"), "entry host to call, ADDRESS:PORT")("output", options::value(&output)->default_value("text"), "text or json")("expect-revision", options::value(&expectRevision), "apply: fail if another revision is in force")("operation-id", options::value(&line.operationId), "apply: idempotency key of the operation; a resend with the same id gets the first result");
+    visible.add_options()("help,h", "print this text")("host", options::value(&line.host)->default_value("127.0.0.1:7101"), "entry host to call, ADDRESS:PORT")("output", options::value(&output)->default_value("text"), "text or json")("expect-revision", options::value(&expectRevision), "apply: fail if another revision is in force")("operation-id", options::value(&line.operationId), "apply: idempotency key of the operation; a resend with the same id gets the first result")("in-force", options::value(&line.inForceFile), "check-configuration: file with the version in force, to compare with");
     options::options_description all;
     all.add(visible).add_options()("command", options::value(&command))("arguments", options::value(&line.arguments));
     options::positional_options_description positional;
