--- a/src/queue_policy.h
+++ b/src/queue_policy.h
@@ -136,7 +136,8 @@
             return { true, isBeyondShare, step.remainingWork };
         const bool isInTime = earliest <= step.objective;
         const Time limit = isInTime ? step.objective : step.lateLimit;
-        const double value = (isInTime ? 1 : lateValue) * priorityWeight(step.job->queue.priority) * (baseValue + (1 - baseValue) * step.relativeWork);
+        const bool isLastChance = !isInTime && limit - earliest <= (step.lateLimit - step.objective) / lastChanceDivisor;
+        const double value = (isInTime || isLastChance ? 1 : lateValue) * priorityWeight(step.job->queue.priority) * (baseValue + (1 - baseValue) * step.relativeWork);
         const double work = std::max(step.relativeWork * step.remainingShare, leastWork);
         const double slack = std::chrono::duration<double>(limit - earliest).count();
         const double horizon = lookahead * std::chrono::duration<double>(std::max(step.remainingCriticalPath, shortestPath)).count();
@@ -145,7 +146,8 @@
 
 private:
     static constexpr double lateValue = 0.25; ///< Of a result after its objective, against one in time.
-    static constexpr double baseValue = 0.3; ///< Part of a usual job's value that does not depend on its work.
+    static constexpr double baseValue = 0.2; ///< Part of a usual job's value that does not depend on its work.
+    static constexpr int lastChanceDivisor = 4; ///< Of the time between the objective and the late limit, in whose last part a late job counts in full.
     static constexpr double leastWork = 0.02; ///< Against the usual work of a queue; estimates may be far too low.
     static constexpr double lookahead = 12; ///< Slack, in critical paths, at which the cost is 1/e of that without slack.
     static constexpr double urgencyGain = 9; ///< By which a job of priority 0 counts more than one of the lowest priority.
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -96,7 +96,7 @@
 };
 
 using Baseline = WorkPlanner<DeadlinePolicy, ExhaustiveGangAdvice, UnknownForecast>;
-using Current = WorkPlanner<LastChancePolicy, SufficientGangAdvice, ProgressForecast>;
+using Current = WorkPlanner<TardinessCostPolicy, SufficientGangAdvice, ProgressForecast>;
 
 struct Comparison {
     double baseline = 0;
