Tests of the transfer of workspaces to entry hosts

Guard against keys and quotas that do not arrive when nothing else changes, change during a pass of several parts, or were missed by a control host.

--- a/tests/config_transfer_test.cpp
+++ b/tests/config_transfer_test.cpp
@@ -30,12 +30,21 @@
     return config;
 }
 
-bool hasQueuesOf(const FleetConfig& held, const FleetConfig& wanted)
+bool isEqual(const FleetConfig& held, const FleetConfig& wanted)
 {
-    return held.version == wanted.version && held.queues.size() == wanted.queues.size()
+    return held.version == wanted.version && held.workspaces == wanted.workspaces && held.queues.size() == wanted.queues.size()
         && std::all_of(wanted.queues.begin(), wanted.queues.end(), [&](const QueueSpec& queue) { return held.queue(queue.name) && *held.queue(queue.name) == queue; });
 }
 
+/// A configuration with as many workspaces, of which each has a key.
+FleetConfig configOf(uint64_t version, uint64_t queues, uint64_t workspaces)
+{
+    FleetConfig config = configOf(version, queues);
+    for (uint64_t i = 0; i < workspaces; ++i)
+        config.workspaces.push_back({ "workspace-" + std::to_string(i), { "key-" + std::to_string(i) }, 1, {} });
+    return config;
+}
+
 FleetSettings settings()
 {
     FleetSettings settings;
@@ -113,7 +122,7 @@
     const FleetConfig config = configOf(1, 3000);
     transfer.observe(near, config);
     transfer.finish();
-    BOOST_TEST(hasQueuesOf(transfer.receiver.config(), config));
+    BOOST_TEST(isEqual(transfer.receiver.config(), config));
     BOOST_TEST(transfer.parts > 5U);
     BOOST_TEST(transfer.largestPart < config::maxConfigPartBytes + 1024);
 }
@@ -131,7 +140,7 @@
     transfer.observe(near, config);
     transfer.parts = transfer.largestPart = 0;
     transfer.finish();
-    BOOST_TEST(hasQueuesOf(transfer.receiver.config(), config));
+    BOOST_TEST(isEqual(transfer.receiver.config(), config));
     BOOST_TEST(transfer.parts == 1U);
     BOOST_TEST(transfer.largestPart < 400U);
 }
@@ -153,7 +162,7 @@
     const size_t before = transfer.parts;
     transfer.answer();
     transfer.finish();
-    BOOST_TEST(hasQueuesOf(transfer.receiver.config(), config));
+    BOOST_TEST(isEqual(transfer.receiver.config(), config));
     BOOST_TEST(before == 5U);
 }
 
@@ -186,7 +195,7 @@
     BOOST_TEST(!transfer.open->second.afterQueue.empty());
     transfer.answer();
     transfer.finish();
-    BOOST_TEST(hasQueuesOf(transfer.receiver.config(), config));
+    BOOST_TEST(isEqual(transfer.receiver.config(), config));
 }
 
 /// A near host that lagged behind ended each pass with its old version, and the transfer began anew for ever.
@@ -199,7 +208,7 @@
     transfer.observe(far, later);
     for (int i = 0; i < 100 && transfer.request(); ++i)
         transfer.answer();
-    BOOST_TEST(hasQueuesOf(transfer.receiver.config(), later));
+    BOOST_TEST(isEqual(transfer.receiver.config(), later));
 }
 
 BOOST_AUTO_TEST_CASE(hostThatDoesNotKnowTheFormerVersionSendsEverything)
@@ -211,7 +220,7 @@
     const FleetConfig later = configOf(3, 1500);
     transfer.observe(far, later);
     transfer.finish();
-    BOOST_TEST(hasQueuesOf(transfer.receiver.config(), later));
+    BOOST_TEST(isEqual(transfer.receiver.config(), later));
 }
 
 BOOST_AUTO_TEST_CASE(removedQueuesAreForgottenInTheEnd)
@@ -223,7 +232,7 @@
     transfer.observe(near, later);
     BOOST_TEST(transfer.histories[near].part({ 1, {} })->baseVersion == 0U);
     transfer.finish();
-    BOOST_TEST(hasQueuesOf(transfer.receiver.config(), later));
+    BOOST_TEST(isEqual(transfer.receiver.config(), later));
 }
 
 /// A control host that had missed a version did not tell of the queues that were added in it and
@@ -239,7 +248,100 @@
     const FleetConfig later = configOf(3, 10);
     transfer.observe(far, later);
     transfer.finish();
-    BOOST_TEST(hasQueuesOf(transfer.receiver.config(), later));
+    BOOST_TEST(isEqual(transfer.receiver.config(), later));
+}
+
+/// A key that a version adds or removes without any other change did not reach the entry hosts.
+BOOST_AUTO_TEST_CASE(versionThatOnlyChangesWorkspacesIsTransferred)
+{
+    Transfer transfer;
+    FleetConfig config = configOf(1, 3000, 2);
+    for (int change = 0; change < 6; ++change) {
+        switch (change) {
+        case 1:
+            config.workspaces.front().keys.push_back("added");
+            break;
+        case 2:
+            config.workspaces.front().keys.erase(config.workspaces.front().keys.begin());
+            break;
+        case 3:
+            config.workspaces.back().quota.accelerators = 1;
+            break;
+        case 4:
+            config.workspaces.clear();
+            break;
+        case 5:
+            config.workspaces.push_back({ "added", { "key" }, 0, {} });
+            break;
+        default:
+            break;
+        }
+        transfer.parts = 0;
+        transfer.observe(near, config);
+        transfer.finish();
+        BOOST_TEST(isEqual(transfer.receiver.config(), config));
+        BOOST_TEST((change == 0 || transfer.parts == 1U));
+        ++config.version;
+    }
+}
+
+/// Without any change to them, the workspaces are not sent again.
+BOOST_AUTO_TEST_CASE(unchangedWorkspacesAreNotTransferred)
+{
+    ConfigHistory history;
+    history.observe(configOf(1, 2, 2));
+    history.observe(configOf(2, 3, 2));
+    BOOST_TEST(!history.part({ 1, {} })->workspaces.has_value());
+    BOOST_TEST(history.part({ 0, {} })->workspaces.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(workspacesThatChangeDuringAPassOfSeveralPartsArriveWhole)
+{
+    for (const int partsBefore : { 0, 1, 3, 5 }) {
+        Transfer transfer;
+        transfer.observe(near, configOf(1, 3000, 2));
+        for (int i = 0; i < partsBefore; ++i) {
+            transfer.request();
+            transfer.answer();
+        }
+        FleetConfig later = configOf(2, 3000, 2);
+        later.workspaces.front().keys = { "other" };
+        transfer.observe(near, later);
+        transfer.finish();
+        BOOST_TEST(isEqual(transfer.receiver.config(), later));
+        BOOST_TEST(transfer.parts > 5U);
+    }
+}
+
+/// A control host that has restarted knows no earlier version, so that it can't tell what has changed.
+BOOST_AUTO_TEST_CASE(controlHostThatHasRestartedSendsTheWorkspaces)
+{
+    Transfer transfer;
+    transfer.observe(near, configOf(1, 10, 2));
+    transfer.finish();
+    transfer.histories[near] = {};
+    FleetConfig later = configOf(2, 10, 1);
+    transfer.observe(near, later);
+    transfer.finish();
+    BOOST_TEST(isEqual(transfer.receiver.config(), later));
+}
+
+/// A control host that had missed a version in which the workspaces differed took them for unchanged.
+BOOST_AUTO_TEST_CASE(workspacesOfAVersionThatTheNextSourceMissedAreReplaced)
+{
+    Transfer transfer;
+    transfer.observe(far, configOf(1, 10, 2));
+    FleetConfig between = configOf(2, 10, 2);
+    between.workspaces.front().keys = { "removed-later" };
+    transfer.observe(near, between);
+    transfer.finish();
+    BOOST_TEST(isEqual(transfer.receiver.config(), between));
+    transfer.receiver.hostDown(near);
+    const FleetConfig later = configOf(3, 10, 2);
+    transfer.observe(far, later);
+    BOOST_TEST(!transfer.histories[far].part({ 2, {} })->workspaces.has_value());
+    transfer.finish();
+    BOOST_TEST(isEqual(transfer.receiver.config(), later));
 }
 
 /// Changes, lost parts, restarts of control hosts and changes of the source in any order: what is in
@@ -264,6 +366,8 @@
                     else
                         config.queues[position].priority += 1;
                 }
+                if (random.below(3) == 0)
+                    config.workspaces = configOf(0, 0, random.below(3)).workspaces;
                 if (random.below(2)) {
                     const QueueSpec added = queueOf(random.below(2000));
                     if (!config.queue(added.name))
@@ -296,7 +400,7 @@
             if (inForce.version == held)
                 continue;
             held = inForce.version;
-            RC_ASSERT(hasQueuesOf(inForce, versions.at(held)));
+            RC_ASSERT(isEqual(inForce, versions.at(held)));
         }
         if (versions.empty())
             return;
@@ -304,7 +408,7 @@
             transfer.observe(host, versions.rbegin()->second);
         transfer.now += config::maxConfigPartTimeout;
         transfer.finish();
-        RC_ASSERT(hasQueuesOf(transfer.receiver.config(), versions.rbegin()->second));
+        RC_ASSERT(isEqual(transfer.receiver.config(), versions.rbegin()->second));
     });
     BOOST_TEST(isHolding);
 }
