--- a/tests/support/fleet_config.h
+++ b/tests/support/fleet_config.h
@@ -16,4 +16,14 @@
     return config;
 }
 
+/// Adds a queue that needs no key, and two workspaces with a key each, of which the first has a quota.
+inline FleetConfig configWithWorkspaces(uint64_t version, Resources quota = {}, double weight = 0)
+{
+    FleetConfig config = configWithOneQueue(20);
+    config.version = version;
+    config.queues.push_back({ "open", "host", "/open/", "pool", 0, 20, 2, std::chrono::milliseconds(400), {}, true });
+    config.workspaces = { { "north", { "north-key" }, weight, quota }, { "south", { "south-key" }, 0, {} } };
+    return config;
+}
+
 } // namespace eelgrassloft::testing
