Release a run's quota only on a report of the worker that has it

The ledger released a run that any worker reported as ended or lost, although the run stayed on the list of its own worker, so that its workspace could exceed the quota. Both lists now change together.

--- a/src/work_table.cpp
+++ b/src/work_table.cpp
@@ -81,6 +81,13 @@
         m_ledger.charge(run, found->second.workspace, found->second.work.steps[run.task.step].size);
 }
 
+/// Removes a run that is over on the worker. A report about a run of another worker has no effect.
+void WorkTable::removeRun(FleetWorker& worker, const TaskRun& run)
+{
+    if (std::erase(worker.runs, run))
+        m_ledger.release(run);
+}
+
 const WorkJob* WorkTable::job(JobKey key) const
 {
     const auto found = m_jobs.find(key);
@@ -306,8 +313,7 @@
             continue;
         worker->second.lastEndNumber = end.number;
         recordEnd(at, command.worker, end);
-        std::erase(worker->second.runs, end.run);
-        m_ledger.release(end.run);
+        removeRun(worker->second, end.run);
     }
     return {};
 }
@@ -396,10 +402,8 @@
 {
     const TaskRun& run = lost.run;
     const auto record = m_workers.find(worker);
-    if (record != m_workers.end() && !lost.mayBeInherited) {
-        std::erase(record->second.runs, run);
-        m_ledger.release(run);
-    }
+    if (record != m_workers.end() && !lost.mayBeInherited)
+        removeRun(record->second, run);
     const auto found = m_jobs.find(run.task.job);
     if (found == m_jobs.end())
         return;
--- a/src/work_table.h
+++ b/src/work_table.h
@@ -337,6 +337,7 @@
     Result handle(Time at, const RequeueLostRuns& command);
 
     void charge(const TaskRun& run);
+    void removeRun(FleetWorker& worker, const TaskRun& run);
     void recordEnd(Time at, WorkerNumber worker, const EndedRun& end);
     void storeCheckpoint(WorkJob& job, const TaskRef& task, const std::string& checkpoint);
     bool countFailure(WorkJob& job, const TaskRun& run);
--- a/tests/support/fleet_cluster.h
+++ b/tests/support/fleet_cluster.h
@@ -11,8 +11,9 @@
 /// Simulates a fleet in virtual time: three control hosts with disks, one entry host, workers and an
 /// advice service, with message delays, crashes, unresponsive workers and tasks that crash their
 /// worker. Checks at every start that no worker exceeds its capacity, that no two runs of a task are
-/// active at the same time, that no task starts after its success was acknowledged, and that no task
-/// starts three times more after three workers have crashed under it.
+/// active at the same time, that no task starts after its success was acknowledged, that no task
+/// starts three times more after three workers have crashed under it, and that no workspace exceeds its
+/// quota.
 class FleetCluster {
 public:
     static constexpr uint32_t controlCount = 3;
@@ -62,7 +63,7 @@
                 if (control.node && m_now >= control.node->nextDeadline())
                     stepControl(id, FleetTick {});
             }
-            if (m_now >= m_entry.nextDeadline())
+            if (!m_isEntryFrozen && m_now >= m_entry.nextDeadline())
                 stepEntry(FleetTick {});
             if (m_now >= m_nextReport)
                 reportWorkers();
@@ -168,6 +169,20 @@
             perform(HostId { id }, message);
     }
 
+    /// Freezes the entry host, to which all messages come late.
+    void freezeEntry() { m_isEntryFrozen = true; }
+
+    /// Lets the entry host go on, and calls `visit` after each of the messages that came meanwhile.
+    template <typename Visitor>
+    void thawEntry(Visitor visit)
+    {
+        m_isEntryFrozen = false;
+        for (const FleetEvent& event : std::exchange(m_heldEntryEvents, {})) {
+            perform(HostId { entryId }, m_entry.receive(m_now, event));
+            visit();
+        }
+    }
+
     /// Loses all configurations that are sent to the entry host, as while a large one is on its way.
     void loseConfigUpdates(bool isLossy = true) { m_losesConfigUpdates = isLossy; }
 
@@ -242,6 +257,18 @@
             count += static_cast<size_t>(std::count_if(worker.running.begin(), worker.running.end(), [&](const auto& entry) { return entry.first.task.job == job; }));
         return count;
     }
+    /// What the active runs of a workspace's jobs take.
+    ResourceTotals usedBy(const std::string& workspace) const
+    {
+        ResourceTotals used;
+        for (const Worker& worker : m_workers) {
+            for (const auto& [run, running] : worker.running) {
+                if (running.workspace == workspace)
+                    used += running.size;
+            }
+        }
+        return used;
+    }
     /// Number of calls to workers that a host made.
     size_t workerCalls(uint32_t id) const
     {
@@ -279,6 +306,7 @@
         Time endsAt {}; ///< `never` if it runs until it is stopped.
         Time crashesAt = never; ///< When the task crashes its worker.
         bool willFail = false;
+        std::string workspace {}; ///< Of the job; empty for none.
     };
 
     /// Crashes of workers that ran a task, and its starts after the third.
@@ -386,6 +414,10 @@
             m_events.erase(m_events.begin());
             if (delivery.hostIncarnation != m_hostIncarnations[delivery.to.value])
                 continue;
+            if (delivery.to.value == entryId && m_isEntryFrozen) {
+                m_heldEntryEvents.push_back(std::move(delivery.event));
+                continue;
+            }
             if (delivery.to.value == entryId)
                 perform(delivery.to, m_entry.receive(m_now, delivery.event));
             else if (m_controls.at(delivery.to.value).node)
@@ -587,7 +619,10 @@
         const bool willFail = failing != m_failingJobs.end();
         const bool lasts = step && step->isLongRunning && !willFail && !worker.isFailing;
         const Time endsAt = lasts ? never : m_now + (willFail ? failing->second : m_runLength);
-        worker.running[order.run] = { size, m_now, endsAt, crashesAt, willFail };
+        const WorkJob* job = leaderId ? table().job(task.job) : nullptr;
+        worker.running[order.run] = { size, m_now, endsAt, crashesAt, willFail, job ? job->workspace : "" };
+        if (job)
+            checkQuota(job->workspace);
         Resources used;
         for (const auto& [run, running] : worker.running)
             used += running.size;
@@ -596,6 +631,18 @@
         return OrderOutcome::Accepted;
     }
 
+    /// Checks that the active runs of a workspace keep to its quota in force.
+    void checkQuota(const std::string& name)
+    {
+        const WorkspaceSpec* workspace = table().config().workspace(name);
+        if (!workspace)
+            return;
+        const ResourceTotals used = usedBy(name);
+        const auto exceeds = [](uint64_t amount, uint64_t quota) { return quota && amount > quota; };
+        if (exceeds(used.processorMillis, workspace->quota.processorMillis) || exceeds(used.memoryMiB, workspace->quota.memoryMiB) || exceeds(used.accelerators, workspace->quota.accelerators))
+            m_violations.push_back("the runs of " + name + " exceed its quota");
+    }
+
     /// Capacity that an order sent at `sentAt` had to keep to: the largest since `shrinkGrace` before.
     Resources capacityInForce(const Worker& worker, Time sentAt) const
     {
@@ -721,6 +768,8 @@
     std::multimap<Time, Delivery> m_events;
     std::map<uint32_t, Control> m_controls;
     EntryNode m_entry;
+    bool m_isEntryFrozen = false;
+    std::vector<FleetEvent> m_heldEntryEvents; ///< That came while the entry host was frozen.
     Time m_entryLinkFreeAt {};
     std::vector<Worker> m_workers;
     std::map<CallId, ControlReply> m_replies;
