Keep the early cancellations of several workspaces side by side

An early cancellation was kept by the job's name only. That of a second workspace under the same name replaced the first, and the job of the first was accepted when it came. Found by earlyCancellationsOfTwoWorkspacesStandSideBySide.

--- a/src/early_cancellations.cpp
+++ b/src/early_cancellations.cpp
@@ -4,40 +4,55 @@
 
 #include "eelgrassloft/config.h"
 
+#include <algorithm>
+
 namespace eelgrassloft {
 
 bool EarlyCancellations::add(Time at, JobKey job, const std::string& workspace)
 {
     removeExpired(at);
-    const auto known = m_cancellations.find(job);
-    if (known != m_cancellations.end())
-        m_byTime.erase({ known->second.at, job });
-    else if (m_cancellations.size() >= config::maxEarlyCancellations)
+    const auto [known, isNew] = m_cancellations[job].try_emplace(workspace, at);
+    if (!isNew)
+        m_byTime.erase({ known->second, job, workspace });
+    else if (m_byTime.size() >= config::maxEarlyCancellations) {
+        erase(job, workspace);
         return false;
-    m_cancellations[job] = { at, workspace };
-    m_byTime.insert({ at, job });
+    }
+    known->second = at;
+    m_byTime.insert({ at, job, workspace });
     return true;
 }
 
 bool EarlyCancellations::contains(JobKey job, const std::string& workspace) const
 {
     const auto found = m_cancellations.find(job);
-    return found != m_cancellations.end() && mayUseJob(found->second.workspace, workspace);
+    return found != m_cancellations.end() && std::any_of(found->second.begin(), found->second.end(), [&](const auto& entry) { return mayUseJob(entry.first, workspace); });
 }
 
 void EarlyCancellations::removeExpired(Time at)
 {
-    while (!m_byTime.empty() && m_byTime.begin()->first + config::endedJobRetention < at) {
-        m_cancellations.erase(m_byTime.begin()->second);
+    while (!m_byTime.empty() && std::get<Time>(*m_byTime.begin()) + config::endedJobRetention < at) {
+        const auto& [expiredAt, job, workspace] = *m_byTime.begin();
+        erase(job, workspace);
         m_byTime.erase(m_byTime.begin());
     }
 }
 
+void EarlyCancellations::erase(JobKey job, const std::string& workspace)
+{
+    const auto found = m_cancellations.find(job);
+    found->second.erase(workspace);
+    if (found->second.empty())
+        m_cancellations.erase(found);
+}
+
 void EarlyCancellations::rebuild()
 {
     m_byTime.clear();
-    for (const auto& [job, cancellation] : m_cancellations)
-        m_byTime.insert({ cancellation.at, job });
+    for (const auto& [job, workspaces] : m_cancellations) {
+        for (const auto& [workspace, at] : workspaces)
+            m_byTime.insert({ at, job, workspace });
+    }
 }
 
 } // namespace eelgrassloft
--- a/src/early_cancellations.h
+++ b/src/early_cancellations.h
@@ -4,12 +4,14 @@
 
 #include <map>
 #include <set>
-#include <utility>
+#include <string>
+#include <tuple>
 
 namespace eelgrassloft {
 
 /// Jobs that were cancelled before they were submitted. The submission may still be on its way, so each
-/// is remembered for as long as an ended job, and never runs.
+/// is remembered for as long as an ended job, and never runs. Workspaces may use the same names, so that
+/// the cancellation by one leaves those by others as they are.
 class EarlyCancellations {
 public:
     /// Adds a job, or renews it. Returns false if there is no room.
@@ -17,22 +19,17 @@
     /// Whether the job was cancelled by a caller of its workspace.
     bool contains(JobKey job, const std::string& workspace) const;
     void removeExpired(Time at);
-    size_t size() const { return m_cancellations.size(); }
+    size_t size() const { return m_byTime.size(); }
 
     static constexpr auto members() { return std::make_tuple(&EarlyCancellations::m_cancellations); }
     /// Rebuilds the index from the decoded members.
     void rebuild();
 
 private:
-    struct Cancellation {
-        Time at {};
-        std::string workspace; ///< Of the caller; empty for none.
+    void erase(JobKey job, const std::string& workspace);
 
-        static constexpr auto members() { return std::make_tuple(&Cancellation::at, &Cancellation::workspace); }
-    };
-
-    std::map<JobKey, Cancellation> m_cancellations;
-    std::set<std::pair<Time, JobKey>> m_byTime;
+    std::map<JobKey, std::map<std::string, Time>> m_cancellations; ///< By job and workspace of the caller, which is empty for none.
+    std::set<std::tuple<Time, JobKey, std::string>> m_byTime;
 };
 
 } // namespace eelgrassloft
