Count a leader's report from the time of the status that it answers

An entry host took a report of the leader for new when it came, however long it had been held up in the network or while the host was frozen, and decided by a configuration that was no longer in force for up to two more seconds. A report now repeats the time of the entry host's status that it answers. A leader also checks its lease before it claims to lead, as it may have been frozen itself.

--- a/src/control_node.h
+++ b/src/control_node.h
@@ -150,13 +150,15 @@
         m_connected.insert(event.host);
         m_forwarder.didConnect(step, event.host);
         step.send(event.host, LogHello { m_replica.self().incarnation, m_replica.isEmpty(), m_settings.region, m_settings.dataCentre });
-        step.send(event.host, status());
+        m_entryStatusTimes.erase(event.host);
+        step.send(event.host, status(step.now, event.host));
         m_advice.setHosts(adviceHosts());
     }
 
     void handle(FleetStep& step, const FleetPeerDown& event)
     {
         m_connected.erase(event.host);
+        m_entryStatusTimes.erase(event.host);
         m_relay.dropRequester(event.host);
         m_dispatcher.hostDown(step, table(), event.host);
         m_advice.setHosts(adviceHosts());
@@ -189,13 +191,16 @@
         step.emit(ConnectHosts { { hosts.begin(), hosts.end() } });
     }
 
-    ControlStatusReport status() const
+    /// Status for a host. The lease is checked anew, as it may have expired while this host was frozen.
+    ControlStatusReport status(Time now, HostId to) const
     {
         ControlStatusReport report;
         report.term = m_replica.term();
         report.leader = m_replica.leader().host;
-        report.isLeading = m_isLeading;
+        report.isLeading = m_isLeading && m_replica.hasLease(now);
         report.configVersion = table().config().version;
+        if (const auto sentAt = m_entryStatusTimes.find(to); sentAt != m_entryStatusTimes.end())
+            report.answeredAt = sentAt->second;
         for (const Member& member : m_replica.membership().voters)
             report.hosts.push_back(member.host);
         return report;
@@ -241,7 +246,13 @@
     }
 
     void receive(FleetStep& step, HostId from, const ControlStatusReport&) { m_replica.observeContact(step.now, from); }
-    void receive(FleetStep&, HostId, const EntryStatusReport&) { } // Keeps the connection in use.
+
+    void receive(FleetStep& step, HostId from, const EntryStatusReport& report)
+    {
+        m_entryStatusTimes[from] = report.sentAt;
+        step.send(from, status(step.now, from));
+    }
+
     void receive(FleetStep&, HostId, const ConfigPart&) { }
 
     void receive(FleetStep& step, HostId from, const ConfigRequest& request)
@@ -785,7 +796,7 @@
             return;
         m_nextStatus = step.now + config::fleetStatusPeriod;
         for (const HostId host : m_connected)
-            step.send(host, status());
+            step.send(host, status(step.now, host));
     }
 
     FleetSettings m_settings;
@@ -796,6 +807,7 @@
     AdviceClient m_advice;
     WorkPlanner<Policy> m_planner;
     std::set<HostId> m_connected;
+    std::map<HostId, Time> m_entryStatusTimes; ///< When the connected entry hosts sent their latest status, by their clocks.
     ConfigHistory m_configHistory;
     std::set<HostId> m_connectTargets;
     std::optional<Membership> m_connectMembership; ///< From which the targets were taken.
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -52,7 +52,7 @@
 {
     m_connected.insert(event.host);
     m_forwarder.didConnect(step, event.host);
-    step.send(event.host, EntryStatusReport { config().version, m_isStopping });
+    step.send(event.host, EntryStatusReport { config().version, m_isStopping, step.now });
 }
 
 void EntryNode::handle(FleetStep&, const FleetPeerDown& event)
@@ -79,6 +79,8 @@
     m_connectTargets.clear();
 }
 
+/// A leader's report counts as contact from the time of the status that it answers: one that was held up in
+/// the network or while this host was frozen may be older than the configuration in force.
 void EntryNode::receive(FleetStep& step, HostId from, const ControlStatusReport& report)
 {
     m_configReceiver.offer(from, report.configVersion);
@@ -90,7 +92,8 @@
         m_leaderTerm = report.term;
         m_leader = from;
         m_confirmedTerm = report.term;
-        m_lastLeaderContact = step.now;
+        if (report.answeredAt != Time {} && report.answeredAt <= step.now)
+            m_lastLeaderContact = std::max(m_lastLeaderContact, report.answeredAt);
         return;
     }
     if (report.term > m_leaderTerm && report.leader.isValid()) {
@@ -158,7 +161,7 @@
 {
     m_nextStatus = step.now + config::fleetStatusPeriod;
     for (const HostId host : m_connected)
-        step.send(host, EntryStatusReport { config().version, m_isStopping });
+        step.send(host, EntryStatusReport { config().version, m_isStopping, step.now });
 }
 
 void EntryNode::logReadiness(FleetStep& step)
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -43,7 +43,7 @@
 
     /// Latest configuration received; version 0 before the first.
     const FleetConfig& config() const { return m_configReceiver.config(); }
-    /// Whether the leader reported its status within `leaderContactTimeout`.
+    /// Whether the leader answered a status that this host sent within `leaderContactTimeout`.
     bool hasLeaderContact(Time now) const { return now < m_lastLeaderContact + config::leaderContactTimeout; }
     /// Whether a newer configuration is known to be in force.
     bool isStale() const { return config().version < std::max(m_configReceiver.latestVersion(), m_answeredVersion); }
@@ -93,7 +93,7 @@
     HostId m_leader;
     uint64_t m_leaderTerm = 0;
     uint64_t m_confirmedTerm = 0; ///< Latest term in which a leader itself said that it leads.
-    Time m_lastLeaderContact = Time::min();
+    Time m_lastLeaderContact = Time::min(); ///< When this host sent the latest status that a leader answered.
     uint64_t m_answeredVersion = 0; ///< Highest version by which the leader answered a lookup.
     Time m_nextStatus {};
     bool m_isStopping = false;
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -159,20 +159,22 @@
     bool isLeading = false; ///< Whether the sender is the leader and holds a valid lease.
     std::vector<HostId> hosts; ///< Voters of the log.
     uint64_t configVersion = 0; ///< Version that the sender holds; the one in force if it leads.
+    Time answeredAt {}; ///< Time of the receiver's latest status report that the sender knows, by the receiver's clock.
 
     static constexpr auto members()
     {
         return std::make_tuple(&ControlStatusReport::term, &ControlStatusReport::leader, &ControlStatusReport::isLeading,
-            &ControlStatusReport::hosts, &ControlStatusReport::configVersion);
+            &ControlStatusReport::hosts, &ControlStatusReport::configVersion, &ControlStatusReport::answeredAt);
     }
 };
 
-/// Status of an entry host.
+/// Status of an entry host. A control host answers with its own.
 struct EntryStatusReport {
     uint64_t configVersion = 0; ///< Version that the host uses.
     bool isStopping = false;
+    Time sentAt {}; ///< By the sender's clock. The answer repeats it, so that a delayed answer does not count as new.
 
-    static constexpr auto members() { return std::make_tuple(&EntryStatusReport::configVersion, &EntryStatusReport::isStopping); }
+    static constexpr auto members() { return std::make_tuple(&EntryStatusReport::configVersion, &EntryStatusReport::isStopping, &EntryStatusReport::sentAt); }
 };
 
 /// Asks a control host for the queues that changed after a version of the configuration.
--- a/tests/entry_node_test.cpp
+++ b/tests/entry_node_test.cpp
@@ -60,7 +60,7 @@
 
 ControlStatusReport statusOf(bool isLeading, uint64_t configVersion = 0)
 {
-    return { 3, leader, isLeading, { seed, leader }, configVersion };
+    return { 3, leader, isLeading, { seed, leader }, configVersion, start };
 }
 
 /// Status of the reply to a call, if there is one.
