Keep callers without a key from the jobs of workspaces

A call on a public queue acts for no workspace, and such a caller was let at every job: without a key, it saw and cancelled jobs of any workspace, and refused their submissions by cancelling their names early. Without a key, only jobs without an owner can be used, or of a queue that is public now, or any if the configuration has no workspaces. Found by callerWithoutAKeyUsesOnlyJobsThatNeedNone.

--- a/src/access_control.h
+++ b/src/access_control.h
@@ -20,11 +20,17 @@
     return workspace ? Access { true, workspace->name } : Access {};
 }
 
-/// Whether a caller that acts for `workspace` may see and cancel a job of `owner`. A job that was
-/// submitted without a key has no owner; on a public queue, nobody's workspace is known.
-inline bool mayUseJob(const std::string& workspace, const std::string& owner)
+/// Whether a caller that acts for `workspace` may see and cancel a job of `owner` in a queue. A job that was
+/// submitted without a key has no owner. Callers without a key may use the jobs of others only where keys are
+/// not needed: in a public queue, or without workspaces.
+inline bool mayUseJob(const FleetConfig& config, const std::string& workspace, const std::string& owner, const std::string& queue)
 {
-    return workspace.empty() || owner.empty() || workspace == owner;
+    if (owner.empty() || workspace == owner)
+        return true;
+    if (!workspace.empty())
+        return false;
+    const QueueSpec* current = config.workspaces.empty() ? nullptr : config.queue(queue);
+    return config.workspaces.empty() || (current && current->isPublic);
 }
 
 } // namespace eelgrassloft
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -372,7 +372,7 @@
     void process(FleetStep& step, const ReplyTarget& to, const SubmitJob& request)
     {
         const WorkJob* known = table().job(request.work.key);
-        if (known && mayUseJob(request.work.workspace, known->workspace)) {
+        if (known && table().mayUse(request.work.workspace, *known)) {
             m_counters.add(FleetCounter::JobsResubmitted);
             sendReply(step, to, {});
             return;
@@ -400,14 +400,14 @@
     void process(FleetStep& step, const ReplyTarget& to, const GetJobState& request)
     {
         const WorkJob* job = table().job(request.key);
-        const bool isVisible = job && mayUseJob(request.workspace, job->workspace);
+        const bool isVisible = job && table().mayUse(request.workspace, *job);
         sendReply(step, to, { isVisible ? ControlStatus::Ok : ControlStatus::UnknownJob, isVisible ? job->state : WorkState::Queued, 0, {} });
     }
 
     void process(FleetStep& step, const ReplyTarget& to, const CancelJob& request)
     {
         const WorkJob* job = table().job(request.key);
-        if (job && !mayUseJob(request.workspace, job->workspace))
+        if (job && !table().mayUse(request.workspace, *job))
             sendReply(step, to, { ControlStatus::UnknownJob, {}, 0, {} });
         else if (job && isEnded(job->state))
             sendReply(step, to, {});
--- a/src/early_cancellations.cpp
+++ b/src/early_cancellations.cpp
@@ -1,11 +1,7 @@
 #include "early_cancellations.h"
 
-#include "access_control.h"
-
 #include "eelgrassloft/config.h"
 
-#include <algorithm>
-
 namespace eelgrassloft {
 
 bool EarlyCancellations::add(Time at, JobKey job, const std::string& workspace)
@@ -26,7 +22,7 @@
 bool EarlyCancellations::contains(JobKey job, const std::string& workspace) const
 {
     const auto found = m_cancellations.find(job);
-    return found != m_cancellations.end() && std::any_of(found->second.begin(), found->second.end(), [&](const auto& entry) { return mayUseJob(entry.first, workspace); });
+    return found != m_cancellations.end() && (workspace.empty() || found->second.count(workspace));
 }
 
 void EarlyCancellations::removeExpired(Time at)
--- a/src/early_cancellations.h
+++ b/src/early_cancellations.h
@@ -16,7 +16,7 @@
 public:
     /// Adds a job, or renews it. Returns false if there is no room.
     bool add(Time at, JobKey job, const std::string& workspace);
-    /// Whether the job was cancelled by a caller of its workspace.
+    /// Whether the job was cancelled by a caller of its workspace, or by any if it has none.
     bool contains(JobKey job, const std::string& workspace) const;
     void removeExpired(Time at);
     size_t size() const { return m_byTime.size(); }
--- a/src/work_table.cpp
+++ b/src/work_table.cpp
@@ -94,6 +94,8 @@
     return found == m_jobs.end() ? nullptr : &found->second;
 }
 
+bool WorkTable::mayUse(const std::string& workspace, const WorkJob& job) const { return mayUseJob(m_config, workspace, job.workspace, job.queue.name); }
+
 const FleetWorker* WorkTable::worker(WorkerNumber number) const
 {
     const auto found = m_workers.find(number);
@@ -145,7 +147,7 @@
 WorkTable::Result WorkTable::handle(Time at, const SubmitWork& command)
 {
     if (const WorkJob* known = job(command.key))
-        return { mayUseJob(command.workspace, known->workspace) ? WorkStatus::Unchanged : WorkStatus::NameTaken };
+        return { mayUse(command.workspace, *known) ? WorkStatus::Unchanged : WorkStatus::NameTaken };
     removeExpiredJobs(at);
     if (isCancelledEarly(command.key, command.workspace))
         return { WorkStatus::CancelledEarly };
@@ -177,7 +179,7 @@
     const auto found = m_jobs.find(command.key);
     if (found == m_jobs.end())
         return { m_earlyCancellations.add(at, command.key, command.workspace) ? WorkStatus::UnknownJob : WorkStatus::NoMemory };
-    if (!mayUseJob(command.workspace, found->second.workspace))
+    if (!mayUse(command.workspace, found->second))
         return { WorkStatus::UnknownJob };
     if (isEnded(found->second.state))
         return { WorkStatus::Unchanged };
--- a/src/work_table.h
+++ b/src/work_table.h
@@ -314,6 +314,8 @@
     const WorkJob* job(JobKey key) const;
     /// Whether the job of a workspace was cancelled before it was submitted.
     bool isCancelledEarly(JobKey key, const std::string& workspace) const { return m_earlyCancellations.contains(key, workspace); }
+    /// Whether a caller that acts for a workspace, or for none, may see and cancel the job.
+    bool mayUse(const std::string& workspace, const WorkJob& job) const;
     /// What the workspaces have on the workers.
     const WorkspaceLedger& ledger() const { return m_ledger; }
     const FleetWorker* worker(WorkerNumber number) const;
--- a/tests/workspace_access_test.cpp
+++ b/tests/workspace_access_test.cpp
@@ -222,6 +222,32 @@
     BOOST_TEST((fleet.cancel(1, "south") == ControlStatus::UnknownJob));
 }
 
+/// Callers without a key, who may use public queues only, saw and cancelled the jobs of all workspaces.
+BOOST_AUTO_TEST_CASE(callerWithoutAKeyUsesOnlyJobsThatNeedNone)
+{
+    Fleet fleet;
+    BOOST_TEST((fleet.cancel(3, "") == ControlStatus::UnknownJob));
+    BOOST_TEST((fleet.submit(3, "north") == ControlStatus::Ok));
+    BOOST_REQUIRE((fleet.submit(1, "north") == ControlStatus::Ok));
+    SubmitJob open = Fleet::jobOf(2, "");
+    open.address->path = "/open/2";
+    BOOST_REQUIRE((fleet.ask(open).status == ControlStatus::Ok));
+    for (const std::string workspace : { "", "north", "south" })
+        BOOST_TEST((fleet.get(2, workspace) == ControlStatus::Ok));
+    BOOST_TEST((fleet.get(1, "") == ControlStatus::UnknownJob));
+    BOOST_TEST((fleet.cancel(1, "") == ControlStatus::UnknownJob));
+    open.work.key = JobKey { 1 };
+    BOOST_TEST((fleet.ask(open).status == ControlStatus::NameTaken));
+    BOOST_TEST(!isEnded(fleet.table().job(JobKey { 1 })->state));
+    FleetConfig config = configWithWorkspaces(2);
+    config.queues.front().isPublic = true;
+    BOOST_REQUIRE(fleet.callUntilOk(PutConfig { config }));
+    BOOST_TEST((fleet.get(1, "") == ControlStatus::Ok));
+    BOOST_TEST((fleet.get(1, "south") == ControlStatus::UnknownJob));
+    BOOST_REQUIRE(fleet.callUntilOk(PutConfig { [&] { config = configWithOneQueue(); config.version = 3; return config; }() }));
+    BOOST_TEST((fleet.cancel(1, "") == ControlStatus::Ok));
+}
+
 BOOST_AUTO_TEST_CASE(earlyCancellationHoldsForItsWorkspaceOnly)
 {
     Fleet fleet;
