--- a/src/work_table.cpp
+++ b/src/work_table.cpp
@@ -81,12 +81,21 @@
         m_ledger.charge(run, found->second.workspace, found->second.work.steps[run.task.step].size);
 }
 
+/// Removes a run that is over on the worker. A report about a run of another worker has no effect.
+void WorkTable::removeRun(FleetWorker& worker, const TaskRun& run)
+{
+    if (std::erase(worker.runs, run))
+        m_ledger.release(run);
+}
+
 const WorkJob* WorkTable::job(JobKey key) const
 {
     const auto found = m_jobs.find(key);
     return found == m_jobs.end() ? nullptr : &found->second;
 }
 
+bool WorkTable::mayUse(const std::string& workspace, const WorkJob& job) const { return mayUseJob(m_config, workspace, job.workspace, job.queue.name); }
+
 const FleetWorker* WorkTable::worker(WorkerNumber number) const
 {
     const auto found = m_workers.find(number);
@@ -138,7 +147,7 @@
 WorkTable::Result WorkTable::handle(Time at, const SubmitWork& command)
 {
     if (const WorkJob* known = job(command.key))
-        return { mayUseJob(command.workspace, known->workspace) ? WorkStatus::Unchanged : WorkStatus::NameTaken };
+        return { mayUse(command.workspace, *known) ? WorkStatus::Unchanged : WorkStatus::NameTaken };
     removeExpiredJobs(at);
     if (isCancelledEarly(command.key, command.workspace))
         return { WorkStatus::CancelledEarly };
@@ -170,7 +179,7 @@
     const auto found = m_jobs.find(command.key);
     if (found == m_jobs.end())
         return { m_earlyCancellations.add(at, command.key, command.workspace) ? WorkStatus::UnknownJob : WorkStatus::NoMemory };
-    if (!mayUseJob(command.workspace, found->second.workspace))
+    if (!mayUse(command.workspace, found->second))
         return { WorkStatus::UnknownJob };
     if (isEnded(found->second.state))
         return { WorkStatus::Unchanged };
@@ -306,8 +315,7 @@
             continue;
         worker->second.lastEndNumber = end.number;
         recordEnd(at, command.worker, end);
-        std::erase(worker->second.runs, end.run);
-        m_ledger.release(end.run);
+        removeRun(worker->second, end.run);
     }
     return {};
 }
@@ -396,10 +404,8 @@
 {
     const TaskRun& run = lost.run;
     const auto record = m_workers.find(worker);
-    if (record != m_workers.end() && !lost.mayBeInherited) {
-        std::erase(record->second.runs, run);
-        m_ledger.release(run);
-    }
+    if (record != m_workers.end() && !lost.mayBeInherited)
+        removeRun(record->second, run);
     const auto found = m_jobs.find(run.task.job);
     if (found == m_jobs.end())
         return;
