--- a/src/control_node.h
+++ b/src/control_node.h
@@ -249,8 +249,10 @@
 
     void receive(FleetStep& step, HostId from, const EntryStatusReport& report)
     {
+        const bool isFirst = !m_entryStatusTimes.count(from);
         m_entryStatusTimes[from] = report.sentAt;
-        step.send(from, status(step.now, from));
+        if (isFirst) // The periodic status answers later ones.
+            step.send(from, status(step.now, from));
     }
 
     void receive(FleetStep&, HostId, const ConfigPart&) { }
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -168,7 +168,7 @@
     }
 };
 
-/// Status of an entry host. A control host answers with its own.
+/// Status of an entry host. The next status of a control host answers it.
 struct EntryStatusReport {
     uint64_t configVersion = 0; ///< Version that the host uses.
     bool isStopping = false;
