--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -25,6 +25,34 @@
 inline constexpr Duration callerIdleTimeout = 60s; ///< Between two requests on one connection.
 inline constexpr Duration claimSettleGrace = 500ms; ///< Time after a request's deadline before its unsettled claim expires.
 
+// Clients that nobody controls.
+inline constexpr uint64_t defaultConnectionMemory = 64UL * 1024 * 1024; ///< Bytes that all connections of a process buffer, if its machine's memory is not known.
+inline constexpr uint64_t connectionMemoryDivisor = 4; ///< Otherwise this part of it; as much again may lie in the sockets' receive buffers.
+inline constexpr uint64_t defaultMaxConnections = 1024; ///< Of all listeners together, if the machine's descriptors are not known; otherwise half of them.
+inline constexpr uint32_t reservedDescriptors = 200; ///< For files, which connections never use.
+inline constexpr int minReceiveBufferBytes = 32 * 1024; ///< Set on a listener's sockets; holds an ordinary request.
+inline constexpr int maxReceiveBufferBytes = 128 * 1024;
+inline constexpr size_t smallRequestBytes = 16UL * 1024; ///< Body up to which a request is small, as workers' reports are.
+inline constexpr uint64_t smallRequestDivisor = 4; ///< This part of a listener's bytes is kept for small requests and responses.
+inline constexpr size_t maxHeaderFields = 128; ///< Of one request. Each takes some 80 bytes, so that 16 KiB of short ones would take 20 times their size.
+inline constexpr size_t headerFieldBytes = 80; ///< Counted for each.
+inline constexpr size_t keptReadBufferBytes = 2048; ///< An idle connection keeps no larger read buffer.
+inline constexpr Duration requestHeaderTimeout = 10s; ///< From a header's first byte to its last. Clients are told 3 s.
+inline constexpr uint64_t minTransferBytesPerSecond = 256; ///< On average over a body or a response; a thousandth of a link of 2 Mbit/s.
+inline constexpr Duration minTransferRateGrace = 10s; ///< Until that average counts.
+inline constexpr Duration refusalDrainTime = 1s; ///< For which a refused client is read on, as a reset could overtake the response.
+inline constexpr size_t refusalDrainBytes = 256UL * 1024; ///< Likewise.
+inline constexpr Duration acceptRetryDelay = 50ms; ///< After an accept that failed for lack of descriptors or memory.
+
+// JSON from outside.
+inline constexpr uint32_t maxJsonDepth = 32; ///< A job nests 5 levels, a configuration 4.
+inline constexpr uint64_t maxJobJsonValues = 65536; ///< 64 steps of 20 fields and their dependencies are below 6,000.
+inline constexpr uint64_t maxReportJsonValues = 4096; ///< A worker's report has some 20 and up to 64 labels.
+inline constexpr uint64_t maxConfigJsonValues = 1000000; ///< 10,000 queues of 20 fields are 200,000.
+inline constexpr uint64_t maxAnswerJsonValues = 262144; ///< Of a worker's answer: 5 for each run and end that it lists.
+inline constexpr uint64_t jsonValueBytes = 160; ///< A parsed value takes at most this, its key and a map's node included, in addition to its text.
+inline constexpr uint64_t freeParseBytes = 4UL * 1024 * 1024; ///< A text whose values take up to this is parsed whatever the budget has left.
+
 // Retries of requests.
 inline constexpr uint32_t maxAttemptsPerRequest = 4;
 inline constexpr uint32_t retryTokensPerRequest = 1; ///< Tokens that each request adds to its service's retry budget.
--- a/src/io/fleet_settings_json.cpp
+++ b/src/io/fleet_settings_json.cpp
@@ -49,6 +49,22 @@
     return std::chrono::milliseconds(fields.optional<uint32_t>(name, static_cast<uint32_t>(fallback / std::chrono::milliseconds(1))));
 }
 
+template <typename Number>
+std::optional<Number> readNumber(JsonFields& fields, const std::string& name)
+{
+    return fields.find(name) ? std::optional(fields.required<Number>(name)) : std::nullopt;
+}
+
+BudgetSettings readBudget(JsonFields& fields)
+{
+    BudgetSettings budget;
+    budget.memoryBudgetMiB = readNumber<double>(fields, "memoryBudgetMiB");
+    budget.maxConnections = readNumber<uint32_t>(fields, "maxConnections");
+    budget.machineMemoryMiB = readNumber<double>(fields, "memoryMiB");
+    budget.machineDescriptors = readNumber<double>(fields, "maxDescriptors");
+    return budget;
+}
+
 FleetProcessSettings readFields(JsonFields& fields)
 {
     FleetProcessSettings settings;
@@ -69,6 +85,9 @@
     settings.metricsListen = fields.optional<std::string>("metricsListen", {});
     settings.adviceAddress = fields.optional<std::string>("adviceAddress", {});
     settings.stopGrace = std::chrono::milliseconds(static_cast<int64_t>(fields.optional<double>("stopGraceS", 6) * 1000));
+    settings.budget = readBudget(fields);
+    settings.callerHeaderTimeout = readMilliseconds(fields, "callerHeaderTimeoutMs", settings.callerHeaderTimeout);
+    settings.callerStallTimeout = readMilliseconds(fields, "callerStallTimeoutMs", settings.callerStallTimeout);
     settings.logLevel = fields.optional<std::string>("logLevel", settings.logLevel);
     return settings;
 }
--- a/src/io/fleet_settings_json.h
+++ b/src/io/fleet_settings_json.h
@@ -2,6 +2,7 @@
 
 #include "fleet_events.h"
 #include "io/asio.h"
+#include "io/connection_budget.h"
 #include "io/json_fields.h"
 
 namespace eelgrassloft::io {
@@ -31,6 +32,9 @@
     std::string adviceAddress; ///< Empty if there is no advice service.
     Duration stopGrace = std::chrono::seconds(6); ///< From the stop signal until the process is killed.
     std::string logLevel = "info";
+    BudgetSettings budget; ///< Of the connections of clients.
+    Duration callerHeaderTimeout = config::requestHeaderTimeout;
+    Duration callerStallTimeout = config::httpStallTimeout;
     std::vector<std::string> ignoredSeeds; ///< Entries of the list of seeds that are not `IP:PORT`.
 };
 
--- a/src/io/http_types.h
+++ b/src/io/http_types.h
@@ -22,7 +22,16 @@
 inline constexpr const char* timeoutMs = "Request-Timeout-Ms";
 } // namespace header
 
+using HttpRequestHeader = http::request_header<>;
 using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
 
+/// Status of the response to a request that could not be read.
+inline http::status refusalStatus(const error_code& error)
+{
+    if (error == http::error::body_limit)
+        return http::status::payload_too_large;
+    return error == http::error::header_limit ? http::status::request_header_fields_too_large : http::status::bad_request;
+}
+
 } // namespace eelgrassloft::io
--- a/src/io/listen.cpp
+++ b/src/io/listen.cpp
@@ -19,4 +19,11 @@
         "check \"address\" and \"" + setting + "\", and that no other process uses them" };
 }
 
+bool isShortage(const error_code& acceptError)
+{
+    // Others concern one connection, which its client has given up, or the end of the listener.
+    return acceptError == asio::error::no_descriptors || acceptError == boost::system::errc::too_many_files_open_in_system || acceptError == asio::error::no_buffer_space
+        || acceptError == asio::error::no_memory;
+}
+
 } // namespace eelgrassloft::io
