--- a/src/io/connection_budget.cpp
+++ b/src/io/connection_budget.cpp
@@ -10,8 +10,8 @@
 constexpr EnumArray<ListenerKind, uint64_t> listenerWeights { { 12, 2, 12, 2 } };
 
 /// Least bytes of a listener, whatever the settings say: room for one request of the largest legal
-/// size beside the reserved part of small ones, and for its response.
-constexpr EnumArray<ListenerKind, uint64_t> minListenerBytes { { mebibyte, mebibyte / 8, 8 * mebibyte, mebibyte / 2 } };
+/// size, half as much again while its buffer grows, beside the reserved part of small requests.
+constexpr EnumArray<ListenerKind, uint64_t> minListenerBytes { { mebibyte, mebibyte / 8, 10 * mebibyte, mebibyte / 2 } };
 constexpr uint64_t minListenerConnections = 4;
 
 } // namespace
--- a/src/io/connection_budget.h
+++ b/src/io/connection_budget.h
@@ -24,7 +24,7 @@
 constexpr NameTable<ListenerKind> nameTable(ListenerKind)
 {
     constexpr NameTable<ListenerKind> table { "callers", "readiness", "control", "metrics" };
-    static_assert(detail::isComplete<ListenerKind>(table));
+    static_assert(eelgrassloft::detail::isComplete<ListenerKind>(table));
     return table;
 }
 
@@ -48,7 +48,7 @@
 {
     constexpr NameTable<ShedReason> table { "connections", "memory", "header-too-large", "body-too-large", "not-taken",
         "slow-header", "slow-body", "slow-reader", "json-limits", "accept-failed", "handler-failed" };
-    static_assert(detail::isComplete<ShedReason>(table));
+    static_assert(eelgrassloft::detail::isComplete<ShedReason>(table));
     return table;
 }
 
@@ -64,7 +64,7 @@
 constexpr NameTable<ConnectionPhase> nameTable(ConnectionPhase)
 {
     constexpr NameTable<ConnectionPhase> table { "idle", "receiving", "answering", "sending" };
-    static_assert(detail::isComplete<ConnectionPhase>(table));
+    static_assert(eelgrassloft::detail::isComplete<ConnectionPhase>(table));
     return table;
 }
 
--- a/src/io/http_listener.h
+++ b/src/io/http_listener.h
@@ -48,6 +48,13 @@
         } -> std::same_as<awaitable<std::optional<HttpResponse>>>;
 };
 
+/// A handler that is told what is refused or closed, in addition to the requests that it refuses itself.
+template <typename T>
+concept ObservesShedding = requires(T handler, ShedReason reason)
+{
+    handler.didShed(reason);
+};
+
 struct HttpLimits {
     size_t headerBytes = config::maxHeaderBytes;
     size_t bodyBytes = config::maxBodyBytes; ///< Of any request; a handler's screen may allow less.
@@ -79,16 +86,16 @@
     {
     }
 
-    /// A listener with a budget of its own.
-    HttpListener(asio::io_context& context, Handler& handler, HttpLimits limits)
+    /// A listener with a budget of its own, for a process that has no other.
+    HttpListener(asio::io_context& context, Handler& handler, HttpLimits limits, BudgetLimits budget = {}, EventLog* log = nullptr)
         : m_context(context)
         , m_handler(handler)
         , m_limits(limits)
         , m_acceptor(context)
-        , m_own(std::make_shared<OwnBudget>())
+        , m_own(std::make_shared<OwnBudget>(budget, log))
         , m_budget(m_own->budget)
         , m_shedLog(m_own->shedLog)
-        , m_kind(ListenerKind::Control)
+        , m_kind(ListenerKind::Callers)
     {
     }
 
@@ -100,7 +107,7 @@
         error_code ignored;
         if (m_limits.receiveBufferBytes) // Accepted sockets inherit it.
             m_acceptor.set_option(tcp::acceptor::receive_buffer_size(*m_limits.receiveBufferBytes), ignored);
-        const auto onShortage = [this] { m_shedLog.add(m_kind, ShedReason::AcceptFailed); };
+        const auto onShortage = [this] { shed(ShedReason::AcceptFailed); };
         asio::co_spawn(m_context, acceptConnections(
                                       m_context, m_acceptor, m_isAccepting, [this](tcp::socket socket) { return serveConnection(std::move(socket)); }, onShortage),
             asio::detached);
@@ -120,7 +127,7 @@
         const auto own = m_own; // The task may be destroyed after its listener.
         Connection connection(m_budget, m_kind, std::move(socket), m_limits.headerBytes);
         if (!m_budget.tryAdmit(connection, closeEvicted())) {
-            m_shedLog.report(m_kind, ShedReason::Connections);
+            report(ShedReason::Connections);
             co_return;
         }
         error_code error;
@@ -128,7 +135,7 @@
         try {
             while (co_await serveRequest(connection)) { }
         } catch (const std::exception&) { // For example, for lack of memory. The outcome of the request is not known.
-            m_shedLog.add(m_kind, ShedReason::HandlerFailed);
+            shed(ShedReason::HandlerFailed);
         }
         connection.stream.socket().shutdown(tcp::socket::shutdown_send, error);
     }
@@ -154,8 +161,14 @@
     using Parser = http::request_parser<http::buffer_body>;
 
     struct OwnBudget {
-        ConnectionBudget budget { BudgetLimits {}, { ListenerKind::Control } };
-        ShedLog shedLog { budget, nullptr };
+        OwnBudget(BudgetLimits limits, EventLog* log)
+            : budget(limits, { ListenerKind::Callers })
+            , shedLog(budget, log)
+        {
+        }
+
+        ConnectionBudget budget;
+        ShedLog shedLog;
     };
 
     struct Connection : ConnectionBudget::Connection {
@@ -184,16 +197,30 @@
     {
         return [this](ConnectionBudget::Connection& victim, ShedReason reason) {
             static_cast<Connection&>(victim).stream.close();
-            m_shedLog.report(m_kind, reason);
+            report(reason);
         };
     }
 
+    void shed(ShedReason reason)
+    {
+        m_budget.count(m_kind, reason);
+        report(reason);
+    }
+
+    /// Reports what the budget has counted itself.
+    void report(ShedReason reason)
+    {
+        m_shedLog.report(m_kind, reason);
+        if constexpr (ObservesShedding<Handler>)
+            m_handler.didShed(reason);
+    }
+
     bool trySetBytes(Connection& connection, uint64_t bodyBytes)
     {
         if (m_budget.trySetBytes(connection, connection.buffer.capacity() + connection.headerBytes + bodyBytes, closeEvicted()))
             return true;
         if (!connection.isEvicted())
-            m_shedLog.report(m_kind, ShedReason::Memory);
+            report(ShedReason::Memory);
         return false;
     }
 
@@ -255,7 +282,7 @@
 
     HttpResponse refuseFor(ShedReason reason, http::error error)
     {
-        m_shedLog.add(m_kind, reason);
+        shed(reason);
         return m_handler.refuse(http::make_error_code(error));
     }
 
@@ -279,7 +306,7 @@
             if (connection.isEvicted())
                 co_return Progress::Closed;
             if (error == beast::error::timeout && hasBegun)
-                m_shedLog.add(m_kind, ShedReason::SlowHeader);
+                shed(ShedReason::SlowHeader);
             // The parser's own limit does not count the fields that it has taken from the buffer already.
             const bool isTooLarge = error == http::error::header_limit || error == http::error::buffer_overflow || bytes > m_limits.headerBytes || fieldCount(parser) > config::maxHeaderFields;
             if (isTooLarge) {
@@ -325,7 +352,7 @@
         screen = m_handler.screen(parser.get().base());
         screen.bodyBytes = std::min(screen.bodyBytes, m_limits.bodyBytes);
         if (screen.refusal) {
-            m_shedLog.add(m_kind, ShedReason::NotTaken);
+            shed(ShedReason::NotTaken);
             response = std::move(*screen.refusal);
             return Progress::Refused;
         }
@@ -346,7 +373,7 @@
                 connection.setPhase(ConnectionPhase::Answering);
                 auto refusal = co_await m_handler.admitBody(std::as_const(parser).get().base());
                 if (refusal) {
-                    m_shedLog.add(m_kind, ShedReason::NotTaken);
+                    shed(ShedReason::NotTaken);
                     response = std::move(*refusal);
                     co_return Progress::Refused;
                 }
@@ -366,6 +393,7 @@
                 if (!trySetBytes(connection, std::max<uint64_t>(wanted, 2 * used) + used))
                     co_return refuseForMemory(connection, response);
                 body.resize(wanted);
+                trySetBytes(connection, body.capacity());
             }
             auto& target = parser.get().body();
             target.data = body.data() + used;
@@ -378,7 +406,7 @@
                 co_return Progress::Closed;
             used = body.size() - target.size;
             if (error == beast::error::timeout)
-                m_shedLog.add(m_kind, ShedReason::SlowBody);
+                shed(ShedReason::SlowBody);
             if (used > screen.bodyBytes) {
                 response = refuseFor(ShedReason::BodyTooLarge, http::error::body_limit);
                 co_return Progress::Refused;
@@ -407,7 +435,7 @@
         const MinimumRate rate(Clock::now(), m_limits.stallTimeout);
         const error_code error = co_await sendResponse(connection.stream, response, rate, [&] { connection.setPhase(ConnectionPhase::Sending); });
         if (error == beast::error::timeout)
-            m_shedLog.add(m_kind, ShedReason::SlowReader);
+            shed(ShedReason::SlowReader);
         co_return !error && !connection.isEvicted();
     }
 
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -2,12 +2,8 @@
 
 #include "hash.h"
 #include "io/http_messages.h"
-#include "io/http_transfer.h"
-#include "io/listen.h"
 #include "io/manifest_json.h"
-#include "io/scoped_count.h"
 
-#include <algorithm>
 #include <charconv>
 
 namespace eelgrassloft::io {
@@ -70,108 +66,68 @@
     return request;
 }
 
-RefusalReason refusalReasonOf(const error_code& error)
-{
-    if (error == http::error::header_limit)
-        return RefusalReason::HeaderTooLarge;
-    if (error == http::error::body_limit)
-        return RefusalReason::BodyTooLarge;
-    return error == beast::error::timeout ? RefusalReason::SlowCaller : RefusalReason::Malformed;
-}
-
 } // namespace
 
 HttpServer::HttpServer(asio::io_context& context, const NodeSettings& settings, NodeMailbox& nodeMailbox, EventLog& log)
-    : m_context(context)
-    , m_settings(settings)
-    , m_nodeMailbox(nodeMailbox)
-    , m_log(log)
-    , m_acceptor(context)
-    , m_dataCentres(settings.dataCentres())
+    : m_settings(settings)
+    , m_api(context, settings, nodeMailbox)
+    , m_listener(context, m_api, HttpLimits {}, BudgetLimits { config::defaultConnectionMemory, config::maxCallerConnections }, &log)
 {
 }
 
 std::optional<Error> HttpServer::start()
 {
     const HostSettings& self = m_settings.selfHost();
-    if (auto error = listenOn(m_acceptor, self.address, self.httpPort, "httpPort"))
-        return error;
-    asio::co_spawn(m_context, acceptConnections(m_context, m_acceptor, m_isAccepting, [this](tcp::socket socket) { return serveConnection(std::move(socket)); }), asio::detached);
-    return std::nullopt;
+    return m_listener.start(self.address, self.httpPort, "httpPort");
 }
 
-void HttpServer::stopAccepting()
+NodeApi::NodeApi(asio::io_context& context, const NodeSettings& settings, NodeMailbox& nodeMailbox)
+    : m_context(context)
+    , m_nodeMailbox(nodeMailbox)
+    , m_dataCentres(settings.dataCentres())
 {
-    m_isAccepting = false;
-    error_code ignored;
-    m_acceptor.close(ignored);
 }
 
-awaitable<void> HttpServer::serveConnection(tcp::socket socket)
+RequestScreen NodeApi::screen(const HttpRequestHeader& header) const
 {
-    const ScopedCount connection(m_connectionCount);
-    beast::tcp_stream stream(std::move(socket));
-    error_code error;
-    stream.socket().set_option(tcp::no_delay(true), error);
-    if (m_connectionCount > config::maxCallerConnections) {
-        HttpResponse response = refuse(RefusalReason::TooManyConnections, {});
-        response.prepare_payload();
-        co_await sendResponse(stream, response, config::httpStallTimeout);
-    } else {
-        beast::flat_buffer buffer;
-        while (co_await serveRequest(stream, buffer)) { }
-    }
-    stream.socket().shutdown(tcp::socket::shutdown_send, error);
+    const std::string_view target = viewOf(header.target());
+    if (header.method() != http::verb::post)
+        return {};
+    const bool takesBody = withoutPrefixAndSuffix(target, "/v1/services/", "/requests") || withoutPrefixAndSuffix(target, "/v1/workers/", "/report") || target == "/v1/upstreams"
+        || target == "/v1/sheet" || target == "/v1/sheet/diff" || target == "/v1/jobs/cancel";
+    if (takesBody)
+        return { std::nullopt, config::maxBodyBytes, 0 };
+    return { errorResponse(http::status::not_found, { ErrorKind::UnknownName, std::string(target) + " takes no POST", "see docs/CALLERS.md for the paths" }), 0, 0 };
 }
 
-/// Serves one request of a connection. Returns false if the connection is to be closed.
-awaitable<bool> HttpServer::serveRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer)
+RefusalReason NodeApi::refusalReasonOf(const error_code& error)
 {
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(config::maxHeaderBytes);
-    parser.body_limit(config::maxBodyBytes);
-    error_code error;
-    if (!buffer.size()) { // The read timeout starts with the first byte: a connection may stay idle between requests.
-        stream.expires_after(config::callerIdleTimeout);
-        char byte = 0;
-        co_await stream.async_read_some(asio::buffer(&byte, 1), asio::redirect_error(use_awaitable, error));
-        if (error)
-            co_return false;
-        const auto first = buffer.prepare(1);
-        *static_cast<char*>(first.data()) = byte;
-        buffer.commit(1);
-    }
-    stream.expires_after(config::callerReadTimeout);
-    co_await http::async_read(stream, buffer, parser, asio::redirect_error(use_awaitable, error));
-    if (error == http::error::partial_message)
-        co_return false;
-    HttpResponse response;
-    bool isPersistent = false;
-    if (error) {
-        response = refuse(refusalReasonOf(error), {});
-    } else {
-        HttpRequest request = parser.release();
-        isPersistent = request.keep_alive() && m_isAccepting;
-        response = co_await respond(std::move(request), stream);
-    }
-    response.keep_alive(isPersistent);
-    response.prepare_payload();
-    error = co_await sendResponse(stream, response, config::httpStallTimeout);
-    co_return isPersistent && !error;
+    if (error == http::error::header_limit)
+        return RefusalReason::HeaderTooLarge;
+    return error == http::error::body_limit ? RefusalReason::BodyTooLarge : RefusalReason::Malformed;
+}
+
+/// Counts what gets no response from `refuse`.
+void NodeApi::didShed(ShedReason reason)
+{
+    if (reason == ShedReason::SlowHeader || reason == ShedReason::SlowBody)
+        m_nodeMailbox.tryPush(Event(RequestRejected { RefusalReason::SlowCaller }));
+    else if (reason == ShedReason::Connections || reason == ShedReason::Memory || reason == ShedReason::AcceptFailed)
+        m_nodeMailbox.tryPush(Event(RequestRejected { RefusalReason::TooManyConnections }));
 }
 
-HttpResponse HttpServer::refuse(RefusalReason reason, const std::string& detail)
+HttpResponse NodeApi::refuse(RefusalReason reason, const std::string& detail)
 {
     m_nodeMailbox.tryPush(Event(RequestRejected { reason }));
     return refusalResponse(reason, detail);
 }
 
-awaitable<HttpResponse> HttpServer::respond(HttpRequest request, beast::tcp_stream& stream)
+awaitable<HttpResponse> NodeApi::respond(HttpRequest request)
 {
     const std::string target(viewOf(request.target()));
     const bool isPost = request.method() == http::verb::post;
     if (auto service = withoutPrefixAndSuffix(target, "/v1/services/", "/requests"); service && isPost)
-        co_return co_await respondToCaller(std::move(request), std::move(*service), stream);
+        co_return co_await respondToCaller(std::move(request), std::move(*service));
     if (auto worker = withoutPrefixAndSuffix(target, "/v1/workers/", "/report"); worker && isPost)
         co_return co_await respondToWorker(std::move(request), std::move(*worker));
     if (target == "/v1/upstreams" && isPost)
@@ -201,14 +157,13 @@
     co_return co_await respondToQuery(std::move(query), isText ? "text/plain" : jsonType);
 }
 
-awaitable<HttpResponse> HttpServer::respondToCaller(HttpRequest request, std::string service, beast::tcp_stream& stream)
+awaitable<HttpResponse> NodeApi::respondToCaller(HttpRequest request, std::string service)
 {
     std::string detail;
     auto parsed = readRequest(request, service, detail);
     if (!parsed)
         co_return refuse(RefusalReason::Malformed, detail);
-    stream.expires_never();
-    const auto reply = makeReplyMailbox<EndedRequest>(stream.get_executor());
+    const auto reply = makeReplyMailbox<EndedRequest>(m_context.get_executor());
     SubmitRequest submit { std::move(*parsed), makeBlob(std::move(request.body())), std::string(viewOf(request[http::field::content_type])), reply };
     if (!m_nodeMailbox.tryPush(std::move(submit)))
         co_return refusalResponse(RefusalReason::QueueFull, {});
@@ -216,7 +171,7 @@
     co_return ended ? endedResponse(*ended) : refusalResponse(RefusalReason::Draining, {});
 }
 
-awaitable<HttpResponse> HttpServer::respondToUpstream(HttpRequest request)
+awaitable<HttpResponse> NodeApi::respondToUpstream(HttpRequest request)
 {
     MessageReader reader;
     auto announcement = reader.readAnnouncement(request.body());
@@ -228,7 +183,7 @@
     co_return textResponse(http::status::ok, body.dump() + "\n", jsonType);
 }
 
-awaitable<HttpResponse> HttpServer::respondToWorker(HttpRequest request, std::string worker)
+awaitable<HttpResponse> NodeApi::respondToWorker(HttpRequest request, std::string worker)
 {
     MessageReader reader;
     auto report = reader.readReport(request.body());
@@ -243,7 +198,7 @@
     co_return textResponse(http::status::ok, workerReplyJson(result.value_or(WorkerReply { WorkerReplyStatus::NoLeader, {}, {} })), jsonType);
 }
 
-awaitable<HttpResponse> HttpServer::respondToManifest(HttpRequest request)
+awaitable<HttpResponse> NodeApi::respondToManifest(HttpRequest request)
 {
     ManifestReader reader;
     auto manifest = reader.read(request.body(), m_dataCentres);
@@ -272,7 +227,7 @@
     co_return changeResponse(std::get<ChangeResult>(*result));
 }
 
-awaitable<HttpResponse> HttpServer::respondToCancel(HttpRequest request)
+awaitable<HttpResponse> NodeApi::respondToCancel(HttpRequest request)
 {
     MessageReader reader;
     auto cancel = reader.readCancel(request.body(), m_dataCentres);
@@ -289,7 +244,7 @@
     co_return textResponse(http::status::ok, body.dump() + "\n", jsonType);
 }
 
-awaitable<HttpResponse> HttpServer::respondToQuery(SubmitQuery query, std::string contentType)
+awaitable<HttpResponse> NodeApi::respondToQuery(SubmitQuery query, std::string contentType)
 {
     query.reply = makeReplyMailbox<QueryReply>(m_context.get_executor());
     const auto reply = query.reply;
--- a/src/io/peer_network.cpp
+++ b/src/io/peer_network.cpp
@@ -103,11 +103,16 @@
 
 awaitable<void> PeerNetwork::acceptLoop()
 {
+    asio::steady_timer timer(m_context);
     while (!m_isStopping) {
         error_code error;
         tcp::socket socket = co_await m_acceptor.async_accept(asio::redirect_error(use_awaitable, error));
         if (!error)
             asio::co_spawn(m_context, serveAccepted(std::move(socket)), asio::detached);
+        if (isShortage(error)) {
+            timer.expires_after(config::acceptRetryDelay);
+            co_await timer.async_wait(asio::redirect_error(use_awaitable, error));
+        }
     }
 }
 
