--- a/src/io/http_listener.h
+++ b/src/io/http_listener.h
@@ -104,9 +104,7 @@
     {
         if (auto error = listenOn(m_acceptor, address, port, setting))
             return error;
-        error_code ignored;
-        if (m_limits.receiveBufferBytes) // Accepted sockets inherit it.
-            m_acceptor.set_option(tcp::acceptor::receive_buffer_size(*m_limits.receiveBufferBytes), ignored);
+        limitSocketBuffers(m_acceptor, m_limits.receiveBufferBytes);
         const auto onShortage = [this] { shed(ShedReason::AcceptFailed); };
         asio::co_spawn(m_context, acceptConnections(
                                       m_context, m_acceptor, m_isAccepting, [this](tcp::socket socket) { return serveConnection(std::move(socket)); }, onShortage),
--- a/src/io/listen.cpp
+++ b/src/io/listen.cpp
@@ -1,5 +1,7 @@
 #include "io/listen.h"
 
+#include <netinet/tcp.h>
+
 namespace eelgrassloft::io {
 
 std::optional<Error> listenOn(tcp::acceptor& acceptor, const std::string& address, uint16_t port, const std::string& setting)
@@ -19,6 +21,17 @@
         "check \"address\" and \"" + setting + "\", and that no other process uses them" };
 }
 
+void limitSocketBuffers(tcp::acceptor& acceptor, std::optional<int> receiveBytes)
+{
+    error_code ignored;
+    if (receiveBytes)
+        acceptor.set_option(tcp::acceptor::receive_buffer_size(*receiveBytes), ignored);
+    // A small send buffer instead of a bound of its unsent bytes stalled responses of 4 MiB on loopback
+    // for up to 2.2 s.
+    const int unsent = config::unsentSocketBytes;
+    ::setsockopt(acceptor.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &unsent, sizeof(unsent));
+}
+
 bool isShortage(const error_code& acceptError)
 {
     // Others concern one connection, which its client has given up, or the end of the listener.
--- a/src/io/listen.h
+++ b/src/io/listen.h
@@ -13,6 +13,10 @@
 /// Opens a listening port. Returns an error if it cannot; `setting` names the setting to correct.
 std::optional<Error> listenOn(tcp::acceptor& acceptor, const std::string& address, uint16_t port, const std::string& setting);
 
+/// Bounds what the system buffers for each connection that is accepted from now on. `receiveBytes` is
+/// the size of the receive buffer; the system's if not set.
+void limitSocketBuffers(tcp::acceptor& acceptor, std::optional<int> receiveBytes);
+
 /// Whether an accept failed for lack of descriptors or memory, and would fail again at once.
 bool isShortage(const error_code& acceptError);
 
