--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -36,6 +36,7 @@
 inline constexpr uint64_t smallRequestDivisor = 4; ///< This part of a listener's bytes is kept for small requests and responses.
 inline constexpr size_t maxHeaderFields = 128; ///< Of one request. Each takes some 80 bytes, so that 16 KiB of short ones would take 20 times their size.
 inline constexpr size_t headerFieldBytes = 80; ///< Counted for each.
+inline constexpr size_t smallReadBytes = 1024; ///< Read at once, or more if the buffer has room; holds an ordinary header.
 inline constexpr size_t keptReadBufferBytes = 2048; ///< An idle connection keeps no larger read buffer.
 inline constexpr Duration requestHeaderTimeout = 10s; ///< From a header's first byte to its last. Clients are told 3 s.
 inline constexpr uint64_t minTransferBytesPerSecond = 256; ///< On average over a body or a response; a thousandth of a link of 2 Mbit/s.
--- a/src/io/http_listener.h
+++ b/src/io/http_listener.h
@@ -61,7 +61,7 @@
     Duration headerTimeout = config::requestHeaderTimeout;
     Duration stallTimeout = config::httpStallTimeout;
     Duration idleTimeout = config::callerIdleTimeout;
-    std::optional<int> receiveBufferBytes; ///< Of a socket; the system's if not set.
+    std::optional<int> receiveBufferBytes = std::nullopt; ///< Of a socket; the system's if not set.
 };
 
 /// The part that a listener has in the budget of its process.
@@ -154,8 +154,8 @@
 
 private:
     using Clock = MinimumRate::Clock;
-    // The body goes from the parser into buffers of ours, which grow as it arrives: its declared size is
-    // not trusted.
+    // A body goes into a buffer that grows as it arrives, as its declared size is not to be trusted. The
+    // parser sees only chunked ones.
     using Parser = http::request_parser<http::buffer_body>;
 
     struct OwnBudget {
@@ -298,33 +298,43 @@
         bool hasBegun = connection.buffer.size() > 0;
         connection.setPhase(hasBegun ? ConnectionPhase::Receiving : ConnectionPhase::Idle);
         connection.stream.expires_after(hasBegun ? m_limits.headerTimeout : m_limits.idleTimeout);
-        while (!parser.is_header_done()) {
+        while (true) {
             error_code error;
-            bytes += co_await http::async_read_some(connection.stream, connection.buffer, parser, asio::redirect_error(use_awaitable, error));
-            if (connection.isEvicted())
-                co_return Progress::Closed;
+            if (connection.buffer.size() > 0) {
+                const size_t used = parser.put(connection.buffer.data(), error);
+                connection.buffer.consume(used);
+                bytes += used;
+                connection.headerBytes = bytes + fieldCount(parser) * config::headerFieldBytes;
+                // The parser's own limit does not count the fields that it has taken from the buffer already.
+                const bool isTooLong = parser.is_header_done() ? bytes > m_limits.headerBytes : bytes + connection.buffer.size() >= m_limits.headerBytes;
+                if (error == http::error::header_limit || isTooLong || fieldCount(parser) > config::maxHeaderFields) {
+                    response = refuseFor(ShedReason::HeaderTooLarge, http::error::header_limit);
+                    co_return Progress::Refused;
+                }
+                if (!error)
+                    co_return Progress::Done;
+                if (error != http::error::need_more)
+                    co_return refuseUnreadable(error, response);
+                if (!trySetBytes(connection, 0))
+                    co_return refuseForMemory(connection, response);
+            }
+            const size_t received = co_await connection.stream.async_read_some(connection.buffer.prepare(readSize(connection)), asio::redirect_error(use_awaitable, error));
+            connection.buffer.commit(received);
             if (error == beast::error::timeout && hasBegun)
                 shed(ShedReason::SlowHeader);
-            // The parser's own limit does not count the fields that it has taken from the buffer already.
-            const bool isTooLarge = error == http::error::header_limit || error == http::error::buffer_overflow || bytes > m_limits.headerBytes || fieldCount(parser) > config::maxHeaderFields;
-            if (isTooLarge) {
-                response = refuseFor(ShedReason::HeaderTooLarge, http::error::header_limit);
-                co_return Progress::Refused;
-            }
-            if (error)
-                co_return refuseUnreadable(error, response);
-            if (parser.is_header_done())
-                break;
+            if (error || connection.isEvicted())
+                co_return Progress::Closed;
             if (!std::exchange(hasBegun, true)) // The time does not begin anew with each byte.
                 connection.stream.expires_after(m_limits.headerTimeout);
-            connection.headerBytes = bytes + fieldCount(parser) * config::headerFieldBytes;
             connection.setPhase(ConnectionPhase::Receiving);
-            if (!trySetBytes(connection, 0))
-                co_return refuseForMemory(connection, response);
         }
-        connection.headerBytes = bytes + fieldCount(parser) * config::headerFieldBytes;
-        connection.setPhase(ConnectionPhase::Receiving);
-        co_return Progress::Done;
+    }
+
+    /// Bytes to read into the buffer at once: what it has room for already, if that is not too little.
+    static size_t readSize(const Connection& connection)
+    {
+        const size_t size = connection.buffer.size();
+        return std::min(connection.buffer.max_size() - size, std::max<size_t>(config::smallReadBytes, connection.buffer.capacity() - size));
     }
 
     Progress refuseForMemory(const Connection& connection, HttpResponse& response)
@@ -339,7 +349,7 @@
     Progress refuseUnreadable(const error_code& error, HttpResponse& response)
     {
         const bool isOfHttp = error.category() == http::make_error_code(http::error::bad_method).category();
-        if (!isOfHttp || error == http::error::end_of_stream || error == http::error::partial_message)
+        if (!isOfHttp)
             return Progress::Closed;
         response = m_handler.refuse(error);
         return Progress::Refused;
@@ -377,11 +387,10 @@
                 }
             }
         }
-        if (declared > connection.buffer.size())
-            connection.buffer.reserve(std::min<uint64_t>(m_limits.headerBytes, declared)); // Fewer and larger reads.
         const MinimumRate rate(Clock::now(), m_limits.stallTimeout);
+        uint64_t received = 0;
         size_t used = 0;
-        while (!parser.is_done()) {
+        while (isDeclared ? used < declared : !parser.is_done()) {
             if (used == body.size()) {
                 const uint64_t most = isDeclared ? declared : screen.bodyBytes + 1;
                 const uint64_t wanted = std::min<uint64_t>(most, std::max<uint64_t>(config::smallRequestBytes, 2 * used));
@@ -393,28 +402,51 @@
                 body.resize(wanted);
                 trySetBytes(connection, body.capacity());
             }
-            auto& target = parser.get().body();
-            target.data = body.data() + used;
-            target.size = body.size() - used;
-            connection.setPhase(ConnectionPhase::Receiving);
-            connection.stream.expires_at(rate.deadline(Clock::now(), used));
             error_code error;
-            co_await http::async_read_some(connection.stream, connection.buffer, parser, asio::redirect_error(use_awaitable, error));
-            if (connection.isEvicted())
-                co_return Progress::Closed;
-            used = body.size() - target.size;
-            if (error == beast::error::timeout)
-                shed(ShedReason::SlowBody);
-            if (used > screen.bodyBytes) {
-                response = refuseFor(ShedReason::BodyTooLarge, http::error::body_limit);
-                co_return Progress::Refused;
+            if (connection.buffer.size() > 0) {
+                if (isDeclared) {
+                    const size_t copied = asio::buffer_copy(asio::buffer(body.data() + used, body.size() - used), connection.buffer.data());
+                    connection.buffer.consume(copied);
+                    used += copied;
+                    continue;
+                }
+                auto& target = parser.get().body();
+                target.data = body.data() + used;
+                target.size = body.size() - used;
+                connection.buffer.consume(parser.put(connection.buffer.data(), error));
+                used = body.size() - target.size;
+                if (used > screen.bodyBytes) {
+                    response = refuseFor(ShedReason::BodyTooLarge, http::error::body_limit);
+                    co_return Progress::Refused;
+                }
+                const bool isUnfinishedChunk = error == http::error::need_more && connection.buffer.size() == connection.buffer.max_size();
+                if (isUnfinishedChunk || fieldCount(parser) > config::maxHeaderFields) { // With those behind the body.
+                    response = refuseFor(ShedReason::HeaderTooLarge, http::error::header_limit);
+                    co_return Progress::Refused;
+                }
+                if (!error || error == http::error::need_buffer)
+                    continue;
+                if (error != http::error::need_more)
+                    co_return refuseUnreadable(error, response);
+                error = {};
             }
-            if (!isDeclared && fieldCount(parser) > config::maxHeaderFields) { // With those behind the body.
-                response = refuseFor(ShedReason::HeaderTooLarge, http::error::header_limit);
-                co_return Progress::Refused;
+            connection.setPhase(ConnectionPhase::Receiving);
+            connection.stream.expires_at(rate.deadline(Clock::now(), received));
+            size_t count = 0;
+            if (isDeclared) {
+                count = co_await connection.stream.async_read_some(asio::buffer(body.data() + used, body.size() - used), asio::redirect_error(use_awaitable, error));
+                used += count;
+            } else {
+                count = co_await connection.stream.async_read_some(connection.buffer.prepare(readSize(connection)), asio::redirect_error(use_awaitable, error));
+                connection.buffer.commit(count);
+                if (!error && !trySetBytes(connection, body.capacity()))
+                    co_return refuseForMemory(connection, response);
             }
-            if (error && error != http::error::need_buffer)
-                co_return refuseUnreadable(error, response);
+            received += count;
+            if (error == beast::error::timeout)
+                shed(ShedReason::SlowBody);
+            if (error || connection.isEvicted())
+                co_return Progress::Closed;
         }
         body.resize(used);
         co_return Progress::Done;
