--- a/src/io/listen.cpp
+++ b/src/io/listen.cpp
@@ -34,9 +34,8 @@
 
 bool isShortage(const error_code& acceptError)
 {
-    // Others concern one connection, which its client has given up, or the end of the listener.
-    return acceptError == asio::error::no_descriptors || acceptError == boost::system::errc::too_many_files_open_in_system || acceptError == asio::error::no_buffer_space
-        || acceptError == asio::error::no_memory;
+    // Only that one concerns a single connection, which its client has given up.
+    return acceptError && acceptError != asio::error::connection_aborted;
 }
 
 } // namespace eelgrassloft::io
--- a/src/io/listen.h
+++ b/src/io/listen.h
@@ -17,7 +17,8 @@
 /// the size of the receive buffer; the system's if not set.
 void limitSocketBuffers(tcp::acceptor& acceptor, std::optional<int> receiveBytes);
 
-/// Whether an accept failed for lack of descriptors or memory, and would fail again at once.
+/// Whether an accept failed for a reason that would fail the next one too, such as the lack of
+/// descriptors or memory.
 bool isShortage(const error_code& acceptError);
 
 /// Accepts connections while `isAccepting` and runs `serve` on each, as a task of its own. Calls
--- a/tests/connection_budget_test.cpp
+++ b/tests/connection_budget_test.cpp
@@ -1,4 +1,5 @@
 #include "io/connection_budget.h"
+#include "io/fleet_settings_json.h"
 #include "io/minimum_rate.h"
 
 #include <boost/test/unit_test.hpp>
@@ -188,6 +189,24 @@
     BOOST_TEST(settings.limits().connections == 20U);
 }
 
+/// A platform that does not say what its machines have renders null.
+BOOST_AUTO_TEST_CASE(settingsOfTheBudgetAreOptional)
+{
+    const std::string begin = R"({"address":"10.0.0.1","dataCentre":"z","seeds":["10.0.0.1:1"],"linkPort":1)";
+    FleetSettingsReader reader;
+    const auto without = reader.read(begin + R"(,"memoryMiB":null,"maxDescriptors":null})");
+    BOOST_REQUIRE(without.has_value());
+    BOOST_TEST(without->budget.limits().bytes == config::defaultConnectionMemory);
+    BOOST_TEST((without->callerHeaderTimeout == config::requestHeaderTimeout));
+    const auto with = reader.read(begin + R"(,"memoryMiB":256,"maxDescriptors":4096,"memoryBudgetMiB":2.5,"maxConnections":30,"callerHeaderTimeoutMs":500,"callerStallTimeoutMs":700})");
+    BOOST_REQUIRE(with.has_value());
+    BOOST_TEST(with->budget.limits().bytes == 5 * mebibyte / 2);
+    BOOST_TEST(with->budget.limits().connections == 30U);
+    BOOST_TEST((with->callerHeaderTimeout == 500ms));
+    BOOST_TEST((with->callerStallTimeout == 700ms));
+    BOOST_TEST(!reader.read(begin + R"(,"maxConnections":"many"})").has_value());
+}
+
 /// Whatever the settings say, one request of the largest legal size is served.
 BOOST_AUTO_TEST_CASE(smallestBudgetHoldsOneLargeRequest)
 {
