--- a/src/io/connection_budget.cpp
+++ b/src/io/connection_budget.cpp
@@ -14,6 +14,13 @@
 constexpr EnumArray<ListenerKind, uint64_t> minListenerBytes { { mebibyte, mebibyte / 8, 10 * mebibyte, mebibyte / 2 } };
 constexpr uint64_t minListenerConnections = 4;
 
+/// Half of the descriptors, as calls to other hosts need some too.
+uint64_t connectionsOf(double descriptors)
+{
+    const double usable = descriptors > 2 * config::reservedDescriptors ? descriptors - config::reservedDescriptors : descriptors / 2;
+    return std::max<uint64_t>(static_cast<uint64_t>(usable) / 2, 1);
+}
+
 } // namespace
 
 BudgetLimits BudgetSettings::limits() const
@@ -23,8 +30,10 @@
         limits.bytes = static_cast<uint64_t>(*machineMemoryMiB * static_cast<double>(mebibyte)) / config::connectionMemoryDivisor;
     if (memoryBudgetMiB && *memoryBudgetMiB > 0)
         limits.bytes = static_cast<uint64_t>(*memoryBudgetMiB * static_cast<double>(mebibyte));
-    if (machineDescriptors && *machineDescriptors > config::reservedDescriptors)
-        limits.connections = static_cast<uint64_t>(*machineDescriptors - config::reservedDescriptors) / 2;
+    if (machineDescriptors && *machineDescriptors > 0)
+        limits.connections = connectionsOf(*machineDescriptors);
+    if (processDescriptors && *processDescriptors > 0)
+        limits.connections = std::min(limits.connections, connectionsOf(*processDescriptors));
     if (maxConnections && *maxConnections)
         limits.connections = *maxConnections;
     return limits;
--- a/src/io/connection_budget.h
+++ b/src/io/connection_budget.h
@@ -80,6 +80,7 @@
     std::optional<uint32_t> maxConnections;
     std::optional<double> machineMemoryMiB;
     std::optional<double> machineDescriptors;
+    std::optional<double> processDescriptors; ///< That the system lets the process open; bounds the default.
 
     BudgetLimits limits() const;
     /// Size of the receive buffer to set on each socket; unread bytes in it count as the process's.
--- a/tests/connection_budget_test.cpp
+++ b/tests/connection_budget_test.cpp
@@ -183,6 +183,10 @@
     BOOST_TEST(settings.limits().bytes == 40 * mebibyte);
     BOOST_TEST(settings.limits().connections == 1950U);
     BOOST_TEST(settings.receiveBufferBytes() == config::minReceiveBufferBytes);
+    settings.processDescriptors = 1024;
+    BOOST_TEST(settings.limits().connections == 412U);
+    settings.processDescriptors = 64;
+    BOOST_TEST(settings.limits().connections == 16U);
     settings.memoryBudgetMiB = 0.5;
     settings.maxConnections = 20;
     BOOST_TEST(settings.limits().bytes == mebibyte / 2);
