--- a/tests/json_limits_test.cpp
+++ b/tests/json_limits_test.cpp
@@ -85,10 +85,12 @@
 
 BOOST_AUTO_TEST_CASE(legalTextsAreFarBelowTheLimits)
 {
-    Json step { { "count", 1 }, { "cpu", 100 }, { "memMb", 100 }, { "gpu", 0 }, { "estMs", 100 }, { "deps", std::vector<int>(63, 1) }, { "constraints", "ssd" } };
+    Json step { { "count", 1 }, { "cpu", 100 }, { "memMb", 100 }, { "gpu", 0 }, { "estMs", 100 }, { "deps", std::vector<int>(63, 1) }, { "label", "ssd" } };
     Json job { { "spec", std::string(4000, 'x') }, { "phases", std::vector<Json>(64, step) } };
     BOOST_TEST(measureJson(job.dump()).values < config::maxJobJsonValues / 4);
-    Json route { { "name", "r" }, { "host", "h" }, { "pathPrefix", "/p" }, { "service", "s" }, { "timeoutMs", 1 }, { "priority", 1 }, { "maxAttempts", 1 }, { "stretchFactor", 2 }, { "targetLatencyMs", 1 }, { "advice", { { "decisionMs", 1 }, { "perWorkerMs", 1 }, { "validMs", 1 } } } };
+    Json route = Json::object();
+    for (int field = 0; field < 20; ++field)
+        route["field-" + std::to_string(field)] = field;
     Json configuration { { "version", 1 }, { "routes", std::vector<Json>(10000, route) }, { "services", Json::array() } };
     BOOST_TEST(measureJson(configuration.dump()).values < config::maxConfigJsonValues / 4);
 }
