--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -51,6 +51,7 @@
 inline constexpr uint64_t maxReportJsonValues = 4096; ///< A worker's report has some 20 and up to 64 labels.
 inline constexpr uint64_t maxConfigJsonValues = 1000000; ///< 10,000 queues of 20 fields are 200,000.
 inline constexpr uint64_t maxAnswerJsonValues = 262144; ///< Of a worker's answer: 5 for each run and end that it lists.
+inline constexpr uint64_t maxDocumentJsonValues = 262144; ///< Of settings, and of what eelgrassd reads: 1 MiB holds a manifest of some 100,000.
 inline constexpr uint64_t jsonValueBytes = 160; ///< A parsed value takes at most this, its key and a map's node included, in addition to its text.
 inline constexpr uint64_t freeParseBytes = 4UL * 1024 * 1024; ///< A text whose values take up to this is parsed whatever the budget has left.
 
--- a/src/io/json_fields.cpp
+++ b/src/io/json_fields.cpp
@@ -1,5 +1,7 @@
 #include "io/json_fields.h"
 
+#include "io/json_limits.h"
+
 #include <algorithm>
 #include <charconv>
 #include <vector>
@@ -175,10 +177,13 @@
         return true;
     };
     try {
+        checkJsonLimits(text, documentJsonLimits);
         Json json = Json::parse(text, checkKey, true, true);
         if (!duplicateKey.empty())
             throw JsonError { ErrorKind::Duplicate, {}, "the key \"" + duplicateKey + "\" stands twice in one object", "keep one of them" };
         return json;
+    } catch (const JsonLimitExceeded& error) {
+        throw JsonError { ErrorKind::OutOfRange, {}, error.what(), "send fewer values, or nest them less" };
     } catch (const Json::parse_error& error) {
         const std::string what = error.what();
         const size_t colon = what.rfind(": ");
--- a/src/io/json_limits.h
+++ b/src/io/json_limits.h
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <limits>
 #include <stdexcept>
 #include <string_view>
 
@@ -28,6 +29,8 @@
 inline constexpr JsonLimits reportJsonLimits { config::maxReportJsonValues, config::maxJsonDepth, DeepValues::Ignore };
 inline constexpr JsonLimits configJsonLimits { config::maxConfigJsonValues };
 inline constexpr JsonLimits answerJsonLimits { config::maxAnswerJsonValues };
+/// Settings with an odd entry leave the others in force, however deeply it is nested: each level counts as a value.
+inline constexpr JsonLimits documentJsonLimits { config::maxDocumentJsonValues, std::numeric_limits<uint32_t>::max() };
 
 /// Size of a JSON text once it is parsed.
 struct JsonSize {
