--- a/src/control_node.h
+++ b/src/control_node.h
@@ -2,8 +2,9 @@
 
 #include "call_forwarder.h"
 #include "call_relay.h"
+#include "call_replies.h"
 #include "config_history.h"
-#include "hosts_text.h"
+#include "control_peers.h"
 #include "job_report.h"
 #include "leader_summary.h"
 #include "log_formation.h"
@@ -36,6 +37,7 @@
         , m_replica({ options.settings.self, options.log ? options.log->incarnation : options.incarnation }, replicaOptions(options), options.now)
         , m_dispatcher(options.settings)
         , m_planner(options.settings.remoteFactor)
+        , m_peers(options.settings.self)
         , m_formation(options.settings.mayForm && !options.log)
     {
         if (options.log)
@@ -140,55 +142,31 @@
     void handle(FleetStep& step, const SeedsChanged& event)
     {
         m_settings.seeds = event.seeds;
-        m_connectTargets.clear();
-        m_connectMembership.reset();
+        m_peers.forgetTargets();
         updateConnectTargets(step);
     }
 
     void handle(FleetStep& step, const FleetPeerUp& event)
     {
-        m_connected.insert(event.host);
+        m_peers.add(event.host);
         m_forwarder.didConnect(step, event.host);
         step.send(event.host, LogHello { m_replica.self().incarnation, m_replica.isEmpty(), m_settings.region, m_settings.dataCentre });
-        m_entryStatusTimes.erase(event.host);
         step.send(event.host, status(step.now, event.host));
-        m_advice.setHosts(adviceHosts());
+        m_advice.setHosts(m_peers.connectedAndSelf());
     }
 
     void handle(FleetStep& step, const FleetPeerDown& event)
     {
-        m_connected.erase(event.host);
-        m_entryStatusTimes.erase(event.host);
+        m_peers.remove(event.host);
         m_relay.dropRequester(event.host);
         m_dispatcher.hostDown(step, table(), event.host);
-        m_advice.setHosts(adviceHosts());
-    }
-
-    std::set<HostId> adviceHosts() const
-    {
-        std::set<HostId> hosts = m_connected;
-        hosts.insert(m_settings.self);
-        return hosts;
+        m_advice.setHosts(m_peers.connectedAndSelf());
     }
 
     void updateConnectTargets(FleetStep& step)
     {
-        if (m_connectMembership == m_replica.membership())
-            return;
-        m_connectMembership = m_replica.membership();
-        updateElectionDelay();
-        const auto hostOf = [](const Member& member) { return member.host; };
-        step.log(LogEventKind::MembershipChanged, { { "log", "fleet" }, { "voters", hostsText(m_connectMembership->voters, hostOf) }, { "learners", hostsText(m_connectMembership->learners, hostOf) }, { "lastIndex", std::to_string(m_replica.lastIndex()) } });
-        std::set<HostId> hosts(m_settings.seeds.begin(), m_settings.seeds.end());
-        for (const auto* list : { &m_replica.membership().voters, &m_replica.membership().learners }) {
-            for (const Member& member : *list)
-                hosts.insert(member.host);
-        }
-        hosts.erase(m_settings.self);
-        if (hosts == m_connectTargets)
-            return;
-        m_connectTargets = hosts;
-        step.emit(ConnectHosts { { hosts.begin(), hosts.end() } });
+        if (m_peers.updateTargets(step, m_replica, m_settings.seeds))
+            updateElectionDelay();
     }
 
     /// Status for a host. The lease is checked anew, as it may have expired while this host was frozen.
@@ -199,8 +177,7 @@
         report.leader = m_replica.leader().host;
         report.isLeading = m_isLeading && m_replica.hasLease(now);
         report.configVersion = table().config().version;
-        if (const auto sentAt = m_entryStatusTimes.find(to); sentAt != m_entryStatusTimes.end())
-            report.answeredAt = sentAt->second;
+        report.answeredAt = m_peers.entryStatusTime(to);
         for (const Member& member : m_replica.membership().voters)
             report.hosts.push_back(member.host);
         return report;
@@ -214,7 +191,7 @@
     void receive(FleetStep& step, HostId from, const LogHello& hello)
     {
         m_replica.observeMember({ from, hello.incarnation });
-        m_regions[from] = hello.region;
+        m_peers.setRegion(from, hello.region);
         m_dispatcher.hostUp(from, hello.dataCentre, hello.region);
         updateElectionDelay();
         m_formation.observe({ from, hello.incarnation }, hello.isEmpty);
@@ -225,14 +202,7 @@
     /// would wait for the link between regions at every commit.
     void updateElectionDelay()
     {
-        std::map<std::string, size_t> otherRegions; ///< Number of voters by region, as far as these are known.
-        for (const Member& voter : m_replica.membership().voters) {
-            const auto known = m_regions.find(voter.host);
-            if (known != m_regions.end() && known->second != m_settings.region)
-                ++otherRegions[known->second];
-        }
-        const auto hasMajority = [&](const auto& entry) { return entry.second >= m_replica.membership().quorum(); };
-        const bool isMajorityElsewhere = std::any_of(otherRegions.begin(), otherRegions.end(), hasMajority);
+        const bool isMajorityElsewhere = m_peers.isMajorityElsewhere(m_replica.membership(), m_settings.region);
         m_replica.setElectionDelay(isMajorityElsewhere ? m_replica.electionTimeout() * 2 : Duration {});
     }
 
@@ -249,9 +219,7 @@
 
     void receive(FleetStep& step, HostId from, const EntryStatusReport& report)
     {
-        const bool isFirst = !m_entryStatusTimes.count(from);
-        m_entryStatusTimes[from] = report.sentAt;
-        if (isFirst) // The periodic status answers later ones.
+        if (m_peers.noteEntryStatus(from, report.sentAt)) // The periodic status answers later ones.
             step.send(from, status(step.now, from));
     }
 
@@ -335,7 +303,7 @@
         if (m_isLeading) {
             m_summary.countCall(call.origin, call.number);
             process(step, reply, call.request);
-        } else if (call.hops == 0 && leader.isValid() && m_connected.count(leader)) {
+        } else if (call.hops == 0 && leader.isValid() && m_peers.isConnected(leader)) {
             ForwardedCall next = call;
             ++next.hops;
             step.send(leader, std::move(next));
@@ -348,7 +316,7 @@
     {
         if (reply.origin == m_settings.self)
             m_forwarder.receive(step, reply);
-        else if (m_connected.count(reply.origin))
+        else if (m_peers.isConnected(reply.origin))
             step.send(reply.origin, reply);
     }
 
@@ -362,7 +330,7 @@
         ++m_counters.replies[reply.status];
         if (to.host == m_settings.self)
             step.emit(SendControlReply { CallId { to.number }, std::move(reply) });
-        else if (m_connected.count(to.via))
+        else if (m_peers.isConnected(to.via))
             step.send(to.via, ForwardedCallReply { to.number, to.host, std::move(reply) });
     }
 
@@ -379,7 +347,7 @@
             sendReply(step, to, {});
             return;
         }
-        const ControlReply found = findQueue(request.work.queue, request.address);
+        const ControlReply found = lookUpQueue(table().config(), request.work.queue, request.address);
         if (!found.queue) {
             sendReply(step, to, found);
             return;
@@ -390,7 +358,7 @@
         if (known) {
             sendReply(step, to, { ControlStatus::NameTaken, {}, 0, {} });
         } else if (table().isCancelledEarly(work.key, work.workspace)) {
-            logRefusal(step, work, WorkStatus::CancelledEarly);
+            logRefusal(step, table(), work, WorkStatus::CancelledEarly);
             sendReply(step, to, { ControlStatus::CancelledEarly, {}, 0, {} });
         } else {
             ReplyTarget target = to;
@@ -419,30 +387,13 @@
 
     void process(FleetStep& step, const ReplyTarget& to, const CountPendingJobs& request)
     {
-        const ControlReply found = findQueue(request.queue, request.address);
+        const ControlReply found = lookUpQueue(table().config(), request.queue, request.address);
         if (found.queue)
-            sendReply(step, to, { ControlStatus::Ok, {}, pendingCount(found.queue->name), {}, {}, found.configVersion });
+            sendReply(step, to, { ControlStatus::Ok, {}, pendingJobs(table(), m_dispatcher, found.queue->name), {}, {}, found.configVersion });
         else
             sendReply(step, to, found);
     }
 
-    /// Queue at the address, or of the name if the address is not known.
-    ControlReply findQueue(const std::string& queue, const std::optional<QueueAddress>& address) const
-    {
-        return address ? lookUpQueue(table().config(), *address) : lookUpQueue(table().config(), queue);
-    }
-
-    /// Number of the queue's jobs of which no run has started, including jobs whose placements no
-    /// worker has confirmed yet.
-    uint64_t pendingCount(const std::string& queue) const
-    {
-        const auto isPending = [&](JobKey key) {
-            const WorkJob& job = *table().job(key);
-            return job.queue.name == queue && !m_dispatcher.hasStarted(key) && !job.hasFinishedRuns();
-        };
-        return static_cast<uint64_t>(std::count_if(table().openJobs().begin(), table().openJobs().end(), isPending));
-    }
-
     void process(FleetStep& step, const ReplyTarget& to, const PutConfig& request)
     {
         if (request.config.version <= table().config().version)
@@ -523,7 +474,7 @@
     HostId forwardTarget() const
     {
         const HostId leader = m_replica.leader().host;
-        return leader != m_settings.self && m_connected.count(leader) ? leader : HostId {};
+        return leader != m_settings.self && m_peers.isConnected(leader) ? leader : HostId {};
     }
 
     /// Emits the replica's writes and messages and processes the entries that it has applied.
@@ -534,7 +485,7 @@
             step.emit(WriteWorkLog { m_replica.self().incarnation, std::move(*output.write) });
         for (auto& outgoing : output.messages) {
             const HostId to = outgoing.message.to.host;
-            if (m_connected.count(to))
+            if (m_peers.isConnected(to))
                 step.send(to, std::move(outgoing.message), outgoing.afterWrite);
         }
         updateLeadership(step);
@@ -616,24 +567,6 @@
             sendReply(step, *pending.reply, replyTo(applied.result));
     }
 
-    static ControlReply replyTo(const WorkResult& result)
-    {
-        switch (result.status) {
-        case WorkStatus::UnknownQueue:
-            return { ControlStatus::UnknownQueue, {}, 0, {} };
-        case WorkStatus::UnknownJob:
-            return { ControlStatus::UnknownJob, {}, 0, {} };
-        case WorkStatus::CancelledEarly:
-            return { ControlStatus::CancelledEarly, {}, 0, {} };
-        case WorkStatus::NoMemory:
-            return { ControlStatus::NoMemory, {}, 0, {} };
-        case WorkStatus::NameTaken:
-            return { ControlStatus::NameTaken, {}, 0, {} };
-        default:
-            return {};
-        }
-    }
-
     // Reactions of the leader to applied commands.
 
     using Applied = Replica<WorkTable>::Applied;
@@ -642,31 +575,17 @@
     {
         m_planPacer.request();
         if (applied.result.status == WorkStatus::NoMemory || applied.result.status == WorkStatus::CancelledEarly)
-            logRefusal(step, command, applied.result.status);
+            logRefusal(step, table(), command, applied.result.status);
         if (applied.result.status != WorkStatus::Applied)
             return;
         m_counters.add(FleetCounter::JobsAccepted);
         step.log(LogEventKind::JobAccepted, { { "job", hexText(command.key.value) }, { "queue", command.queue }, { "index", std::to_string(applied.index) }, { "term", std::to_string(applied.term) } });
-        logUnfittingSteps(step, command);
+        logUnfittingSteps(step, table(), command);
         const auto pending = m_pending.find(applied.index);
         if (pending != m_pending.end())
             step.measure(FleetTimer::SubmitToCommit, step.now - pending->second.proposedAt);
     }
 
-    /// Names the steps of a new job that wait until the quota of its workspace is raised.
-    void logUnfittingSteps(FleetStep& step, const SubmitWork& command) const
-    {
-        for (size_t i = 0; i < command.work.steps.size(); ++i) {
-            if (!canEverFitQuota(table().config(), command.workspace, command.work.steps[i]))
-                step.log(LogEventKind::QuotaTooSmall, { { "job", hexText(command.key.value) }, { "step", std::to_string(i) }, { "workspace", command.workspace } });
-        }
-    }
-
-    void logRefusal(FleetStep& step, const SubmitWork& work, WorkStatus reason) const
-    {
-        step.log(LogEventKind::JobRefused, { { "job", hexText(work.key.value) }, { "queue", work.queue }, { "reason", std::string(name(reason)) }, { "openJobBytes", std::to_string(table().openJobBytes()) } });
-    }
-
     void didApply(FleetStep&, const PlaceRuns&, const Applied&) { m_planPacer.request(); }
     void didApply(FleetStep& step, const RequeueLostRuns&, const Applied& applied)
     {
@@ -797,7 +716,7 @@
         if (step.now < m_nextStatus)
             return;
         m_nextStatus = step.now + config::fleetStatusPeriod;
-        for (const HostId host : m_connected)
+        for (const HostId host : m_peers.connected())
             step.send(host, status(step.now, host));
     }
 
@@ -808,13 +727,9 @@
     CallRelay m_relay;
     AdviceClient m_advice;
     WorkPlanner<Policy> m_planner;
-    std::set<HostId> m_connected;
-    std::map<HostId, Time> m_entryStatusTimes; ///< When the connected entry hosts sent their latest status, by their clocks.
+    ControlPeers m_peers;
     ConfigHistory m_configHistory;
-    std::set<HostId> m_connectTargets;
-    std::optional<Membership> m_connectMembership; ///< From which the targets were taken.
     LogFormation m_formation;
-    std::map<HostId, std::string> m_regions; ///< Regions of the other control hosts, as in their hellos.
     std::map<uint64_t, PendingProposal> m_pending;
     std::set<TaskRef> m_inFlight; ///< Tasks whose placement is proposed but neither committed nor dropped.
     Time m_storageRefusedAt {};
--- a/src/job_report.h
+++ b/src/job_report.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "fleet_events.h"
 #include "hash.h"
 #include "ready_steps.h"
+#include "workspace_room.h"
 
 #include "eelgrassloft/effects.h"
 
@@ -38,4 +40,19 @@
         { "attempt", std::to_string(run.attempt) }, { "crashes", std::to_string(summary.crashes) } };
 }
 
+/// Logs that a job was not accepted.
+inline void logRefusal(FleetStep& step, const WorkTable& table, const SubmitWork& work, WorkStatus reason)
+{
+    step.log(LogEventKind::JobRefused, { { "job", hexText(work.key.value) }, { "queue", work.queue }, { "reason", std::string(name(reason)) }, { "openJobBytes", std::to_string(table.openJobBytes()) } });
+}
+
+/// Names the steps of a new job that wait until the quota of its workspace is raised.
+inline void logUnfittingSteps(FleetStep& step, const WorkTable& table, const SubmitWork& work)
+{
+    for (size_t i = 0; i < work.work.steps.size(); ++i) {
+        if (!canEverFitQuota(table.config(), work.workspace, work.work.steps[i]))
+            step.log(LogEventKind::QuotaTooSmall, { { "job", hexText(work.key.value) }, { "step", std::to_string(i) }, { "workspace", work.workspace } });
+    }
+}
+
 } // namespace eelgrassloft
--- a/src/queue_lookup.h
+++ b/src/queue_lookup.h
@@ -36,4 +36,10 @@
 /// Looks up a queue by its name.
 inline ControlReply lookUpQueue(const FleetConfig& config, const std::string& name) { return detail::lookupReply(config, config.queue(name)); }
 
+/// Looks up the queue at the address, or by its name if the address is not known.
+inline ControlReply lookUpQueue(const FleetConfig& config, const std::string& name, const std::optional<QueueAddress>& address)
+{
+    return address ? lookUpQueue(config, *address) : lookUpQueue(config, name);
+}
+
 } // namespace eelgrassloft
