A workspace may use its weight over five seconds

With one second's weight in the bucket, workspaces of one job a second were beyond it whenever two came close together.

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -157,6 +157,7 @@
 // Jobs that callers submit.
 inline constexpr Duration endedJobRetention = 180s; ///< Callers may ask for the state for 120 s.
 inline constexpr size_t maxEarlyCancellations = 32768; ///< Jobs that were cancelled before they were submitted.
+inline constexpr Duration shareWindow = 5s; ///< Over which a workspace may use its weight at any time: within a second, even steady callers send more than their mean.
 inline constexpr uint32_t maxOccurrencesPerJob = 256;
 inline constexpr uint32_t maxStepsPerJob = 64;
 inline constexpr size_t maxWorkTextBytes = 4000; ///< Of a job's payload.
--- a/src/share_meter.h
+++ b/src/share_meter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "eelgrassloft/config.h"
 #include "eelgrassloft/record.h"
 #include "eelgrassloft/time.h"
 
@@ -9,7 +10,7 @@
 namespace eelgrassloft {
 
 /// Tells which submissions lie within the weight of their workspace: a token bucket for each, which
-/// holds what is owed in a second. Part of the replicated state, as each host has to decide alike.
+/// holds what is owed in `config::shareWindow`. Part of the replicated state, as each host has to decide alike.
 class ShareMeter {
 public:
     /// Takes in a submission. Returns whether it is owed to the workspace, of which `weight` jobs a second are.
@@ -17,7 +18,7 @@
     {
         if (weight <= 0)
             return true;
-        const double depth = std::max(1.0, weight);
+        const double depth = std::max(1.0, weight * std::chrono::duration<double>(config::shareWindow).count());
         const auto [position, isNew] = m_buckets.try_emplace(workspace, Bucket { depth, at });
         Bucket& bucket = position->second;
         const double elapsed = std::chrono::duration<double>(std::max(at - bucket.at, Duration::zero())).count();
