Urgent work beyond a share goes behind owed urgent work only

Tests of the order: the least urgent queue under bursts of the others, and work beyond a share or past its limit.

--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -71,7 +71,7 @@
 
     /// Parts of the order of steps, for policies whose priorities are not strict.
     enum class OrderGroup : uint8_t {
-        MostUrgent, ///< Of the most urgent priority.
+        MostUrgent, ///< Of the most urgent priority, also beyond a share, which goes behind what is owed there.
         Reserved, ///< Gangs with a reservation, so that smaller steps do not take what becomes free for them.
         Others,
         PastLimit,
@@ -93,11 +93,9 @@
             return OrderGroup::Others;
         if (now + step.remainingCriticalPath > step.lateLimit)
             return OrderGroup::PastLimit;
-        if (step.job->isBeyondShare)
-            return OrderGroup::Others;
         if (step.job->queue.priority == mostUrgentPriority)
             return OrderGroup::MostUrgent;
-        return m_reserved.count(step.step) ? OrderGroup::Reserved : OrderGroup::Others;
+        return m_reserved.count(step.step) && !step.job->isBeyondShare ? OrderGroup::Reserved : OrderGroup::Others;
     }
 
     static uint32_t mostUrgentPriority(const FleetConfig& config)
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -96,6 +96,7 @@
 };
 
 using Baseline = WorkPlanner<DeadlinePolicy, ExhaustiveGangAdvice, UnknownForecast>;
+using StrictPriorities = WorkPlanner<LastChancePolicy, SufficientGangAdvice, ProgressForecast>;
 using Current = WorkPlanner<TardinessCostPolicy, SufficientGangAdvice, ProgressForecast>;
 
 struct Comparison {
@@ -186,4 +187,66 @@
     BOOST_TEST(served.current > served.baseline);
 }
 
+/// With strict priorities, the least urgent queue paid for the bursts of the others.
+BOOST_AUTO_TEST_CASE(leastUrgentQueuePaysForTheBurstsOfOthers)
+{
+    const auto load = [](auto& desk) {
+        desk.load(4s);
+        desk.load(6s, "urgent", 190);
+        desk.load(6s, "gangs", 190);
+        desk.load(4s);
+        desk.run(20s);
+    };
+    const auto inTime = [](const auto& desk, const std::string& queue) { return static_cast<double>(desk.served(queue).inTime) / static_cast<double>(desk.served(queue).total()); };
+    Comparison filling;
+    Comparison urgentJobs;
+    constexpr uint64_t seeds = 3;
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        Desk<StrictPriorities> strict(seed);
+        load(strict);
+        Desk<Current> current(seed);
+        load(current);
+        filling.baseline += inTime(strict, "filling") / seeds;
+        filling.current += inTime(current, "filling") / seeds;
+        urgentJobs.baseline += inTime(strict, "urgent") / seeds;
+        urgentJobs.current += inTime(current, "urgent") / seeds;
+    }
+    BOOST_TEST_MESSAGE("filling jobs in time: " << filling.baseline << ", now " << filling.current << "; urgent ones " << urgentJobs.baseline << ", now " << urgentJobs.current);
+    BOOST_TEST(filling.current >= filling.baseline);
+    BOOST_TEST(urgentJobs.current >= urgentJobs.baseline - 0.01);
+}
+
+/// Work beyond a workspace's share, and work that has lost its value, took the room of owed work.
+BOOST_AUTO_TEST_CASE(workBeyondAShareOrPastItsLimitTakesTheRoomOfOwedWork)
+{
+    const Time now { 1h };
+    WorkJob owed;
+    WorkJob beyond;
+    beyond.isBeyondShare = true;
+    const auto stepOfJob = [&](const WorkJob& job, Duration objective, Duration lateLimit) {
+        ReadyStep step;
+        step.job = &job;
+        step.objective = now + objective;
+        step.lateLimit = now + lateLimit;
+        step.remainingCriticalPath = 1s;
+        return step;
+    };
+    const auto keyOf = [&](const ReadyStep& step) { return TardinessCostPolicy().key(step, now); };
+    const ReadyStep relaxed = stepOfJob(owed, 60s, 180s);
+    const ReadyStep late = stepOfJob(owed, 0s, 20s);
+    const ReadyStep lastChance = stepOfJob(owed, -18s, 2s);
+    const ReadyStep expired = stepOfJob(owed, -9s, 0s);
+    const ReadyStep pressing = stepOfJob(beyond, 1s, 3s);
+    BOOST_TEST((keyOf(relaxed) < keyOf(pressing)));
+    BOOST_TEST((keyOf(late) < keyOf(pressing)));
+    BOOST_TEST((keyOf(lastChance) < keyOf(late)));
+    BOOST_TEST((keyOf(pressing) < keyOf(expired)));
+    ReadyStep small = relaxed;
+    small.relativeWork = 0.2;
+    BOOST_TEST((keyOf(small) < keyOf(relaxed)));
+    WorkJob patient;
+    patient.queue.priority = 2;
+    BOOST_TEST((keyOf(relaxed) < keyOf(stepOfJob(patient, 60s, 180s))));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
