Hosts that start together draw different election timeouts

A run of the daemons test ended with 'a service task ran twice': after kill -9 of the leader the two others needed 18 s and 25 terms for the one log, 49 s and 26 terms for the other, so the leases of the tasks ran out. A term took 0.72 s and 1.87 s in the mean. Two voters with the same draws need 0.75 s and 1.88 s for a split vote, two with independent draws 0.67 s and 1.67 s.

The seed was the start time in microseconds, exclusive or the host's number: hosts 2 and 3 have one seed if they start one microsecond apart, as they may when one script starts both. Now the two numbers are mixed one after the other.

hostsThatStartTogetherDrawDifferentElectionTimeouts gets 88 seeds for 1,024 starts from the former formula (calculated).

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -56,7 +56,7 @@
     start.settings = m_settings.node;
     start.now = now;
     start.incarnation = static_cast<uint64_t>(now.time_since_epoch().count());
-    start.seed = start.incarnation ^ m_settings.node.self.value;
+    start.seed = hostSeed(start.incarnation, m_settings.node.self.value);
     start.mayForm = m_mayForm;
     if (const auto error = restoreLogs(start)) {
         m_log.writeError("start-failed", *error);
--- a/src/random.h
+++ b/src/random.h
@@ -33,4 +33,9 @@
 /// Mixes the bits of a 64-bit hash value.
 inline uint64_t mixHash(uint64_t value) { return Random(value).next(); }
 
+/// Seed of a host's generator in one incarnation. Both numbers are mixed one after the other: a plain
+/// exclusive or gives hosts with neighbouring numbers the same seed when their incarnations differ by one,
+/// and voters with one seed draw the same election timeouts and split every vote.
+inline uint64_t hostSeed(uint64_t incarnation, uint64_t host) { return mixHash(mixHash(incarnation) + host); }
+
 } // namespace eelgrassloft
--- a/tests/replica_election_test.cpp
+++ b/tests/replica_election_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+
 using namespace eelgrassloft;
 using namespace eelgrassloft::testing;
 using namespace std::chrono_literals;
@@ -19,6 +21,18 @@
         BOOST_TEST(cluster.replica(i).stateMachine().ids.size() == 10U);
 }
 
+/// Guards against voters with equal election timeouts, which split every vote for many terms.
+BOOST_AUTO_TEST_CASE(hostsThatStartTogetherDrawDifferentElectionTimeouts)
+{
+    constexpr uint64_t firstIncarnation = 1'796'615'630'101'000;
+    std::set<uint64_t> seeds;
+    for (uint64_t host = 1; host <= 16; ++host) {
+        for (uint64_t offset = 0; offset < 64; ++offset)
+            seeds.insert(hostSeed(firstIncarnation + offset, host));
+    }
+    BOOST_TEST(seeds.size() == 16U * 64U);
+}
+
 BOOST_AUTO_TEST_CASE(anElectionDelayPostponesTheElection)
 {
     Replica<ListMachine> replica({ HostId { 0 }, 1 }, {}, Time(1h));
