Count a run as a cause of a crash only if it is known to have started

Cause: a start without an answer was followed by a refused one and a stop. The acknowledgement of the stop counted as confirmation of the run, so that a crash of the worker shortly after it was strong evidence, and two gave up the job.

Change: a run counts as started once its worker has accepted the start or reported the run. Others are at most weak evidence, and none when the stop was acknowledged long enough before the crash. This replaces the flag for runs of a former leader, which were judged in the same way.

Test: WorkerRestartTests/jobIsNotGivenUpBecauseOfRunsThatNeverStarted. On the code before: "check (fixture.job().state == WorkState::Running) has failed ... start answered with bad-ticket". It passes now, as do the other WorkerRestartTests.

--- a/src/worker_dispatcher.cpp
+++ b/src/worker_dispatcher.cpp
@@ -111,6 +111,7 @@
     case OrderOutcome::Outdated: // The run has ended; the next poll reports its outcome.
         if (run.phase == RunPhase::Starting) {
             run.phase = RunPhase::Running;
+            run.hasStarted = true;
             run.confirmedAt = run.progressAt = step.now;
             markStarted(table, call.run.task.job);
             step.measure(FleetTimer::CommitToStart, step.now - run.placedAt);
--- a/src/worker_view.h
+++ b/src/worker_view.h
@@ -45,7 +45,7 @@
     bool mayStartLate = false; ///< A start had no response and may still be carried out.
     bool isOfNextIncarnation = false; ///< The clock in the response to its start shows a later incarnation than the view's.
     bool isGang = false;
-    bool isInherited = false; ///< Placed by an earlier leader, which may not have sent the start.
+    bool hasStarted = false; ///< The worker has accepted the start or reported the run. An acknowledged stop doesn't show it.
     bool isSuspect = false; ///< Whether the task may have crashed a worker before.
     bool isProven = false; ///< Has been at work for long enough not to be the cause of a later crash.
     Time nextOrder {};
@@ -80,8 +80,8 @@
         if (isUnsent() || isOfNextIncarnation || placedAt >= brokenAt)
             return CrashEvidence::None;
         if (isProvenBy(aliveUntil))
-            return isInherited && !isReported ? CrashEvidence::None : CrashEvidence::Late;
-        return phase == RunPhase::Starting || (isInherited && !isReported) ? CrashEvidence::Weak : CrashEvidence::Strong;
+            return hasStarted ? CrashEvidence::Late : CrashEvidence::None;
+        return hasStarted ? CrashEvidence::Strong : CrashEvidence::Weak;
     }
 
     /// Whether the run is reported without making progress. The members of a gang make none until all
--- a/src/worker_views.cpp
+++ b/src/worker_views.cpp
@@ -51,7 +51,6 @@
     for (const TaskRun& run : record.runs) {
         RunView runView = initialRunView(table, run.task, {});
         runView.phase = RunPhase::Running;
-        runView.isInherited = true;
         runView.confirmedAt = runView.progressAt = runView.placedAt = now - config::pollInterval;
         runView.isStopRequested = !table.isCurrentRun(run);
         workerView.addRun(run, std::move(runView));
@@ -193,7 +192,7 @@
         }
         if (listed.percent != run.percent || !run.isReported)
             run.progressAt = now;
-        run.isReported = true;
+        run.isReported = run.hasStarted = true;
         run.percent = listed.percent;
         if (!listed.checkpoint.empty())
             run.checkpoint = listed.checkpoint;
--- a/tests/worker_restart_test.cpp
+++ b/tests/worker_restart_test.cpp
@@ -107,6 +107,20 @@
     fleet.run(20s);
 }
 
+/// The worker crashes after it has acknowledged the stop of a run that it never started: the first order to
+/// start it had no response and the next one was refused.
+void crashAfterRefusedStart(WorkerDispatcherFixture& fixture, OrderOutcome refusal)
+{
+    fixture.advance(500ms);
+    fixture.start(1, OrderOutcome::NoResponse);
+    fixture.advance(config::orderRetryInterval);
+    fixture.respond(OrderKind::Start, refusal);
+    fixture.respond(OrderKind::Stop, OrderOutcome::Accepted);
+    fixture.restartWorker();
+    fixture.reportWorker();
+    respondWith(fixture, {}, true);
+}
+
 /// Whether all jobs end once while workers start again and some orders get no response and are carried out late.
 void checkRestarts(uint64_t seed, uint32_t noResponsePercent, Duration maxOrderDelay)
 {
@@ -185,6 +199,22 @@
     BOOST_TEST(fixture.table().workers().empty());
 }
 
+/// A run whose start was refused counted as at work from the acknowledgement of its stop on, so that a
+/// crash right after that counted against it, and its job was given up after two.
+BOOST_AUTO_TEST_CASE(jobIsNotGivenUpBecauseOfRunsThatNeverStarted)
+{
+    for (const OrderOutcome refusal : { OrderOutcome::BadTicket, OrderOutcome::Refused, OrderOutcome::InsufficientCapacity }) {
+        BOOST_TEST_CONTEXT("start answered with " << name(refusal))
+        {
+            WorkerDispatcherFixture fixture;
+            for (uint32_t crash = 0; crash < config::crashesToGiveUp; ++crash)
+                crashAfterRefusedStart(fixture, refusal);
+            BOOST_REQUIRE((fixture.job().state == WorkState::Running));
+            BOOST_TEST(fixture.job().task({ JobKey { 1 }, 0, 0, 0 })->crashes == 0U);
+        }
+    }
+}
+
 /// Idle workers that start again between two reports, with and without advice, under a stream of jobs.
 BOOST_AUTO_TEST_CASE(noTaskRunsTwiceWhileIdleWorkersStartAgain)
 {
