Store the charge of a run with the run

A run's charge to its workspace was derived from the record of its job, which is removed 180 s after the job's end. FleetWorker::runs now holds workspace and size with each run (PlacedRun).

openTaskBytes counts a run with each task, so that it is 152 instead of 112 bytes; some 220,000 open tasks are accepted instead of 300,000.

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -164,7 +164,7 @@
 inline constexpr uint64_t maxOpenJobBytes = 32UL * 1024 * 1024; ///< Of all open jobs; others are refused. A host holds up to four copies for a while.
 inline constexpr uint64_t openJobBytes = 1024; ///< Counted for each open job, in addition to its payload and its tasks.
 inline constexpr uint64_t openStepBytes = 256; ///< Counted for each step of an open job.
-inline constexpr uint64_t openTaskBytes = 112; ///< Counted for each task of each occurrence of an open job.
+inline constexpr uint64_t openTaskBytes = 152; ///< Counted for each task of each occurrence of an open job, and a run of it.
 
 // Workers that the leader calls.
 inline constexpr Duration pollInterval = 120ms; ///< Between two polls of one worker.
--- a/src/work_table.cpp
+++ b/src/work_table.cpp
@@ -31,7 +31,7 @@
 /// Memory that a job takes while it is open. All hosts have to count alike.
 uint64_t memoryOf(const WorkSpec& work)
 {
-    static_assert(sizeof(WorkTask) <= config::openTaskBytes && sizeof(StepSpec) <= config::openStepBytes);
+    static_assert(sizeof(WorkTask) + sizeof(PlacedRun) <= config::openTaskBytes && sizeof(StepSpec) <= config::openStepBytes);
     uint64_t tasks = 0;
     for (const StepSpec& step : work.steps)
         tasks += step.count;
@@ -68,23 +68,15 @@
     m_ledger.clear();
     for (const auto& [number, worker] : m_workers) {
         m_workerById[worker.info.id] = number;
-        for (const TaskRun& run : worker.runs)
-            charge(run);
+        for (const PlacedRun& placed : worker.runs)
+            m_ledger.charge(placed.run, placed.workspace, placed.size);
     }
 }
 
-/// Charges a run to the workspace of its job. The size is that of the job, also once that has ended.
-void WorkTable::charge(const TaskRun& run)
-{
-    const auto found = m_jobs.find(run.task.job);
-    if (found != m_jobs.end() && run.task.step < found->second.work.steps.size())
-        m_ledger.charge(run, found->second.workspace, found->second.work.steps[run.task.step].size);
-}
-
 /// Removes a run that is over on the worker. A report about a run of another worker has no effect.
 void WorkTable::removeRun(FleetWorker& worker, const TaskRun& run)
 {
-    if (std::erase(worker.runs, run))
+    if (std::erase_if(worker.runs, [&](const PlacedRun& placed) { return placed.run == run; }))
         m_ledger.release(run);
 }
 
@@ -267,8 +259,8 @@
 {
     FleetWorker& record = m_workers.at(number);
     record.formerCrashSuspects.clear();
-    for (const TaskRun& run : std::vector<TaskRun>(record.runs))
-        requeue(at, { run, {} }, number);
+    for (const PlacedRun& placed : std::vector<PlacedRun>(record.runs))
+        requeue(at, { placed.run, {} }, number);
     if (isReplaced && !record.info.isLeaving)
         countCrash(at, record);
     takeCrashSuspects(record);
@@ -294,8 +286,10 @@
         task->phase = TaskPhase::Placed;
         task->attempt = placement.run.attempt;
         task->worker = placement.worker;
-        worker->second.runs.push_back(placement.run);
-        charge(placement.run);
+        const WorkJob& job = found->second;
+        const Resources& size = job.work.steps[placement.run.task.step].size;
+        worker->second.runs.push_back({ placement.run, job.workspace, size });
+        m_ledger.charge(placement.run, job.workspace, size);
         takeCrashSuspects(worker->second); // It has responded since.
         if (found->second.state == WorkState::Queued)
             found->second.startedAt = at;
--- a/src/work_table.h
+++ b/src/work_table.h
@@ -131,10 +131,19 @@
     static constexpr auto members() { return std::make_tuple(&LostRun::run, &LostRun::checkpoint, &LostRun::evidence, &LostRun::mayBeInherited); }
 };
 
+/// A run on a worker, with what its workspace is charged for it. The charge has to outlive the record of the job.
+struct PlacedRun {
+    TaskRun run;
+    std::string workspace; ///< Of the job; empty for none.
+    Resources size;
+
+    static constexpr auto members() { return std::make_tuple(&PlacedRun::run, &PlacedRun::workspace, &PlacedRun::size); }
+};
+
 struct FleetWorker {
     WorkerInfo info;
     uint64_t lastEndNumber = 0; ///< Number of the last recorded end; the worker may forget ends up to it.
-    std::vector<TaskRun> runs; ///< Runs placed on the worker and not known to have ended.
+    std::vector<PlacedRun> runs; ///< Runs placed on the worker and not known to have ended.
     uint64_t reportSequence = 0; ///< Number of the report that `info` is from.
     std::vector<LostRun> crashSuspects; ///< Lost runs that may have caused the worker's crash, if it has crashed.
     std::vector<LostRun> formerCrashSuspects; ///< Those of the former incarnation's crash, as long as inherited runs are among them.
@@ -338,7 +347,6 @@
     Result handle(Time at, const RecordRunOutcomes& command);
     Result handle(Time at, const RequeueLostRuns& command);
 
-    void charge(const TaskRun& run);
     void removeRun(FleetWorker& worker, const TaskRun& run);
     void recordEnd(Time at, WorkerNumber worker, const EndedRun& end);
     void storeCheckpoint(WorkJob& job, const TaskRef& task, const std::string& checkpoint);
--- a/src/work_table_crashes.cpp
+++ b/src/work_table_crashes.cpp
@@ -52,7 +52,8 @@
     FleetWorker& record = m_workers[heir];
     record.runs = std::move(inheritance.runs);
     record.formerCrashSuspects = std::move(inheritance.formerCrashSuspects);
-    for (const TaskRun& run : record.runs) {
+    for (const PlacedRun& placed : record.runs) {
+        const TaskRun& run = placed.run;
         const auto found = m_jobs.find(run.task.job);
         WorkTask* task = found == m_jobs.end() ? nullptr : found->second.task(run.task);
         if (!task || task->phase != TaskPhase::Placed || task->attempt != run.attempt)
--- a/src/worker_views.cpp
+++ b/src/worker_views.cpp
@@ -48,8 +48,9 @@
     workerView.reportSequence = record.reportSequence;
     // Once the worker has responded to the new fencing token, each run that an earlier leader placed
     // is running, has ended, or can't start any more.
-    for (const TaskRun& run : record.runs) {
-        RunView runView = initialRunView(table, run.task, {});
+    for (const PlacedRun& placed : record.runs) {
+        const TaskRun& run = placed.run;
+        RunView runView = initialRunView(table, run.task, placed.size);
         runView.phase = RunPhase::Running;
         runView.isInherited = true;
         runView.confirmedAt = runView.progressAt = runView.placedAt = now - config::pollInterval;
