Make the order group part of the policy, and compute work and quota fits once

The planner repeated tests of TardinessCostPolicy to sort steps into groups; the group is now part of the policy's key, which gets what it depends on as OrderContext. The total work of a job and whether a step can ever fit its quota are computed when the job or the configuration changes, not for each occurrence and plan. WorkspaceRoom::take has no loop. The order is as before.

--- a/src/queue_policy.h
+++ b/src/queue_policy.h
@@ -20,28 +20,31 @@
     double remainingWork = 0; ///< Estimated processor time of the job's tasks from this step on that are not done; only compared.
     double relativeWork = 1; ///< Estimated processor time of the whole job against the usual one of its queue.
     double remainingShare = 1; ///< Part of the job's work that `remainingWork` is.
+    bool canFitQuota = true; ///< Whether the step can ever run within the quota of its workspace.
 
     const StepSpec& spec() const { return job->work.steps[step.step]; }
 };
 
-/// Order in which waiting steps are placed: lowest key first. `hasStrictPriorities` tells whether a step
-/// always goes before those of less urgent queues that have not lost their value.
+/// What the place of a step in the order depends on beside the step itself.
+struct OrderContext {
+    Time now {};
+    uint32_t mostUrgentPriority = 0; ///< Of the configured queues.
+    bool hasReservation = false; ///< Whether workers are reserved for the step, which is a gang.
+};
+
+/// Order in which waiting steps are placed: lowest key first.
 template <typename T>
-concept QueuePolicy = requires(const T policy, const ReadyStep& step, Time now)
+concept QueuePolicy = requires(const T policy, const ReadyStep& step, const OrderContext& context)
 {
     {
-        T::hasStrictPriorities
-        } -> std::convertible_to<bool>;
-    {
-        policy.key(step, now)
+        policy.key(step, context)
         } -> std::totally_ordered;
 };
 
 /// Baseline policy: first come, first served within a priority.
 struct ArrivalPolicy {
-    static constexpr bool hasStrictPriorities = true;
     using Key = std::pair<uint32_t, Time>;
-    Key key(const ReadyStep& step, Time) const { return { step.job->queue.priority, step.job->submittedAt }; }
+    Key key(const ReadyStep& step, const OrderContext&) const { return { step.job->queue.priority, step.job->submittedAt }; }
 };
 
 /// Policy for bursts beyond the fleet's capacity. Jobs past their late limit have lost their value
@@ -49,8 +52,6 @@
 /// objective go first, by least slack; late jobs follow by least remaining work, so that as many as
 /// possible finish before their limit.
 struct DeadlinePolicy {
-    static constexpr bool hasStrictPriorities = true;
-
     struct Key {
         bool isPastLimit = false;
         uint32_t priority = 0;
@@ -60,9 +61,9 @@
         friend auto operator<=>(const Key&, const Key&) = default;
     };
 
-    Key key(const ReadyStep& step, Time now) const
+    Key key(const ReadyStep& step, const OrderContext& context) const
     {
-        const Time earliest = now + step.remainingCriticalPath;
+        const Time earliest = context.now + step.remainingCriticalPath;
         const bool isLate = earliest > step.objective;
         const double slack = static_cast<double>((step.objective - earliest).count());
         return { earliest > step.lateLimit, step.job->queue.priority, isLate, isLate ? step.remainingWork : slack };
@@ -73,8 +74,6 @@
 /// smaller late ones until their results have lost their value. A late job goes first again once its
 /// late limit is near.
 struct LastChancePolicy {
-    static constexpr bool hasStrictPriorities = true;
-
     enum class Chance : uint8_t {
         Last, ///< Late, and soon past its limit.
         InTime,
@@ -91,9 +90,9 @@
         friend auto operator<=>(const Key&, const Key&) = default;
     };
 
-    Key key(const ReadyStep& step, Time now) const
+    Key key(const ReadyStep& step, const OrderContext& context) const
     {
-        const Time earliest = now + step.remainingCriticalPath;
+        const Time earliest = context.now + step.remainingCriticalPath;
         const auto rank = [](Duration slack) { return static_cast<double>(slack.count()); };
         const uint32_t priority = step.job->queue.priority;
         if (earliest <= step.objective)
@@ -110,6 +109,22 @@
     static constexpr int lastChanceDivisor = 4; ///< Of the time between the objective and the late limit.
 };
 
+/// Parts of the order of `TardinessCostPolicy`.
+enum class OrderGroup : uint8_t {
+    MostUrgent, ///< Of the most urgent priority, also beyond a share, which goes behind what is owed there.
+    Reserved, ///< Owed gangs with a reservation, so that smaller steps do not take what becomes free for them.
+    Others,
+    PastLimit,
+    Count
+};
+
+constexpr NameTable<OrderGroup> nameTable(OrderGroup)
+{
+    constexpr NameTable<OrderGroup> table { "most-urgent", "reserved", "others", "past-limit" };
+    static_assert(detail::isComplete<OrderGroup>(table));
+    return table;
+}
+
 /// Policy for overload by several queues at once, where strict priorities let the last one pay for the
 /// bursts of all others. Orders by apparent tardiness cost (Vepsalainen and Morton, 1987): what the caller
 /// loses if the job misses its next limit, for the work that it still needs, discounted while there is
@@ -118,22 +133,20 @@
 /// go last. No job waits for ever: the cost of one rises until its late limit, and those past it go by their
 /// remaining work.
 struct TardinessCostPolicy {
-    static constexpr bool hasStrictPriorities = false;
-
     struct Key {
-        bool isPastLimit = false;
+        OrderGroup group = OrderGroup::Others;
         bool isBeyondShare = false;
         double rank = 0;
 
         friend auto operator<=>(const Key&, const Key&) = default;
     };
 
-    Key key(const ReadyStep& step, Time now) const
+    Key key(const ReadyStep& step, const OrderContext& context) const
     {
-        const Time earliest = now + step.remainingCriticalPath;
+        const Time earliest = context.now + step.remainingCriticalPath;
         const bool isBeyondShare = step.job->isBeyondShare;
         if (earliest > step.lateLimit)
-            return { true, isBeyondShare, step.remainingWork };
+            return { OrderGroup::PastLimit, isBeyondShare, step.remainingWork };
         const bool isInTime = earliest <= step.objective;
         const Time limit = isInTime ? step.objective : step.lateLimit;
         const bool isLastChance = !isInTime && limit - earliest <= (step.lateLimit - step.objective) / lastChanceDivisor;
@@ -141,10 +154,18 @@
         const double work = std::max(step.relativeWork * step.remainingShare, leastWork);
         const double slack = std::chrono::duration<double>(limit - earliest).count();
         const double horizon = lookahead * std::chrono::duration<double>(std::max(step.remainingCriticalPath, shortestPath)).count();
-        return { false, isBeyondShare, -value / work * std::exp(-slack / horizon) };
+        return { groupInTime(step, context), isBeyondShare, -value / work * std::exp(-slack / horizon) };
     }
 
 private:
+    /// Group of a step that can be done before its late limit.
+    static OrderGroup groupInTime(const ReadyStep& step, const OrderContext& context)
+    {
+        if (step.job->queue.priority == context.mostUrgentPriority)
+            return OrderGroup::MostUrgent;
+        return context.hasReservation && !step.job->isBeyondShare ? OrderGroup::Reserved : OrderGroup::Others;
+    }
+
     static constexpr double lateValue = 0.25; ///< Of a result after its objective, against one in time.
     static constexpr double baseValue = 0.2; ///< Part of a usual job's value that does not depend on its work.
     static constexpr int lastChanceDivisor = 4; ///< Of the time between the objective and the late limit, in whose last part a late job counts in full.
--- a/src/ready_steps.cpp
+++ b/src/ready_steps.cpp
@@ -1,6 +1,9 @@
 #include "ready_steps.h"
 
+#include "workspace_room.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace eelgrassloft {
 
@@ -61,6 +64,7 @@
 {
     size_t examined = 0;
     m_nextDue = never;
+    const bool isNewConfig = std::exchange(m_configVersion, table.config().version) != table.config().version;
     auto position = m_jobs.begin();
     // Both are in the order of the keys.
     for (const JobKey key : table.openJobs()) {
@@ -71,8 +75,10 @@
         JobEntry& entry = position->second;
         const bool isCurrent = entry.changes == entry.job->changes && now < entry.nextDue;
         if (!isCurrent) {
-            examine(entry, now);
+            examine(entry, table.config(), now);
             ++examined;
+        } else if (isNewConfig) {
+            noteQuota(entry, table.config());
         }
         m_nextDue = std::min(m_nextDue, entry.nextDue);
         ++position;
@@ -86,13 +92,13 @@
     return std::all_of(step.deps.begin(), step.deps.end(), [&](uint32_t dep) { return occurrence.steps[dep].isDone(); });
 }
 
-void ReadySteps::examine(JobEntry& entry, Time now)
+void ReadySteps::examine(JobEntry& entry, const FleetConfig& config, Time now)
 {
     const WorkJob& job = *entry.job;
     if (entry.changes == neverExamined) {
-        const double work = totalWork(job.work);
-        double& usual = m_usualWork.try_emplace(job.queue.name, work).first->second;
-        usual += (work - usual) * sampleWeight;
+        entry.work = totalWork(job.work);
+        double& usual = m_usualWork.try_emplace(job.queue.name, entry.work).first->second;
+        usual += (entry.work - usual) * sampleWeight;
     }
     entry.changes = job.changes;
     entry.nextDue = never;
@@ -104,6 +110,13 @@
         else
             addOccurrence(entry, i, std::max(due, job.submittedAt));
     }
+    noteQuota(entry, config);
+}
+
+void ReadySteps::noteQuota(JobEntry& entry, const FleetConfig& config)
+{
+    for (ReadyStep& step : entry.steps)
+        step.canFitQuota = canEverFitQuota(config, step.job->workspace, step.spec());
 }
 
 /// Adds the steps of an occurrence that began at `begin`.
@@ -111,7 +124,7 @@
 {
     const WorkJob& job = *entry.job;
     const OccurrenceRecord& occurrence = job.occurrences[index];
-    const double total = totalWork(job.work);
+    const double total = entry.work;
     const double usual = m_usualWork.at(job.queue.name);
     for (uint32_t s = 0; s < occurrence.steps.size(); ++s) {
         const StepRecord& record = occurrence.steps[s];
--- a/src/ready_steps.h
+++ b/src/ready_steps.h
@@ -48,19 +48,22 @@
     struct JobEntry {
         const WorkJob* job = nullptr;
         uint64_t changes = neverExamined; ///< The job's number of changes that `steps` reflects.
+        double work = 0; ///< Estimated processor time of one occurrence.
         Time nextDue = never; ///< When the job's next occurrence becomes due.
         std::vector<ReadyStep> steps {};
     };
 
     static constexpr uint64_t neverExamined = UINT64_MAX;
 
-    void examine(JobEntry& entry, Time now);
+    void examine(JobEntry& entry, const FleetConfig& config, Time now);
     void addOccurrence(JobEntry& entry, uint32_t index, Time begin);
+    static void noteQuota(JobEntry& entry, const FleetConfig& config);
     static void addWaiting(JobEntry& entry, ReadyStep step);
     static bool areDependenciesDone(const OccurrenceRecord& occurrence, const StepSpec& step);
 
     std::map<JobKey, JobEntry> m_jobs;
     Time m_nextDue = never;
+    uint64_t m_configVersion = 0; ///< The configuration that the steps reflect.
     std::map<std::string, double> m_usualWork; ///< Moving average of a job's estimated work, by queue.
 };
 
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -28,7 +28,7 @@
         plan.examinedJobs = m_ready.update(table, now);
         plan.nextDue = m_ready.nextDue();
         std::deque<ReadyStep> partlyInFlight;
-        const auto steps = sortedSteps(mostUrgentPriority(table.config()), inFlight, partlyInFlight, now);
+        const auto steps = sortedSteps({ now, mostUrgentPriority(table.config()) }, inFlight, partlyInFlight);
         CapacityView capacityView(workerViews, now);
         capacityView.markReserved(m_reserved);
         m_isolation.begin(workerViews, capacityView, now < m_roomLackedUntil, now);
@@ -69,34 +69,7 @@
 private:
     using Worker = CapacityView::Worker;
 
-    /// Parts of the order of steps, for policies whose priorities are not strict.
-    enum class OrderGroup : uint8_t {
-        MostUrgent, ///< Of the most urgent priority, also beyond a share, which goes behind what is owed there.
-        Reserved, ///< Gangs with a reservation, so that smaller steps do not take what becomes free for them.
-        Others,
-        PastLimit,
-        Count
-    };
-
-    struct SortKey {
-        OrderGroup group = OrderGroup::Others;
-        typename Policy::Key key;
-
-        friend auto operator<=>(const SortKey&, const SortKey&) = default;
-    };
-
-    using SortedSteps = std::vector<std::pair<SortKey, const ReadyStep*>>;
-
-    OrderGroup groupOf(const ReadyStep& step, uint32_t mostUrgentPriority, Time now) const
-    {
-        if (Policy::hasStrictPriorities)
-            return OrderGroup::Others;
-        if (now + step.remainingCriticalPath > step.lateLimit)
-            return OrderGroup::PastLimit;
-        if (step.job->queue.priority == mostUrgentPriority)
-            return OrderGroup::MostUrgent;
-        return m_reserved.count(step.step) && !step.job->isBeyondShare ? OrderGroup::Reserved : OrderGroup::Others;
-    }
+    using SortedSteps = std::vector<std::pair<typename Policy::Key, const ReadyStep*>>;
 
     static uint32_t mostUrgentPriority(const FleetConfig& config)
     {
@@ -108,7 +81,7 @@
 
     /// The waiting steps in the order of the policy. Tasks in `inFlight`, whose placement is proposed
     /// but not yet committed, are left out; `partlyInFlight` holds the steps that this concerns.
-    SortedSteps sortedSteps(uint32_t mostUrgentPriority, const std::set<TaskRef>& inFlight, std::deque<ReadyStep>& partlyInFlight, Time now) const
+    SortedSteps sortedSteps(OrderContext context, const std::set<TaskRef>& inFlight, std::deque<ReadyStep>& partlyInFlight) const
     {
         SortedSteps sorted;
         m_ready.forEach([&](const ReadyStep& step) {
@@ -121,7 +94,8 @@
                     return;
                 waiting = &partlyInFlight.back();
             }
-            sorted.push_back({ { groupOf(*waiting, mostUrgentPriority, now), m_policy.key(*waiting, now) }, waiting });
+            context.hasReservation = m_reserved.count(step.step) > 0;
+            sorted.push_back({ m_policy.key(*waiting, context), waiting });
         });
         std::sort(sorted.begin(), sorted.end(), [](const auto& a, const auto& b) {
             return a.first != b.first ? a.first < b.first : a.second->step < b.second->step;
@@ -144,7 +118,7 @@
         const uint32_t needed = spec.isGang ? spec.count : 1;
         const uint32_t limit = m_quotaRoom.taskCapacity(*step.job, spec, static_cast<uint32_t>(step.waiting.size()));
         if (limit < std::min<size_t>(needed, step.waiting.size()))
-            return canEverFitQuota(table.config(), step.job->workspace, spec) ? PlacementObstacle::Quota : PlacementObstacle::QuotaTooSmall;
+            return step.canFitQuota ? PlacementObstacle::Quota : PlacementObstacle::QuotaTooSmall;
         const size_t firstRun = plan.runs.size();
         const PlacementObstacle obstacle = place(plan, table, capacityView, advice, step, limit, now);
         m_quotaRoom.take(*step.job, spec, static_cast<uint32_t>(plan.runs.size() - firstRun));
--- a/src/workspace_ledger.cpp
+++ b/src/workspace_ledger.cpp
@@ -2,11 +2,11 @@
 
 namespace eelgrassloft {
 
-ResourceTotals& ResourceTotals::operator+=(const Resources& size)
+ResourceTotals& ResourceTotals::add(const Resources& size, uint64_t tasks)
 {
-    processorMillis += size.processorMillis;
-    memoryMiB += size.memoryMiB;
-    accelerators += size.accelerators;
+    processorMillis += size.processorMillis * tasks;
+    memoryMiB += size.memoryMiB * tasks;
+    accelerators += size.accelerators * tasks;
     return *this;
 }
 
--- a/src/workspace_ledger.h
+++ b/src/workspace_ledger.h
@@ -12,7 +12,9 @@
     uint64_t memoryMiB = 0;
     uint64_t accelerators = 0;
 
-    ResourceTotals& operator+=(const Resources& size);
+    /// Adds the sizes of several tasks.
+    ResourceTotals& add(const Resources& size, uint64_t tasks);
+    ResourceTotals& operator+=(const Resources& size) { return add(size, 1); }
     ResourceTotals& operator-=(const Resources& size);
 
     friend bool operator==(const ResourceTotals&, const ResourceTotals&) = default;
--- a/src/workspace_room.cpp
+++ b/src/workspace_room.cpp
@@ -50,10 +50,8 @@
 void WorkspaceRoom::take(const WorkJob& job, const StepSpec& step, uint32_t tasks)
 {
     const auto found = m_rooms.find(job.workspace);
-    if (found == m_rooms.end())
-        return;
-    for (uint32_t i = 0; i < tasks; ++i)
-        found->second.used += step.size;
+    if (found != m_rooms.end())
+        found->second.used.add(step.size, tasks);
 }
 
 bool canEverFitQuota(const FleetConfig& config, const std::string& workspace, const StepSpec& step)
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -231,22 +231,26 @@
         step.remainingCriticalPath = 1s;
         return step;
     };
-    const auto keyOf = [&](const ReadyStep& step) { return TardinessCostPolicy().key(step, now); };
     const ReadyStep relaxed = stepOfJob(owed, 60s, 180s);
     const ReadyStep late = stepOfJob(owed, 0s, 20s);
     const ReadyStep lastChance = stepOfJob(owed, -18s, 2s);
     const ReadyStep expired = stepOfJob(owed, -9s, 0s);
     const ReadyStep pressing = stepOfJob(beyond, 1s, 3s);
-    BOOST_TEST((keyOf(relaxed) < keyOf(pressing)));
-    BOOST_TEST((keyOf(late) < keyOf(pressing)));
-    BOOST_TEST((keyOf(lastChance) < keyOf(late)));
-    BOOST_TEST((keyOf(pressing) < keyOf(expired)));
     ReadyStep small = relaxed;
     small.relativeWork = 0.2;
-    BOOST_TEST((keyOf(small) < keyOf(relaxed)));
     WorkJob patient;
     patient.queue.priority = 2;
-    BOOST_TEST((keyOf(relaxed) < keyOf(stepOfJob(patient, 60s, 180s))));
+    // With all steps but the last of the most urgent priority, and with none.
+    for (const uint32_t mostUrgentPriority : { 0U, 7U }) {
+        const OrderContext context { now, mostUrgentPriority };
+        const auto keyOf = [&](const ReadyStep& step) { return TardinessCostPolicy().key(step, context); };
+        BOOST_TEST((keyOf(relaxed) < keyOf(pressing)));
+        BOOST_TEST((keyOf(late) < keyOf(pressing)));
+        BOOST_TEST((keyOf(lastChance) < keyOf(late)));
+        BOOST_TEST((keyOf(pressing) < keyOf(expired)));
+        BOOST_TEST((keyOf(small) < keyOf(relaxed)));
+        BOOST_TEST((keyOf(relaxed) < keyOf(stepOfJob(patient, 60s, 180s))));
+    }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
