--- a/src/queue_policy.h
+++ b/src/queue_policy.h
@@ -29,6 +29,7 @@
 struct OrderContext {
     Time now {};
     uint32_t mostUrgentPriority = 0; ///< Of the configured queues.
+    bool hasUrgentBeyondShare = false; ///< Whether steps of that priority wait that are beyond the share of their workspace.
     bool hasReservation = false; ///< Whether workers are reserved for the step, which is a gang.
 };
 
@@ -111,7 +112,9 @@
 
 /// Parts of the order of `TardinessCostPolicy`.
 enum class OrderGroup : uint8_t {
-    MostUrgent, ///< Of the most urgent priority, also beyond a share, which goes behind what is owed there.
+    MostUrgent, ///< Owed, of the most urgent priority.
+    Pressing, ///< Owed and soon past a limit, while urgent steps beyond a share wait.
+    UrgentBeyondShare, ///< Of the most urgent priority.
     Reserved, ///< Owed gangs with a reservation, so that smaller steps do not take what becomes free for them.
     Others,
     PastLimit,
@@ -120,7 +123,7 @@
 
 constexpr NameTable<OrderGroup> nameTable(OrderGroup)
 {
-    constexpr NameTable<OrderGroup> table { "most-urgent", "reserved", "others", "past-limit" };
+    constexpr NameTable<OrderGroup> table { "most-urgent", "pressing", "urgent-beyond-share", "reserved", "others", "past-limit" };
     static_assert(detail::isComplete<OrderGroup>(table));
     return table;
 }
@@ -161,14 +164,28 @@
     /// Group of a step that can be done before its late limit.
     static OrderGroup groupInTime(const ReadyStep& step, const OrderContext& context)
     {
+        const bool isOwed = !step.job->isBeyondShare;
         if (step.job->queue.priority == context.mostUrgentPriority)
-            return OrderGroup::MostUrgent;
-        return context.hasReservation && !step.job->isBeyondShare ? OrderGroup::Reserved : OrderGroup::Others;
+            return isOwed ? OrderGroup::MostUrgent : OrderGroup::UrgentBeyondShare;
+        if (!isOwed)
+            return OrderGroup::Others;
+        if (context.hasUrgentBeyondShare && isPressing(step, context.now))
+            return OrderGroup::Pressing;
+        return context.hasReservation ? OrderGroup::Reserved : OrderGroup::Others;
+    }
+
+    /// Whether the step has little slack left until its next limit.
+    static bool isPressing(const ReadyStep& step, Time now)
+    {
+        const Time earliest = now + step.remainingCriticalPath;
+        const Time limit = earliest <= step.objective ? step.objective : step.lateLimit;
+        return limit - earliest <= (step.lateLimit - step.objective) / pressingDivisor;
     }
 
     static constexpr double lateValue = 0.25; ///< Of a result after its objective, against one in time.
     static constexpr double baseValue = 0.2; ///< Part of a usual job's value that does not depend on its work.
     static constexpr int lastChanceDivisor = 4; ///< Of the time between the objective and the late limit, in whose last part a late job counts in full.
+    static constexpr int pressingDivisor = 8; ///< Of the same time. A quarter of the time allowed leaves enough to wait for capacity.
     static constexpr double leastWork = 0.02; ///< Against the usual work of a queue; estimates may be far too low.
     static constexpr double lookahead = 12; ///< Slack, in critical paths, at which the cost is 1/e of that without slack.
     static constexpr double urgencyGain = 9; ///< By which a job of priority 0 counts more than one of the lowest priority.
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -28,7 +28,7 @@
         plan.examinedJobs = m_ready.update(table, now);
         plan.nextDue = m_ready.nextDue();
         std::deque<ReadyStep> partlyInFlight;
-        const auto steps = sortedSteps({ now, mostUrgentPriority(table.config()) }, inFlight, partlyInFlight);
+        const auto steps = sortedSteps(orderContext(table.config(), now), inFlight, partlyInFlight);
         CapacityView capacityView(workerViews, now);
         capacityView.markReserved(m_reserved);
         m_isolation.begin(workerViews, capacityView, now < m_roomLackedUntil, now);
@@ -71,12 +71,16 @@
 
     using SortedSteps = std::vector<std::pair<typename Policy::Key, const ReadyStep*>>;
 
-    static uint32_t mostUrgentPriority(const FleetConfig& config)
+    OrderContext orderContext(const FleetConfig& config, Time now) const
     {
-        uint32_t priority = std::numeric_limits<uint32_t>::max();
+        OrderContext context { now, std::numeric_limits<uint32_t>::max() };
         for (const QueueSpec& queue : config.queues)
-            priority = std::min(priority, queue.priority);
-        return priority;
+            context.mostUrgentPriority = std::min(context.mostUrgentPriority, queue.priority);
+        m_ready.forEach([&](const ReadyStep& step) {
+            const bool isInTime = now + step.remainingCriticalPath <= step.lateLimit;
+            context.hasUrgentBeyondShare |= isInTime && step.job->isBeyondShare && step.job->queue.priority == context.mostUrgentPriority;
+        });
+        return context;
     }
 
     /// The waiting steps in the order of the policy. Tasks in `inFlight`, whose placement is proposed
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -95,6 +95,73 @@
     uint32_t m_gangs = 0;
 };
 
+/// Two workspaces on a fleet of 6 workers, without the advice service, so that only shares and order matter.
+template <typename Planner>
+struct SharedDesk : PlannerFleet<Planner> {
+    using Base = PlannerFleet<Planner>;
+
+    /// Jobs a second; by queue, a third of the fleet's capacity for the owner and half as much again as all of it for the others.
+    struct Rates {
+        double owed = 0;
+        double flood = 0;
+    };
+
+    SharedDesk(const std::string& owedQueue, const std::string& floodedQueue, uint64_t seed)
+        : Base({ 6, 0, seed }, configOf(ratesOf(owedQueue).owed, ratesOf(floodedQueue).owed))
+        , m_owedQueue(owedQueue)
+        , m_floodedQueue(floodedQueue)
+    {
+    }
+
+    /// The others send more than the fleet can take for the whole time; the owner sends its share if it is active.
+    void load(Duration duration, bool isOwnerActive)
+    {
+        for (Duration done {}; done < duration; done += 100ms) {
+            if (isOwnerActive)
+                submit(m_owedQueue, "owner", ratesOf(m_owedQueue).owed, m_owedArrivals);
+            submit(m_floodedQueue, "others", ratesOf(m_floodedQueue).flood, m_floodArrivals);
+            Base::run(100ms);
+        }
+    }
+
+    typename Base::Served servedOwner() const
+    {
+        return Base::servedIf([](const WorkJob& job) { return job.workspace == "owner"; });
+    }
+
+private:
+    static Rates ratesOf(const std::string& queue)
+    {
+        return queue == "urgent" ? Rates { 4, 18 } : queue == "gangs" ? Rates { 0.25, 1.2 }
+                                                                      : Rates { 0.45, 2 };
+    }
+
+    static FleetConfig configOf(double ownersWeight, double othersWeight)
+    {
+        FleetConfig config = configOfDesk();
+        for (QueueSpec& queue : config.queues)
+            queue.advice.reset();
+        config.workspaces = { { "owner", { "owner-key" }, ownersWeight, {} }, { "others", { "others-key" }, othersWeight, {} } };
+        return config;
+    }
+
+    void submit(const std::string& queue, const std::string& workspace, double perSecond, double& arrivals)
+    {
+        for (arrivals += perSecond / 10; arrivals >= 1; arrivals -= 1) {
+            StepSpec step = queue == "urgent" ? stepOf(2, 3900, 1s) : queue == "gangs" ? stepOf(6, 4500, 4s)
+                                                                                       : stepOf(8, 2700, 3400ms);
+            step.isGang = queue == "gangs";
+            step.canCheckpoint = queue == "filling";
+            Base::submit(queue, step, workspace);
+        }
+    }
+
+    std::string m_owedQueue;
+    std::string m_floodedQueue;
+    double m_owedArrivals = 0;
+    double m_floodArrivals = 0;
+};
+
 using Baseline = WorkPlanner<DeadlinePolicy, ExhaustiveGangAdvice, UnknownForecast>;
 using StrictPriorities = WorkPlanner<LastChancePolicy, SufficientGangAdvice, ProgressForecast>;
 using Current = WorkPlanner<TardinessCostPolicy, SufficientGangAdvice, ProgressForecast>;
@@ -253,4 +320,41 @@
     }
 }
 
+/// A workspace that had been idle had to wait until all that others had borrowed of its share was done. It has to
+/// wait for one of their tasks at most, as no task is stopped for it.
+BOOST_AUTO_TEST_CASE(borrowedShareIsBackWithinAShortTask)
+{
+    for (const auto& [flooded, task] : { std::pair { "urgent", 1s }, { "filling", 1s }, { "gangs", 4s } }) {
+        SharedDesk<Current> desk("urgent", flooded, 1);
+        desk.load(8s, false);
+        desk.load(6s, true);
+        const auto served = desk.servedOwner();
+        BOOST_TEST_MESSAGE("share borrowed by " << flooded << ": waited up to " << desk.longestWait("owner") / 1ms << " ms");
+        BOOST_TEST_CONTEXT("flooded queue " << flooded)
+        {
+            BOOST_TEST(served.total() > 20U);
+            BOOST_TEST((desk.longestWait("owner") <= task));
+        }
+    }
+}
+
+/// Work of others beyond their share in the most urgent queue took all capacity for as long as they sent more
+/// than the fleet could take, and the owed work of other queues was never started in time.
+BOOST_AUTO_TEST_CASE(noWorkspaceStarvesWhileOthersOverloadTheFleet)
+{
+    for (const char* owed : { "urgent", "gangs", "filling" }) {
+        for (const char* flooded : { "urgent", "filling" }) {
+            SharedDesk<Current> desk(owed, flooded, 1);
+            desk.load(40s, true);
+            const auto served = desk.servedIf([&](const WorkJob& job) { return job.workspace == "owner" && objectiveOf(job) * 2 <= desk.now() - job.submittedAt; });
+            BOOST_TEST_MESSAGE("owed " << owed << " beside a flood of " << flooded << ": in time " << served.inTime << ", late " << served.late << " of " << served.total());
+            BOOST_TEST_CONTEXT("owed " << owed << ", flooded " << flooded)
+            {
+                BOOST_TEST(served.total() > 0U);
+                BOOST_TEST(served.servedShare() >= 0.9);
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/planner_fleet.h
+++ b/tests/support/planner_fleet.h
@@ -58,10 +58,10 @@
     /// Sets the percentage of the workers that the service allows for steps of the queue.
     void setAllowedPercent(const std::string& queue, uint32_t percent) { m_allowedPercent[queue] = percent; }
 
-    JobKey submit(const std::string& queue, StepSpec step)
+    JobKey submit(const std::string& queue, StepSpec step, const std::string& workspace = {})
     {
         const JobKey key { m_nextJob++ };
-        m_table.apply(m_now, SubmitWork { key, queue, { "text", { std::move(step) }, 0, {}, {} } });
+        m_table.apply(m_now, SubmitWork { key, queue, { "text", { std::move(step) }, 0, {}, {} }, workspace });
         return key;
     }
 
@@ -114,6 +114,17 @@
         return served;
     }
 
+    /// The longest time that a job of the workspace waited for its first placement, or waits for it.
+    Duration longestWait(const std::string& workspace) const
+    {
+        Duration longest {};
+        for (const auto& [key, job] : m_table.jobs()) {
+            if (job.workspace == workspace)
+                longest = std::max(longest, (job.startedAt == Time {} ? m_now : job.startedAt) - job.submittedAt);
+        }
+        return longest;
+    }
+
     Time now() const { return m_now; }
     Random& random() { return m_random; }
     size_t adviceCalls(uint32_t priority) const { return countAt(m_adviceCalls, priority); }
