--- a/src/queue_policy.h
+++ b/src/queue_policy.h
@@ -20,28 +20,32 @@
     double remainingWork = 0; ///< Estimated processor time of the job's tasks from this step on that are not done; only compared.
     double relativeWork = 1; ///< Estimated processor time of the whole job against the usual one of its queue.
     double remainingShare = 1; ///< Part of the job's work that `remainingWork` is.
+    bool canFitQuota = true; ///< Whether the step can ever run within the quota of its workspace.
 
     const StepSpec& spec() const { return job->work.steps[step.step]; }
 };
 
-/// Order in which waiting steps are placed: lowest key first. `hasStrictPriorities` tells whether a step
-/// always goes before those of less urgent queues that have not lost their value.
+/// What the place of a step in the order depends on beside the step itself.
+struct OrderContext {
+    Time now {};
+    uint32_t mostUrgentPriority = 0; ///< Of the configured queues.
+    bool hasUrgentBeyondShare = false; ///< Whether steps of that priority wait that are beyond the share of their workspace.
+    bool hasReservation = false; ///< Whether workers are reserved for the step, which is a gang.
+};
+
+/// Order in which waiting steps are placed: lowest key first.
 template <typename T>
-concept QueuePolicy = requires(const T policy, const ReadyStep& step, Time now)
+concept QueuePolicy = requires(const T policy, const ReadyStep& step, const OrderContext& context)
 {
     {
-        T::hasStrictPriorities
-        } -> std::convertible_to<bool>;
-    {
-        policy.key(step, now)
+        policy.key(step, context)
         } -> std::totally_ordered;
 };
 
 /// Baseline policy: first come, first served within a priority.
 struct ArrivalPolicy {
-    static constexpr bool hasStrictPriorities = true;
     using Key = std::pair<uint32_t, Time>;
-    Key key(const ReadyStep& step, Time) const { return { step.job->queue.priority, step.job->submittedAt }; }
+    Key key(const ReadyStep& step, const OrderContext&) const { return { step.job->queue.priority, step.job->submittedAt }; }
 };
 
 /// Policy for bursts beyond the fleet's capacity. Jobs past their late limit have lost their value
@@ -49,8 +53,6 @@
 /// objective go first, by least slack; late jobs follow by least remaining work, so that as many as
 /// possible finish before their limit.
 struct DeadlinePolicy {
-    static constexpr bool hasStrictPriorities = true;
-
     struct Key {
         bool isPastLimit = false;
         uint32_t priority = 0;
@@ -60,9 +62,9 @@
         friend auto operator<=>(const Key&, const Key&) = default;
     };
 
-    Key key(const ReadyStep& step, Time now) const
+    Key key(const ReadyStep& step, const OrderContext& context) const
     {
-        const Time earliest = now + step.remainingCriticalPath;
+        const Time earliest = context.now + step.remainingCriticalPath;
         const bool isLate = earliest > step.objective;
         const double slack = static_cast<double>((step.objective - earliest).count());
         return { earliest > step.lateLimit, step.job->queue.priority, isLate, isLate ? step.remainingWork : slack };
@@ -73,8 +75,6 @@
 /// smaller late ones until their results have lost their value. A late job goes first again once its
 /// late limit is near.
 struct LastChancePolicy {
-    static constexpr bool hasStrictPriorities = true;
-
     enum class Chance : uint8_t {
         Last, ///< Late, and soon past its limit.
         InTime,
@@ -91,9 +91,9 @@
         friend auto operator<=>(const Key&, const Key&) = default;
     };
 
-    Key key(const ReadyStep& step, Time now) const
+    Key key(const ReadyStep& step, const OrderContext& context) const
     {
-        const Time earliest = now + step.remainingCriticalPath;
+        const Time earliest = context.now + step.remainingCriticalPath;
         const auto rank = [](Duration slack) { return static_cast<double>(slack.count()); };
         const uint32_t priority = step.job->queue.priority;
         if (earliest <= step.objective)
@@ -110,6 +110,24 @@
     static constexpr int lastChanceDivisor = 4; ///< Of the time between the objective and the late limit.
 };
 
+/// Parts of the order of `TardinessCostPolicy`.
+enum class OrderGroup : uint8_t {
+    MostUrgent, ///< Owed, of the most urgent priority.
+    Pressing, ///< Owed and soon past a limit, while urgent steps beyond a share wait.
+    UrgentBeyondShare, ///< Of the most urgent priority.
+    Reserved, ///< Owed gangs with a reservation, so that smaller steps do not take what becomes free for them.
+    Others,
+    PastLimit,
+    Count
+};
+
+constexpr NameTable<OrderGroup> nameTable(OrderGroup)
+{
+    constexpr NameTable<OrderGroup> table { "most-urgent", "pressing", "urgent-beyond-share", "reserved", "others", "past-limit" };
+    static_assert(detail::isComplete<OrderGroup>(table));
+    return table;
+}
+
 /// Policy for overload by several queues at once, where strict priorities let the last one pay for the
 /// bursts of all others. Orders by apparent tardiness cost (Vepsalainen and Morton, 1987): what the caller
 /// loses if the job misses its next limit, for the work that it still needs, discounted while there is
@@ -118,22 +136,20 @@
 /// go last. No job waits for ever: the cost of one rises until its late limit, and those past it go by their
 /// remaining work.
 struct TardinessCostPolicy {
-    static constexpr bool hasStrictPriorities = false;
-
     struct Key {
-        bool isPastLimit = false;
+        OrderGroup group = OrderGroup::Others;
         bool isBeyondShare = false;
         double rank = 0;
 
         friend auto operator<=>(const Key&, const Key&) = default;
     };
 
-    Key key(const ReadyStep& step, Time now) const
+    Key key(const ReadyStep& step, const OrderContext& context) const
     {
-        const Time earliest = now + step.remainingCriticalPath;
+        const Time earliest = context.now + step.remainingCriticalPath;
         const bool isBeyondShare = step.job->isBeyondShare;
         if (earliest > step.lateLimit)
-            return { true, isBeyondShare, step.remainingWork };
+            return { OrderGroup::PastLimit, isBeyondShare, step.remainingWork };
         const bool isInTime = earliest <= step.objective;
         const Time limit = isInTime ? step.objective : step.lateLimit;
         const bool isLastChance = !isInTime && limit - earliest <= (step.lateLimit - step.objective) / lastChanceDivisor;
@@ -141,13 +157,35 @@
         const double work = std::max(step.relativeWork * step.remainingShare, leastWork);
         const double slack = std::chrono::duration<double>(limit - earliest).count();
         const double horizon = lookahead * std::chrono::duration<double>(std::max(step.remainingCriticalPath, shortestPath)).count();
-        return { false, isBeyondShare, -value / work * std::exp(-slack / horizon) };
+        return { groupInTime(step, context), isBeyondShare, -value / work * std::exp(-slack / horizon) };
     }
 
 private:
+    /// Group of a step that can be done before its late limit.
+    static OrderGroup groupInTime(const ReadyStep& step, const OrderContext& context)
+    {
+        const bool isOwed = !step.job->isBeyondShare;
+        if (step.job->queue.priority == context.mostUrgentPriority)
+            return isOwed ? OrderGroup::MostUrgent : OrderGroup::UrgentBeyondShare;
+        if (!isOwed)
+            return OrderGroup::Others;
+        if (context.hasUrgentBeyondShare && isPressing(step, context.now))
+            return OrderGroup::Pressing;
+        return context.hasReservation ? OrderGroup::Reserved : OrderGroup::Others;
+    }
+
+    /// Whether the step has little slack left until its next limit.
+    static bool isPressing(const ReadyStep& step, Time now)
+    {
+        const Time earliest = now + step.remainingCriticalPath;
+        const Time limit = earliest <= step.objective ? step.objective : step.lateLimit;
+        return limit - earliest <= (step.lateLimit - step.objective) / pressingDivisor;
+    }
+
     static constexpr double lateValue = 0.25; ///< Of a result after its objective, against one in time.
     static constexpr double baseValue = 0.2; ///< Part of a usual job's value that does not depend on its work.
     static constexpr int lastChanceDivisor = 4; ///< Of the time between the objective and the late limit, in whose last part a late job counts in full.
+    static constexpr int pressingDivisor = 8; ///< Of the same time. A quarter of the time allowed leaves enough to wait for capacity.
     static constexpr double leastWork = 0.02; ///< Against the usual work of a queue; estimates may be far too low.
     static constexpr double lookahead = 12; ///< Slack, in critical paths, at which the cost is 1/e of that without slack.
     static constexpr double urgencyGain = 9; ///< By which a job of priority 0 counts more than one of the lowest priority.
--- a/src/worker_views.cpp
+++ b/src/worker_views.cpp
@@ -48,10 +48,10 @@
     workerView.reportSequence = record.reportSequence;
     // Once the worker has responded to the new fencing token, each run that an earlier leader placed
     // is running, has ended, or can't start any more.
-    for (const TaskRun& run : record.runs) {
-        RunView runView = initialRunView(table, run.task, {});
+    for (const PlacedRun& placed : record.runs) {
+        const TaskRun& run = placed.run;
+        RunView runView = initialRunView(table, run.task, placed.size);
         runView.phase = RunPhase::Running;
-        runView.isInherited = true;
         runView.confirmedAt = runView.progressAt = runView.placedAt = now - config::pollInterval;
         runView.isStopRequested = !table.isCurrentRun(run);
         workerView.addRun(run, std::move(runView));
@@ -193,7 +193,7 @@
         }
         if (listed.percent != run.percent || !run.isReported)
             run.progressAt = now;
-        run.isReported = true;
+        run.isReported = run.hasStarted = true;
         run.percent = listed.percent;
         if (!listed.checkpoint.empty())
             run.checkpoint = listed.checkpoint;
