--- a/src/control_node.h
+++ b/src/control_node.h
@@ -414,17 +414,22 @@
     {
         const WorkerNumber number = table().findWorker(request.info.id);
         const FleetWorker* record = number.isValid() ? table().worker(number) : nullptr;
-        const bool isOutdated = record && record->info.startedAtMs == request.info.startedAtMs && !m_dispatcher.noteWorkerReport(number, request.sequence, step.now);
+        const FleetConfig& config = table().config();
+        const bool isKnownIncarnation = record && record->info.startedAtMs == request.info.startedAtMs;
+        const bool isPoolKnown = !config.version || config.pool(request.info.pool);
+        const bool changesPool = isKnownIncarnation && record->info.pool != request.info.pool;
+        if (!isPoolKnown && (changesPool || table().displacesWorker(request.info))) {
+            sendReply(step, to, { ControlStatus::UnknownQueue, {}, 0, {} });
+            return;
+        }
+        // The number of a report with an unknown pool, which came before the worker's own, says nothing.
+        const bool isCorrection = changesPool && !config.pool(record->info.pool);
+        const bool isOutdated = isKnownIncarnation && !m_dispatcher.noteWorkerReport(number, request.sequence, step.now, isCorrection);
         if (isOutdated || (record && record->info == request.info)) {
             m_counters.add(FleetCounter::ReportsOutdated, isOutdated);
             sendReply(step, to, {});
             return;
         }
-        const FleetConfig& config = table().config();
-        if (config.version && !config.pool(request.info.pool) && table().displacesWorker(request.info)) {
-            sendReply(step, to, { ControlStatus::UnknownQueue, {}, 0, {} });
-            return;
-        }
         m_dispatcher.endFormerIncarnations(step.now, request.info);
         proposeDispatcherCommands(step);
         propose(step, SetFleetWorker { request.info, request.sequence }, to);
--- a/src/worker_dispatcher.h
+++ b/src/worker_dispatcher.h
@@ -38,8 +38,8 @@
     /// the report itself.
     void endFormerIncarnations(Time now, const WorkerInfo& info);
     /// Notes a report of a worker, changed or not. Returns false if it was sent before one that arrived
-    /// earlier, and tells nothing new.
-    bool noteWorkerReport(WorkerNumber number, uint64_t sequence, Time now) { return m_workerViews.noteReport(number, sequence, now); }
+    /// earlier, and tells nothing new. A correction replaces what was reported under any number.
+    bool noteWorkerReport(WorkerNumber number, uint64_t sequence, Time now, bool isCorrection) { return m_workerViews.noteReport(number, sequence, now, isCorrection); }
 
     /// Notes that ends of a worker are durable; the next poll acknowledges them.
     void didRecordEnds(WorkerNumber number, Time now) { m_workerViews.schedule(now, number); }
--- a/src/worker_views.cpp
+++ b/src/worker_views.cpp
@@ -83,12 +83,12 @@
     }
 }
 
-bool WorkerViews::noteReport(WorkerNumber number, uint64_t sequence, Time now)
+bool WorkerViews::noteReport(WorkerNumber number, uint64_t sequence, Time now, bool isCorrection)
 {
     WorkerView* known = find(number);
     if (!known)
         return true;
-    if (sequence < known->reportSequence && now < known->lastReport + config::maxReportDelay)
+    if (!isCorrection && sequence < known->reportSequence && now < known->lastReport + config::maxReportDelay)
         return false;
     known->reportSequence = sequence;
     known->lastReport = now;
--- a/src/worker_views.h
+++ b/src/worker_views.h
@@ -18,8 +18,8 @@
     /// Updates the views after some workers joined, changed or were removed.
     void update(const WorkTable& table, Time now);
     /// Notes a report of a worker, changed or not. Returns false if it was sent before one that arrived
-    /// earlier, and tells nothing new.
-    bool noteReport(WorkerNumber number, uint64_t sequence, Time now);
+    /// earlier, and tells nothing new. A correction replaces what was reported under any number.
+    bool noteReport(WorkerNumber number, uint64_t sequence, Time now, bool isCorrection);
 
     /// The view of a worker, or null if there is none.
     WorkerView* find(WorkerNumber number);
--- a/tests/worker_capacity_test.cpp
+++ b/tests/worker_capacity_test.cpp
@@ -166,4 +166,39 @@
     BOOST_TEST((fleet.table().worker(fleet.table().findWorker(healthy.id))->info == healthy));
 }
 
+/// With the worker's own start time it took the worker out of use, and its high number made the worker's own
+/// reports count as outdated.
+BOOST_AUTO_TEST_CASE(entryOfAnUnknownServiceTakesNoWorkerOutOfUse)
+{
+    Fleet fleet;
+    const WorkerInfo healthy = fleet.record().info;
+    WorkerInfo odd = healthy;
+    odd.pool = "other";
+    BOOST_TEST((fleet.report(odd, 1'000'000) == ControlStatus::UnknownQueue));
+    BOOST_TEST((fleet.record().info == healthy));
+    fleet.setCapacity(0, { 4000, 8000, 0 });
+    BOOST_TEST(fleet.runUntil(2s, [&] { return fleet.record().info.capacity == Resources { 4000, 8000, 0 }; }));
+}
+
+/// One that comes before the worker's first own report delayed the worker's registration by `maxReportDelay`.
+BOOST_AUTO_TEST_CASE(firstReportCountsAfterAnEntryOfAnUnknownService)
+{
+    Fleet fleet;
+    WorkerInfo odd = fleet.record().info;
+    odd.id = "next";
+    odd.address = "10.0.0.200:1";
+    odd.machine = "";
+    odd.pool = "other";
+    BOOST_TEST((fleet.report(odd, 1'000'000) == ControlStatus::Ok));
+    WorkerInfo genuine = odd;
+    genuine.pool = fleet.record().info.pool;
+    BOOST_TEST((fleet.report(genuine, 1) == ControlStatus::Ok));
+    const auto found = [&] { return fleet.table().worker(fleet.table().findWorker("next")); };
+    BOOST_REQUIRE(found());
+    BOOST_TEST((found()->info == genuine));
+    genuine.capacity = { 4000, 8000, 0 };
+    BOOST_TEST((fleet.report(genuine, 2) == ControlStatus::Ok));
+    BOOST_TEST((found()->info == genuine));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
