Raise the fence of orders with each incarnation of a worker

A start without an answer was carried out seconds later by the worker's next incarnation, which the leader had called before.

Cause: all incarnations of a worker were sent one fence, the term. Now it is the term, then the number that the log gives each incarnation. The first call to a new incarnation, which follows the commit of its first report at once, makes it refuse late orders to the former one. For one worker neither part falls, as a new leader has applied all registrations; up to a term of 2^27 the fence is below 2^53.

Tests: FenceTests/fenceRisesWithTheIncarnationAndTheTerm, on the code before: "order.fencingToken > highest has failed [1 <= 1]", and so for each incarnation; passes now. newIncarnationIsPolledAtOnce passed before as well.

--- a/src/worker_dispatcher.cpp
+++ b/src/worker_dispatcher.cpp
@@ -1,15 +1,16 @@
 #include "worker_dispatcher.h"
 
 #include "hash.h"
+#include "worker_fence.h"
 
 #include <algorithm>
 
 namespace eelgrassloft {
 
-void WorkerDispatcher::start(const WorkTable& table, Time now, uint64_t fencingToken)
+void WorkerDispatcher::start(const WorkTable& table, Time now, uint64_t term)
 {
     stop();
-    m_fencingToken = fencingToken;
+    m_term = term;
     m_workerViews.start(table, now, m_settings.maxLease);
 }
 
@@ -295,7 +296,7 @@
 void WorkerDispatcher::logRun(FleetStep& step, LogEventKind kind, const WorkerView& workerView, const TaskRun& run, std::string_view reason)
 {
     const TaskRef& task = run.task;
-    step.log(kind, { { "job", hexText(task.job.value) }, { "step", std::to_string(task.step) }, { "task", std::to_string(task.index) }, { "attempt", std::to_string(run.attempt) }, { "worker", workerView.info.id }, { "reason", std::string(reason) }, { "fence", std::to_string(m_fencingToken) } });
+    step.log(kind, { { "job", hexText(task.job.value) }, { "step", std::to_string(task.step) }, { "task", std::to_string(task.index) }, { "attempt", std::to_string(run.attempt) }, { "worker", workerView.info.id }, { "reason", std::string(reason) }, { "fence", std::to_string(workerFence(m_term, workerView.number)) } });
 }
 
 void WorkerDispatcher::requeueAll(WorkerView& workerView, Time now)
@@ -447,7 +448,7 @@
 
 void WorkerDispatcher::send(FleetStep& step, const WorkerView& workerView, const PendingWorkerCall& call, WorkerOrder order)
 {
-    order.fencingToken = m_fencingToken;
+    order.fencingToken = workerFence(m_term, workerView.number);
     if (m_calls.send(step, workerView.info, m_workerViews.all().size(), call, std::move(order)))
         m_counters.add(FleetCounter::CallsRelayed);
 }
--- a/src/worker_dispatcher.h
+++ b/src/worker_dispatcher.h
@@ -21,8 +21,8 @@
     {
     }
 
-    /// Begins a term of leadership with a new fencing token.
-    void start(const WorkTable& table, Time now, uint64_t fencingToken);
+    /// Begins a term of leadership, whose orders have higher fencing tokens than those of former ones.
+    void start(const WorkTable& table, Time now, uint64_t term);
     void stop();
 
     /// Updates the views of the workers after some joined, changed or were removed.
@@ -100,7 +100,7 @@
     bool needsPoll(const WorkTable& table, const WorkerView& workerView) const;
 
     FleetSettings m_settings;
-    uint64_t m_fencingToken = 0;
+    uint64_t m_term = 0;
     WorkerViews m_workerViews;
     WorkerCalls m_calls;
     std::vector<WorkCommand> m_commands;
--- a/tests/worker_restart_test.cpp
+++ b/tests/worker_restart_test.cpp
@@ -1,6 +1,7 @@
 #include "support/fleet_cluster.h"
 #include "support/fleet_config.h"
 #include "support/worker_dispatcher_fixture.h"
+#include "worker_fence.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -226,6 +227,54 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(FenceTests)
+
+/// All incarnations of a worker were sent one fence, so that the next one carried out late orders to the former.
+BOOST_AUTO_TEST_CASE(fenceRisesWithTheIncarnationAndTheTerm)
+{
+    WorkerDispatcherFixture fixture;
+    uint64_t highest = 0;
+    const auto checkRise = [&](const WorkerOrder& order) {
+        BOOST_TEST(order.fencingToken > highest);
+        highest = order.fencingToken;
+    };
+    fixture.place(1);
+    fixture.commit();
+    BOOST_REQUIRE(fixture.ordersOf(OrderKind::Start).size() == 1U);
+    checkRise(fixture.ordersOf(OrderKind::Start).front().order);
+    for (int i = 0; i < 3; ++i) {
+        fixture.restartWorker();
+        fixture.reportWorker();
+        checkRise(fixture.lastPoll());
+        fixture.changeLeader();
+        checkRise(fixture.lastPoll());
+    }
+}
+
+/// The first call to a new incarnation is what makes it refuse the orders to the former one.
+BOOST_AUTO_TEST_CASE(newIncarnationIsPolledAtOnce)
+{
+    WorkerDispatcherFixture fixture;
+    fixture.advance(1s);
+    const size_t polls = fixture.ordersOf(OrderKind::Poll).size();
+    fixture.restartWorker();
+    fixture.reportWorker();
+    BOOST_TEST(fixture.ordersOf(OrderKind::Poll).size() == polls + 1);
+}
+
+/// Workers that hold numbers as floating-point ones would take different fences for the same.
+BOOST_AUTO_TEST_CASE(fencesAreExactAndOrderedByTermThenWorker)
+{
+    constexpr uint64_t exactBits = 53;
+    const auto fence = [](uint64_t term, uint32_t number) { return workerFence(term, WorkerNumber { number }); };
+    BOOST_TEST(fence(1, 2) > fence(1, 1));
+    BOOST_TEST(fence(2, 1) > fence(1, 50'000'000));
+    BOOST_TEST(fence(3, 2) > fence(2, 2));
+    BOOST_TEST(fence(100'000'000, std::numeric_limits<uint32_t>::max()) < uint64_t { 1 } << exactBits);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(LateStartTests)
 
 /// A copy of a start that was sent again is carried out by the next incarnation, after the run has ended.
