--- a/tests/http_listener_test.cpp
+++ b/tests/http_listener_test.cpp
@@ -98,18 +98,22 @@
         return sent;
     }
 
-    /// Waits for `count` responses, or the end of the connection. Returns the status of the last one.
-    unsigned receive(size_t count = 1)
+    /// Waits for `count` responses, or the end of the connection, and pauses after each read. Returns the status
+    /// of the last one.
+    unsigned receive(size_t count = 1, Duration pause = 1ms)
     {
         unsigned status = 0;
         for (int tries = 0; count && !m_isEnded && tries < 3000; ++tries) {
             status = takeResponse(count).value_or(status);
             if (count)
-                read();
+                read(pause);
         }
         return status;
     }
 
+    /// Neither sends nor reads for some time.
+    void pause(Duration duration) { m_context.run_for(duration); }
+
     /// Whether the listener has closed the connection.
     bool isClosed()
     {
@@ -121,14 +125,14 @@
     const std::string& body() const { return m_body; }
 
 private:
-    void read()
+    void read(Duration pause = 1ms)
     {
         std::array<char, 65536> buffer;
         error_code error;
         const size_t bytes = m_sockets.far.read_some(asio::buffer(buffer), error);
         m_received.append(buffer.data(), bytes);
         m_isEnded = error && error != asio::error::would_block;
-        m_context.run_for(1ms);
+        m_context.run_for(pause);
     }
 
     std::optional<unsigned> takeResponse(size_t& count)
@@ -396,4 +400,66 @@
     BOOST_TEST(fixture.shed(ShedReason::SlowHeader) == 1U);
 }
 
+/// A client that stopped in the middle of a body held its connection and its memory for good.
+BOOST_AUTO_TEST_CASE(bodyThatStallsIsClosed)
+{
+    for (const std::string& request : { post("/echo", 100000, std::string(50000, 'x')), post("/echo", 1000), chunkedHeader + chunk(std::string(50000, 'x')), chunkedHeader + "ff\r\nx" }) {
+        Fixture fixture({}, 200ms);
+        Client client(fixture);
+        client.send(request);
+        BOOST_TEST(fixture.budget.connections(ListenerKind::Callers) == 1U);
+        client.pause(500ms);
+        BOOST_TEST(client.isClosed());
+        BOOST_TEST(fixture.shed(ShedReason::SlowBody) == 1U);
+        BOOST_TEST(fixture.api.requests == 0U);
+        BOOST_TEST(fixture.budget.connections(ListenerKind::Callers) == 0U);
+        BOOST_TEST(fixture.budget.bytes(ListenerKind::Callers) == 0U);
+    }
+}
+
+/// The limit holds for a pause, and not for a whole body: a legal one over a slow link takes longer.
+BOOST_AUTO_TEST_CASE(bodyThatMovesIsServedHoweverLongItTakes)
+{
+    Fixture fixture({}, 500ms);
+    Client client(fixture);
+    client.send(post("/echo", 20));
+    for (int i = 0; i < 20; ++i) {
+        client.pause(60ms);
+        client.send("x");
+    }
+    BOOST_TEST(client.receive() == 200U);
+    BOOST_TEST(client.body().size() == 20U);
+    BOOST_TEST(fixture.shed(ShedReason::SlowBody) == 0U);
+}
+
+/// A client that did not read its responses held them in memory for good.
+BOOST_AUTO_TEST_CASE(readerThatStallsIsClosed)
+{
+    Fixture fixture({}, 200ms);
+    Client client(fixture);
+    std::string requests;
+    for (int i = 0; i < 50; ++i)
+        requests += get("/large"); // More than the sockets' buffers hold.
+    client.send(requests);
+    client.pause(800ms);
+    BOOST_TEST(fixture.shed(ShedReason::SlowReader) == 1U);
+    BOOST_TEST(fixture.api.requests < 50U);
+    BOOST_TEST(fixture.budget.connections(ListenerKind::Callers) == 0U);
+    BOOST_TEST(fixture.budget.bytes(ListenerKind::Callers) == 0U);
+    BOOST_TEST(fixture.listener.inFlight() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(readerThatGoesOnIsServedHoweverLongItTakes)
+{
+    Fixture fixture({}, 500ms);
+    Client client(fixture);
+    std::string requests;
+    for (int i = 0; i < 16; ++i)
+        requests += get("/large");
+    client.send(requests);
+    BOOST_TEST(client.receive(16, 5ms) == 200U);
+    BOOST_TEST(fixture.api.requests == 16U);
+    BOOST_TEST(fixture.shed(ShedReason::SlowReader) == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
