--- a/src/worker_dispatcher.h
+++ b/src/worker_dispatcher.h
@@ -21,8 +21,8 @@
     {
     }
 
-    /// Begins a term of leadership with a new fencing token.
-    void start(const WorkTable& table, Time now, uint64_t fencingToken);
+    /// Begins a term of leadership, whose orders have higher fencing tokens than those of former ones.
+    void start(const WorkTable& table, Time now, uint64_t term);
     void stop();
 
     /// Updates the views of the workers after some joined, changed or were removed.
@@ -38,8 +38,8 @@
     /// the report itself.
     void endFormerIncarnations(Time now, const WorkerInfo& info);
     /// Notes a report of a worker, changed or not. Returns false if it was sent before one that arrived
-    /// earlier, and tells nothing new.
-    bool noteWorkerReport(WorkerNumber number, uint64_t sequence, Time now) { return m_workerViews.noteReport(number, sequence, now); }
+    /// earlier, and tells nothing new. A correction replaces what was reported under any number.
+    bool noteWorkerReport(WorkerNumber number, uint64_t sequence, Time now, bool isCorrection) { return m_workerViews.noteReport(number, sequence, now, isCorrection); }
 
     /// Notes that ends of a worker are durable; the next poll acknowledges them.
     void didRecordEnds(WorkerNumber number, Time now) { m_workerViews.schedule(now, number); }
@@ -100,7 +100,7 @@
     bool needsPoll(const WorkTable& table, const WorkerView& workerView) const;
 
     FleetSettings m_settings;
-    uint64_t m_fencingToken = 0;
+    uint64_t m_term = 0;
     WorkerViews m_workerViews;
     WorkerCalls m_calls;
     std::vector<WorkCommand> m_commands;
