Move the decisions on calls out of ControlNode

decideCall in src/control_calls.h maps the work table and a request to a reply or a command to propose. ControlNode counts, logs, replies and proposes. No change in behaviour.

--- a/src/control_node.h
+++ b/src/control_node.h
@@ -2,14 +2,13 @@
 
 #include "call_forwarder.h"
 #include "call_relay.h"
-#include "call_replies.h"
 #include "config_history.h"
+#include "control_calls.h"
 #include "control_peers.h"
 #include "job_report.h"
 #include "leader_summary.h"
 #include "log_formation.h"
 #include "plan_pacer.h"
-#include "queue_lookup.h"
 #include "replica.h"
 #include "work_planner.h"
 #include "worker_dispatcher.h"
@@ -336,113 +335,31 @@
 
     void process(FleetStep& step, const ReplyTarget& to, const ControlRequest& request)
     {
-        std::visit([&](const auto& body) { process(step, to, body); }, request);
-    }
-
-    void process(FleetStep& step, const ReplyTarget& to, const SubmitJob& request)
-    {
-        const WorkJob* known = table().job(request.work.key);
-        if (known && table().mayUse(request.work.workspace, *known)) {
-            m_counters.add(FleetCounter::JobsResubmitted);
-            sendReply(step, to, {});
+        const auto* report = std::get_if<ReportWorker>(&request);
+        CallDecision decision = decideCall({ table(), m_dispatcher, report && !noteReport(step.now, *report) }, request);
+        if (decision.counter)
+            m_counters.add(*decision.counter);
+        if (decision.refused)
+            logRefusal(step, table(), *decision.refused, WorkStatus::CancelledEarly);
+        if (const ControlReply* reply = decision.reply()) {
+            sendReply(step, to, *reply);
             return;
         }
-        const ControlReply found = lookUpQueue(table().config(), request.work.queue, request.address);
-        if (!found.queue) {
-            sendReply(step, to, found);
-            return;
+        if (report) {
+            m_dispatcher.endFormerIncarnations(step.now, report->info);
+            proposeDispatcherCommands(step);
         }
-        SubmitWork work = request.work;
-        work.queue = found.queue->name;
-        work.workspace = found.workspace;
-        if (known) {
-            sendReply(step, to, { ControlStatus::NameTaken, {}, 0, {} });
-        } else if (table().isCancelledEarly(work.key, work.workspace)) {
-            logRefusal(step, table(), work, WorkStatus::CancelledEarly);
-            sendReply(step, to, { ControlStatus::CancelledEarly, {}, 0, {} });
-        } else {
-            ReplyTarget target = to;
-            target.configVersion = found.configVersion;
-            propose(step, std::move(work), target);
-        }
-    }
-
-    void process(FleetStep& step, const ReplyTarget& to, const GetJobState& request)
-    {
-        const WorkJob* job = table().job(request.key);
-        const bool isVisible = job && table().mayUse(request.workspace, *job);
-        sendReply(step, to, { isVisible ? ControlStatus::Ok : ControlStatus::UnknownJob, isVisible ? job->state : WorkState::Queued, 0, {} });
+        ReplyTarget target = to;
+        target.configVersion = decision.configVersion;
+        propose(step, std::move(std::get<WorkCommand>(decision.outcome)), target);
     }
 
-    void process(FleetStep& step, const ReplyTarget& to, const CancelJob& request)
-    {
-        const WorkJob* job = table().job(request.key);
-        if (job && !table().mayUse(request.workspace, *job))
-            sendReply(step, to, { ControlStatus::UnknownJob, {}, 0, {} });
-        else if (job && isEnded(job->state))
-            sendReply(step, to, {});
-        else
-            propose(step, CancelWork { request.key, request.workspace }, to);
-    }
-
-    void process(FleetStep& step, const ReplyTarget& to, const CountPendingJobs& request)
-    {
-        const ControlReply found = lookUpQueue(table().config(), request.queue, request.address);
-        if (found.queue)
-            sendReply(step, to, { ControlStatus::Ok, {}, pendingJobs(table(), m_dispatcher, found.queue->name), {}, {}, found.configVersion });
-        else
-            sendReply(step, to, found);
-    }
-
-    void process(FleetStep& step, const ReplyTarget& to, const PutConfig& request)
-    {
-        if (request.config.version <= table().config().version)
-            sendReply(step, to, {});
-        else
-            propose(step, SetFleetConfig { request.config }, to);
-    }
-
-    void process(FleetStep& step, const ReplyTarget& to, const FindQueueInForce& request) { sendReply(step, to, lookUpQueue(table().config(), request.address)); }
-
-    void process(FleetStep& step, const ReplyTarget& to, const GetConfig&)
-    {
-        const FleetConfig& config = table().config();
-        sendReply(step, to, { config.version ? ControlStatus::Ok : ControlStatus::Unavailable, {}, config.version, config.text });
-    }
-
-    void process(FleetStep& step, const ReplyTarget& to, const ReportWorker& request)
+    /// Returns false if a later report of the same incarnation has arrived before.
+    bool noteReport(Time now, const ReportWorker& request)
     {
         const WorkerNumber number = table().findWorker(request.info.id);
-        const FleetWorker* record = number.isValid() ? table().worker(number) : nullptr;
-        const bool isOutdated = record && record->info.startedAtMs == request.info.startedAtMs && !m_dispatcher.noteWorkerReport(number, request.sequence, step.now);
-        if (isOutdated || (record && record->info == request.info)) {
-            m_counters.add(FleetCounter::ReportsOutdated, isOutdated);
-            sendReply(step, to, {});
-            return;
-        }
-        const FleetConfig& config = table().config();
-        if (config.version && !config.pool(request.info.pool) && table().displacesWorker(request.info)) {
-            sendReply(step, to, { ControlStatus::UnknownQueue, {}, 0, {} });
-            return;
-        }
-        m_dispatcher.endFormerIncarnations(step.now, request.info);
-        proposeDispatcherCommands(step);
-        propose(step, SetFleetWorker { request.info, request.sequence }, to);
-    }
-
-    /// Stops placing tasks on the worker. The message may be delayed and belong to an earlier
-    /// incarnation, so the worker's runs count as running until the lease expires or the next
-    /// incarnation reports.
-    void process(FleetStep& step, const ReplyTarget& to, const DeregisterWorker& request)
-    {
-        const FleetWorker* record = table().worker(table().findWorker(request.id));
-        if (!record || record->info.isLeaving) {
-            sendReply(step, to, {});
-            return;
-        }
-        WorkerInfo info = record->info;
-        info.isLeaving = true;
-        propose(step, SetFleetWorker { std::move(info), record->reportSequence }, to);
+        const FleetWorker* record = table().worker(number);
+        return !record || record->info.startedAtMs != request.info.startedAtMs || m_dispatcher.noteWorkerReport(number, request.sequence, now);
     }
 
     bool propose(FleetStep& step, WorkCommand command, std::optional<ReplyTarget> reply, std::vector<RunPlacement> placements = {})
