Preemption behind a concept: gangs beyond their share stop no owed runs

SharePreemption is in use; AlwaysPreempt is the former behaviour. ValuePreemption compares what the gang gains with the work that is thrown away.

--- a/src/gang_reservation.cpp
+++ b/src/gang_reservation.cpp
@@ -66,6 +66,7 @@
         if (choice.startsAt == never)
             choice = byPreemption(candidates, [](const GangCandidate&) { return true; });
         if (choice.startsAt != never) {
+            m_withoutPreemption = std::move(any);
             take(std::move(choice));
             chooseVictims(priority);
             return;
@@ -74,6 +75,15 @@
     take(std::move(any));
 }
 
+void GangReservation::waitForCapacity()
+{
+    if (!m_withoutPreemption)
+        return;
+    take(std::move(*m_withoutPreemption));
+    m_withoutPreemption.reset();
+    m_victims.clear();
+}
+
 uint32_t GangReservation::taskCapacity(const Resources& freeCapacity, const StepSpec& step)
 {
     uint32_t count = tasksThatFit(freeCapacity.processorMillis, step.isBestEffort ? 0 : step.size.processorMillis);
--- a/src/gang_reservation.h
+++ b/src/gang_reservation.h
@@ -4,6 +4,7 @@
 #include "run_forecast.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace eelgrassloft {
 
@@ -81,10 +82,15 @@
     /// would otherwise start later than `patience` from now.
     GangReservation(const std::vector<GangCandidate>& candidates, const StepSpec& step, uint32_t priority, Duration patience, Time now);
 
+    /// Reserves for a start without preemption instead.
+    void waitForCapacity();
+
     /// Whether the gang would fit at some time.
     bool isPossible() const { return m_startsAt != never; }
     /// When the gang is expected to fit, once the victims have been stopped.
     Time startsAt() const { return m_startsAt; }
+    /// When the gang is expected to fit if no runs are stopped for it.
+    Time startsAtWithoutPreemption() const { return m_withoutPreemption ? m_withoutPreemption->startsAt : m_startsAt; }
     const std::vector<Allotment>& allotments() const { return m_allotments; }
     /// Candidates that fit more tasks soon after the start, for when an allotted worker does not become
     /// free as expected or is taken by something more urgent. They are not reserved.
@@ -112,6 +118,7 @@
     const StepSpec& m_step;
     Time m_now;
     Time m_startsAt = never;
+    std::optional<Choice> m_withoutPreemption; ///< Set if the present choice needs preemption.
     std::vector<Allotment> m_allotments;
     std::vector<const GangCandidate*> m_spares;
     std::vector<RunPlacement> m_victims;
--- a/src/queue_policy.h
+++ b/src/queue_policy.h
@@ -18,6 +18,7 @@
     Time lateLimit {}; ///< When the job's result loses its value to the caller.
     Duration remainingCriticalPath {}; ///< Critical path of the job from this step on.
     double remainingWork = 0; ///< Estimated processor time of the job's tasks from this step on that are not done; only compared.
+    double jobWork = 0; ///< Estimated processor time of the whole job.
     double relativeWork = 1; ///< Estimated processor time of the whole job against the usual one of its queue.
     double remainingShare = 1; ///< Part of the job's work that `remainingWork` is.
     bool canFitQuota = true; ///< Whether the step can ever run within the quota of its workspace.
@@ -153,13 +154,21 @@
         const bool isInTime = earliest <= step.objective;
         const Time limit = isInTime ? step.objective : step.lateLimit;
         const bool isLastChance = !isInTime && limit - earliest <= (step.lateLimit - step.objective) / lastChanceDivisor;
-        const double value = (isInTime || isLastChance ? 1 : lateValue) * priorityWeight(step.job->queue.priority) * (baseValue + (1 - baseValue) * step.relativeWork);
+        const double value = (isInTime || isLastChance ? 1 : lateValue) * priorityWeight(step.job->queue.priority) * valueOfWork(step.relativeWork);
         const double work = std::max(step.relativeWork * step.remainingShare, leastWork);
         const double slack = std::chrono::duration<double>(limit - earliest).count();
         const double horizon = lookahead * std::chrono::duration<double>(std::max(step.remainingCriticalPath, shortestPath)).count();
         return { groupInTime(step, context), isBeyondShare, -value / work * std::exp(-slack / horizon) };
     }
 
+    /// Each priority stands out less from the next one than the one before it.
+    static double priorityWeight(uint32_t priority) { return 1 + urgencyGain / ((1.0 + priority) * (1.0 + priority)); }
+
+    /// Value of a job's result against that of a usual one of its queue, by its work against the usual one.
+    static double valueOfWork(double relativeWork) { return baseValue + (1 - baseValue) * relativeWork; }
+
+    static constexpr double lateValue = 0.25; ///< Of a result after its objective, against one in time.
+
 private:
     /// Group of a step that can be done before its late limit.
     static OrderGroup groupInTime(const ReadyStep& step, const OrderContext& context)
@@ -182,7 +191,6 @@
         return limit - earliest <= (step.lateLimit - step.objective) / pressingDivisor;
     }
 
-    static constexpr double lateValue = 0.25; ///< Of a result after its objective, against one in time.
     static constexpr double baseValue = 0.2; ///< Part of a usual job's value that does not depend on its work.
     static constexpr int lastChanceDivisor = 4; ///< Of the time between the objective and the late limit, in whose last part a late job counts in full.
     static constexpr int pressingDivisor = 8; ///< Of the same time. A quarter of the time allowed leaves enough to wait for capacity.
@@ -190,9 +198,6 @@
     static constexpr double lookahead = 12; ///< Slack, in critical paths, at which the cost is 1/e of that without slack.
     static constexpr double urgencyGain = 9; ///< By which a job of priority 0 counts more than one of the lowest priority.
     static constexpr Duration shortestPath = std::chrono::milliseconds(100);
-
-    /// Each priority stands out less from the next one than the one before it.
-    static double priorityWeight(uint32_t priority) { return 1 + urgencyGain / ((1.0 + priority) * (1.0 + priority)); }
 };
 
 } // namespace eelgrassloft
--- a/src/ready_steps.cpp
+++ b/src/ready_steps.cpp
@@ -148,6 +148,7 @@
             const uint32_t openTasks = other.count - std::min(other.count, occurrence.steps[later].doneCount);
             step.remainingWork += static_cast<double>(openTasks) * other.size.processorMillis * static_cast<double>(other.estimate.count());
         }
+        step.jobWork = total;
         if (total > 0 && usual > 0) {
             step.relativeWork = total / usual;
             step.remainingShare = step.remainingWork / total;
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -2,6 +2,7 @@
 
 #include "advice_planner.h"
 #include "crash_isolation.h"
+#include "preemption_policy.h"
 #include "run_placer.h"
 #include "worker_dispatcher.h"
 #include "workspace_room.h"
@@ -13,7 +14,7 @@
 
 /// Chooses workers for the waiting tasks in the order of the policy, and the queries to the advice
 /// service.
-template <QueuePolicy Policy, GangAdvicePolicy GangAdvice = SufficientGangAdvice, RunForecast Forecast = ProgressForecast>
+template <QueuePolicy Policy, GangAdvicePolicy GangAdvice = SufficientGangAdvice, RunForecast Forecast = ProgressForecast, PreemptionPolicy Preemption = SharePreemption>
 class WorkPlanner {
 public:
     explicit WorkPlanner(double remoteFactor)
@@ -146,7 +147,7 @@
         const size_t maxReserved = std::max(config::maxReservedGangs, capacityView.workers().size() / config::workersPerReservedGang);
         if (spec.isGang && !placedCount) {
             if (m_reservedGangs[queue.priority] < maxReserved)
-                reserveForGang(plan, capacityView, advice, queue, step, stepAdvice, now);
+                reserveForGang(plan, table, capacityView, advice, queue, step, stepAdvice, now);
             return obstacleOf(plan, advice, queue, step, candidates);
         }
         if (queue.advice && placedCount < limit && !(stepAdvice && stepAdvice->isQueryPending))
@@ -227,7 +228,7 @@
 
     /// Reserves workers for a gang that does not fit now, so that later steps don't use them. Renews the
     /// tickets there when the gang is about to fit, and preempts runs once it has all tickets.
-    void reserveForGang(WorkPlan& plan, CapacityView& capacityView, const AdviceClient& advice, const QueueSpec& queue, const ReadyStep& step,
+    void reserveForGang(WorkPlan& plan, const WorkTable& table, CapacityView& capacityView, const AdviceClient& advice, const QueueSpec& queue, const ReadyStep& step,
         const StepAdvice* stepAdvice, Time now)
     {
         const bool hasFreeHost = queue.advice && advice.canQuery(*queue.advice, m_advicePlanner.maxGangWorkers(), plan.queries.size());
@@ -236,7 +237,9 @@
         const uint32_t priority = step.job->queue.priority;
         const auto candidates = gangCandidates(capacityView, queue, step, stepAdvice, now);
         const Duration patience = patienceOf(step, now) - (now - m_waitingSince.try_emplace(step.step, now).first->second);
-        const GangReservation reservation(candidates, step.spec(), priority, patience, now);
+        GangReservation reservation(candidates, step.spec(), priority, patience, now);
+        if (!isPreemptionWorthwhile(table, reservation, step, now))
+            reservation.waitForCapacity();
         const bool canQuery = queue.advice && !(stepAdvice && stepAdvice->isQueryPending);
         const bool startsSoon = reservation.startsAt() <= now + std::max(patience, Duration {});
         if (!startsSoon && canQuery && m_advicePlanner.planDiscovery(plan, capacityView, advice, queue, step, stepAdvice, hasFreeHost))
@@ -253,6 +256,22 @@
         plan.preemptions.insert(plan.preemptions.end(), reservation.victims().begin(), reservation.victims().end());
     }
 
+    /// Whether the runs that the reservation would stop are worth it, or there are none.
+    bool isPreemptionWorthwhile(const WorkTable& table, const GangReservation& reservation, const ReadyStep& step, Time now) const
+    {
+        if (reservation.victims().empty())
+            return true;
+        std::vector<PreemptionVictim> victims;
+        for (const RunPlacement& victim : reservation.victims()) {
+            const auto allotment = std::find_if(reservation.allotments().begin(), reservation.allotments().end(), [&](const auto& candidate) { return candidate.worker().view->number == victim.worker; });
+            const WorkJob* job = table.job(victim.run.task.job);
+            victims.push_back(victimOf(allotment->worker().view->runs.at(victim.run), job && job->isBeyondShare, now));
+        }
+        const double work = step.jobWork / 1000; // The size of a step is in thousandths of a processor.
+        const PreemptingGang gang { step.job->queue.priority, step.job->isBeyondShare, work, step.relativeWork, step.remainingCriticalPath, step.objective, step.lateLimit };
+        return m_preemption.isWorthwhile({ gang, now + config::preemptionTime, reservation.startsAtWithoutPreemption(), victims });
+    }
+
     std::vector<GangCandidate> gangCandidates(CapacityView& capacityView, const QueueSpec& queue, const ReadyStep& step, const StepAdvice* stepAdvice, Time now)
     {
         const std::set<WorkerNumber>& reserved = m_previouslyReserved[step.step];
@@ -278,6 +297,7 @@
     RunPlacer m_placer;
     AdvicePlanner<GangAdvice> m_advicePlanner;
     Forecast m_forecast;
+    Preemption m_preemption;
     ReadySteps m_ready;
     CrashIsolation m_isolation;
     WorkspaceRoom m_quotaRoom; ///< Of the current plan.
--- a/tests/gang_reservation_test.cpp
+++ b/tests/gang_reservation_test.cpp
@@ -75,6 +75,22 @@
     WorkPlanner<DeadlinePolicy> planner { 1 };
 };
 
+/// A gang that takes 4 s and 36 processors, against ten checkpointed runs of two processors. Its objective is in
+/// `slack` from now, in addition to what it needs.
+struct Preemption {
+    explicit Preemption(Duration slack, uint32_t victimPriority = laterPriority)
+        : gang { gangPriority, false, 36.0 * static_cast<double>(Duration(4s).count()), 1, 4s, now + 4s + slack, now + 4s + slack + 20s }
+        , victims(10, PreemptionVictim { victimPriority, false, 2, 1100ms })
+    {
+    }
+
+    bool isWorthwhile(Duration wait) const { return ValuePreemption().isWorthwhile({ gang, now + config::preemptionTime, now + wait, victims }); }
+
+    Time now { 1h };
+    PreemptingGang gang;
+    std::vector<PreemptionVictim> victims;
+};
+
 size_t runsOf(const WorkPlan& plan, uint64_t key)
 {
     return static_cast<size_t>(std::count_if(plan.runs.begin(), plan.runs.end(), [&](const PlannedRun& run) { return run.placement.run.task.job == JobKey { key }; }));
@@ -171,4 +187,49 @@
     BOOST_TEST(runsOf(byArrival, 2) == 0U);
 }
 
+/// Runs were stopped for every gang that had to wait for more than half a second, whether its caller gained by it
+/// or not.
+BOOST_AUTO_TEST_CASE(runsAreStoppedOnlyForAGain)
+{
+    BOOST_TEST(!Preemption(10s).isWorthwhile(3s)); // In time anyway.
+    BOOST_TEST(Preemption(3s).isWorthwhile(6s)); // Late otherwise.
+    BOOST_TEST(!Preemption(-10s).isWorthwhile(3s)); // Late anyway.
+    BOOST_TEST(Preemption(-18s).isWorthwhile(10s)); // Of no value otherwise.
+    BOOST_TEST(!Preemption(-40s).isWorthwhile(10s)); // Of no value anyway.
+    BOOST_TEST(Preemption(-40s).isWorthwhile(never - Time { 1h })); // Would never end.
+    Preemption unknown(10s);
+    unknown.gang.work = 0;
+    BOOST_TEST(unknown.isWorthwhile(3s)); // Without estimates.
+    BOOST_TEST(AlwaysPreempt().isWorthwhile({}));
+}
+
+/// More work was thrown away than the gang was worth.
+BOOST_AUTO_TEST_CASE(lostWorkCountsByPriorityAndTime)
+{
+    Preemption preemption(3s);
+    for (PreemptionVictim& victim : preemption.victims)
+        victim.lostTime = 20s;
+    BOOST_TEST(!preemption.isWorthwhile(6s));
+    preemption.gang.work *= 10;
+    BOOST_TEST(preemption.isWorthwhile(6s));
+    BOOST_TEST(ValuePreemption::loss(Preemption(3s, laterPriority).victims) > ValuePreemption::loss(Preemption(3s, laterPriority + 1).victims));
+    RunView run;
+    run.confirmedAt = now - 10s;
+    BOOST_TEST((victimOf(run, false, now).lostTime > 10s));
+    run.checkpoint = "saved";
+    BOOST_TEST((victimOf(run, false, now).lostTime < 2s));
+}
+
+/// Gangs beyond the share of their workspace kept stopping the owed work of others.
+BOOST_AUTO_TEST_CASE(gangBeyondItsShareStopsNoOwedRuns)
+{
+    Preemption preemption(3s);
+    preemption.gang.isBeyondShare = true;
+    BOOST_TEST(!preemption.isWorthwhile(6s));
+    BOOST_TEST(!SharePreemption().isWorthwhile({ preemption.gang, preemption.now, preemption.now + 6s, preemption.victims }));
+    for (PreemptionVictim& victim : preemption.victims)
+        victim.isBeyondShare = true;
+    BOOST_TEST(preemption.isWorthwhile(6s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -283,6 +283,49 @@
     BOOST_TEST(urgentJobs.current >= urgentJobs.baseline - 0.01);
 }
 
+/// Gangs stopped patient work for starts that their callers did not need yet, or no longer.
+BOOST_AUTO_TEST_CASE(gangsStopPatientWorkWithoutNeed)
+{
+    using AnyGang = WorkPlanner<TardinessCostPolicy, SufficientGangAdvice, ProgressForecast, AlwaysPreempt>;
+    using ByValue = WorkPlanner<TardinessCostPolicy, SufficientGangAdvice, ProgressForecast, ValuePreemption>;
+    const auto load = [](auto& desk) {
+        desk.load(4s);
+        desk.load(8s, "gangs", 190);
+        desk.run(20s);
+    };
+    struct Sum {
+        size_t stops = 0;
+        size_t gangsInTime = 0;
+        size_t fillingInTime = 0;
+        size_t notServed = 0;
+    };
+    const auto add = [](Sum& sum, const auto& desk) {
+        sum.stops += desk.preemptions();
+        sum.gangsInTime += desk.served("gangs").inTime;
+        sum.fillingInTime += desk.served("filling").inTime;
+        sum.notServed += desk.served("gangs").notServed + desk.served("filling").notServed;
+    };
+    Sum before;
+    Sum now;
+    for (uint64_t seed = 1; seed <= 4; ++seed) {
+        Desk<AnyGang> always(seed);
+        load(always);
+        add(before, always);
+        Desk<ByValue> byValue(seed);
+        load(byValue);
+        add(now, byValue);
+    }
+    BOOST_TEST_MESSAGE("runs stopped: " << before.stops << ", now " << now.stops << "; gangs in time " << before.gangsInTime << ", now " << now.gangsInTime
+                                        << "; patient jobs in time " << before.fillingInTime << ", now " << now.fillingInTime);
+    // By the weights of the policy: what a late gang of 26 s of 4.5 processors loses, and a stopped run of 2.7.
+    const double lostValue = (static_cast<double>(before.gangsInTime) - static_cast<double>(now.gangsInTime)) * TardinessCostPolicy::priorityWeight(gangs) * (1 - TardinessCostPolicy::lateValue) * 26 * 4.5;
+    const double savedWork = (static_cast<double>(before.stops) - static_cast<double>(now.stops)) * TardinessCostPolicy::priorityWeight(filling) * 2.7 * 1.1;
+    BOOST_TEST(now.stops < before.stops);
+    BOOST_TEST(lostValue < savedWork);
+    BOOST_TEST(now.fillingInTime >= before.fillingInTime);
+    BOOST_TEST(now.notServed <= before.notServed);
+}
+
 /// Work beyond a workspace's share, and work that has lost its value, took the room of owed work.
 BOOST_AUTO_TEST_CASE(workBeyondAShareOrPastItsLimitTakesTheRoomOfOwedWork)
 {
@@ -343,7 +386,7 @@
 BOOST_AUTO_TEST_CASE(noWorkspaceStarvesWhileOthersOverloadTheFleet)
 {
     for (const char* owed : { "urgent", "gangs", "filling" }) {
-        for (const char* flooded : { "urgent", "filling" }) {
+        for (const char* flooded : { "urgent", "gangs", "filling" }) {
             SharedDesk<Current> desk(owed, flooded, 1);
             desk.load(40s, true);
             const auto served = desk.servedIf([&](const WorkJob& job) { return job.workspace == "owner" && objectiveOf(job) * 2 <= desk.now() - job.submittedAt; });
