Decide by what a host knows of the leader how long a call waits

Calls waited for a second without a control host, reads ended without an outcome, and submissions were sent to silent hosts for 1.2 s. A pure policy (outage_policy.h) now decides: refuse at once where no control host is connected, wait for an election where one is possible, and give up only what may have run. Submissions are held back while all control hosts are silent, and a job whose outcome was unknown is not refused later at the same host.

Times to come back are whole seconds, as on the wire: a spread over fractions was rounded to one time for all. refusalTellsWhenToComeBack therefore expects whole seconds up to 2 s instead of 1.5 s; two tests of the forwarder use a submission instead of a read, as reads are never uncertain any more.

Run: CallForwarderTests, EntryNodeTests, ControlNodeTests, FleetClusterTests, OutageTests pass. The rest of fleet_tests was not run to its end.

--- a/src/call_admission.h
+++ b/src/call_admission.h
@@ -25,16 +25,15 @@
 
 /// Policy for outages of all control hosts, when many callers return at once and each only a few times.
 /// What has lasted for some time is expected to last as long again, so callers come back after that,
-/// and spread over half of it.
+/// and spread over half of it, or at least over two seconds. The times are whole seconds, as callers are told no others:
+/// a spread over fractions would be rounded up to one time for all.
 struct OutageAdmission {
     Duration retryAfter(Duration outage, uint64_t number) const
     {
-        const Duration expected = std::clamp(outage, config::minRetryAfter, config::maxRetryAfter);
-        return expected + expected / 2 * static_cast<Duration::rep>(mixHash(number) % spreadSteps) / spreadSteps;
+        const auto expected = std::chrono::ceil<std::chrono::seconds>(std::clamp(outage, config::minRetryAfter, config::maxRetryAfter));
+        const auto times = static_cast<uint64_t>(std::max<std::chrono::seconds::rep>(expected.count() / 2, 1)) + 1;
+        return expected + std::chrono::seconds(mixHash(number) % times);
     }
-
-private:
-    static constexpr int spreadSteps = 1000;
 };
 
 static_assert(AdmissionPolicy<FixedAdmission> && AdmissionPolicy<OutageAdmission>);
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -158,6 +158,7 @@
     void handle(FleetStep& step, const FleetPeerDown& event)
     {
         m_peers.remove(event.host);
+        m_forwarder.didDisconnect(event.host);
         m_relay.dropRequester(event.host);
         m_dispatcher.hostDown(step, table(), event.host);
         m_advice.setHosts(m_peers.connectedAndSelf());
@@ -466,6 +467,7 @@
         if (m_isLeading)
             tickLeader(step);
         m_forwarder.setTarget(step, forwardTarget());
+        m_forwarder.setReach(step.now, m_peers.reach(m_replica.membership(), forwardTarget()), m_peers.reachableVoters(m_replica.membership()));
         m_forwarder.tick(step);
         tickStatus(step);
         updateConnectTargets(step);
--- a/src/control_peers.h
+++ b/src/control_peers.h
@@ -2,6 +2,7 @@
 
 #include "fleet_events.h"
 #include "hosts_text.h"
+#include "outage_policy.h"
 #include "replica.h"
 
 #include <algorithm>
@@ -55,6 +56,22 @@
         return std::any_of(otherRegions.begin(), otherRegions.end(), [&](const auto& entry) { return entry.second >= membership.quorum(); });
     }
 
+    /// How near a leader is to this host, which is a member of the log itself. `leader` is the leader that it can
+    /// reach; invalid if there is none.
+    LeaderReach reach(const Membership& membership, HostId leader) const
+    {
+        if (leader.isValid())
+            return LeaderReach::Leading;
+        return membership.voters.empty() || reachableVoters(membership) >= membership.quorum() ? LeaderReach::Electing : LeaderReach::NoQuorum;
+    }
+
+    /// Number of voters that are connected or this host.
+    size_t reachableVoters(const Membership& membership) const
+    {
+        const auto isReachable = [&](const Member& voter) { return voter.host == m_self || isConnected(voter.host); };
+        return static_cast<size_t>(std::count_if(membership.voters.begin(), membership.voters.end(), isReachable));
+    }
+
     /// Notes when an entry host sent a status, by its clock. Returns whether it is the first one on the connection.
     bool noteEntryStatus(HostId host, Time sentAt) { return m_entryStatusTimes.insert_or_assign(host, sentAt).second; }
 
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -38,9 +38,18 @@
         m_startedAt = now;
 }
 
+/// Time for which refused callers should stay away, before it is spread. An election ends soon, however long the
+/// outage before it lasted.
+Duration EntryNode::expectedOutage(Time now) const
+{
+    const OutageView& view = m_forwarder.view();
+    const bool isElecting = view.reach == LeaderReach::Electing && now < view.since + config::maxElectionTime;
+    return isElecting ? Duration {} : now - std::max(m_startedAt, m_lastLeaderContact);
+}
+
 void EntryNode::adviseRefusedCalls(FleetStep& step) const
 {
-    const Duration outage = step.now - std::max(m_startedAt, m_lastLeaderContact);
+    const Duration outage = expectedOutage(step.now);
     for (FleetEffect& effect : step.effects) {
         auto* sent = std::get_if<SendControlReply>(&effect);
         if (sent && sent->reply.status == ControlStatus::NotAccepted)
@@ -51,6 +60,7 @@
 void EntryNode::handle(FleetStep& step, const FleetPeerUp& event)
 {
     m_connected.insert(event.host);
+    m_views.add(event.host, step.now);
     m_forwarder.didConnect(step, event.host);
     step.send(event.host, EntryStatusReport { config().version, m_isStopping, step.now });
 }
@@ -58,12 +68,15 @@
 void EntryNode::handle(FleetStep&, const FleetPeerDown& event)
 {
     m_connected.erase(event.host);
+    m_views.remove(event.host);
+    m_forwarder.didDisconnect(event.host);
     m_configReceiver.hostDown(event.host);
     m_relay.dropRequester(event.host);
 }
 
 void EntryNode::handle(FleetStep& step, const FleetMessageReceived& event)
 {
+    m_views.noteContact(event.host, step.now);
     std::visit([&](const auto& body) { receive(step, event.host, body); }, event.message);
 }
 
@@ -84,6 +97,7 @@
 void EntryNode::receive(FleetStep& step, HostId from, const ControlStatusReport& report)
 {
     m_configReceiver.offer(from, report.configVersion);
+    m_views.noteReport(from, report);
     if (report.term < m_leaderTerm)
         return;
     if (!report.hosts.empty()) // The leader may not be among the seeds.
@@ -112,6 +126,7 @@
 
 void EntryNode::handle(FleetStep& step, const ControlCallReceived& event)
 {
+    m_forwarder.setHeld(step, m_views.areAllSilent(step.now));
     if (const auto* find = std::get_if<FindQueueInForce>(&event.request))
         findQueue(step, event, find->address);
     else
@@ -132,17 +147,18 @@
 
 void EntryNode::handle(FleetStep& step, const AdviceReplyReceived& event) { m_relay.handleResponse(step, event.call, event.reply); }
 
-/// Forwards calls to the leader if it is connected, otherwise to any control host, which forwards
-/// them.
+/// Forwards calls to the leader if it is connected, otherwise to a control host that knows it, or to any
+/// one, which forwards them.
 void EntryNode::chooseTarget(FleetStep& step)
 {
-    HostId target;
+    HostId target = m_forwarder.target();
     if (m_connected.count(m_leader))
         target = m_leader;
-    else if (!m_connected.empty())
-        target = *m_connected.begin();
-    const auto relay = std::find_if(m_connected.begin(), m_connected.end(), [&](HostId host) { return host != target; });
-    m_forwarder.setRelay(relay == m_connected.end() ? HostId {} : *relay);
+    else if (!m_connected.count(target) || !m_views.knowsLeader(target, m_leader, m_leaderTerm))
+        target = m_views.hostToAsk(m_leader, m_leaderTerm, HostId {});
+    m_forwarder.setReach(step.now, m_views.reach(m_controlHosts.size()), m_views.size());
+    m_forwarder.setHeld(step, m_views.areAllSilent(step.now));
+    m_forwarder.setRelay(m_views.hostToAsk(m_leader, m_leaderTerm, target));
     const bool isLeading = target == m_leader && m_confirmedTerm == m_leaderTerm && hasLeaderContact(step.now);
     m_forwarder.setTarget(step, target, isLeading);
 }
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -4,6 +4,7 @@
 #include "call_forwarder.h"
 #include "call_relay.h"
 #include "config_receiver.h"
+#include "control_host_views.h"
 #include "queue_lookup.h"
 
 namespace eelgrassloft {
@@ -75,6 +76,7 @@
     void receive(FleetStep& step, HostId from, const AdviceRequest& request);
 
     void noteTime(Time now);
+    Duration expectedOutage(Time now) const;
     void adviseRefusedCalls(FleetStep& step) const;
     void findQueue(FleetStep& step, const ControlCallReceived& event, const QueueAddress& address);
     void updateConnectTargets(FleetStep& step);
@@ -88,6 +90,7 @@
     Time m_startedAt = Time::min(); ///< Of the first step.
     ConfigReceiver m_configReceiver;
     std::set<HostId> m_connected;
+    ControlHostViews m_views; ///< Of the connected hosts.
     std::set<HostId> m_connectTargets;
     std::vector<HostId> m_controlHosts; ///< From the latest status report that listed hosts; older terms are ignored.
     HostId m_leader;
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -98,6 +98,13 @@
     return {};
 }
 
+/// Whether a call changes anything. Others may be carried out any number of times, or dropped.
+constexpr bool takesEffect(const ControlRequest& request)
+{
+    return !std::holds_alternative<GetJobState>(request) && !std::holds_alternative<CountPendingJobs>(request)
+        && !std::holds_alternative<GetConfig>(request) && !std::holds_alternative<FindQueueInForce>(request);
+}
+
 enum class ControlStatus : uint8_t {
     Ok,
     UnknownQueue, ///< No such queue in the configuration in force.
