Refuse jobs that cannot end before their late limit

Quick jobs that wait behind work that fills the fleet for longer than their results have value were accepted, ran past their limit and took room from larger tasks.

A refusal promises that the job never runs: the leader refuses later copies of the submission until the caller may come back, does not refuse a job of which a copy is proposed, and forwarders report a refusal only once no other attempt is open.

ControlReply carries retryAfter, which changes its encoding between hosts.

--- a/src/call_forwarder.h
+++ b/src/call_forwarder.h
@@ -63,7 +63,7 @@
         const ControlStatus status = message.reply.status;
         if (hadNoEffect(status) && pending.uncertainAttempts)
             --pending.uncertainAttempts; // This attempt had no effect and won't have one.
-        const bool isOutcomeOpen = status == ControlStatus::NoMemory && pending.uncertainAttempts;
+        const bool isOutcomeOpen = (status == ControlStatus::NoMemory || status == ControlStatus::Overloaded) && pending.uncertainAttempts;
         const bool isRetryable = status == ControlStatus::Unavailable || status == ControlStatus::NotAccepted || isOutcomeOpen;
         if (isRetryable) {
             // At the deadline, `tick` replies by whether another attempt may have had an effect.
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission_control.h"
 #include "call_forwarder.h"
 #include "call_relay.h"
 #include "config_history.h"
@@ -27,7 +28,7 @@
 /// Core of a control host, which is a member of the fleet's replicated log. The leader plans
 /// placements, sends orders to the workers and replies to calls; the other members forward calls
 /// to it.
-template <QueuePolicy Policy = TardinessCostPolicy>
+template <QueuePolicy Policy = TardinessCostPolicy, JobAdmissionPolicy Admission = ForecastAdmission>
 class ControlNode {
 public:
     ControlNode(ControlNodeOptions options)
@@ -345,13 +346,20 @@
             sendReply(step, to, *reply);
             return;
         }
+        const auto* work = std::get_if<SubmitWork>(&std::get<WorkCommand>(decision.outcome));
+        if (auto refusal = work ? m_admission.admit(step, m_counters, table(), *work, to.mayHaveRun) : std::nullopt) {
+            sendReply(step, to, std::move(*refusal));
+            return;
+        }
         if (report) {
             m_dispatcher.endFormerIncarnations(step.now, report->info);
             proposeDispatcherCommands(step);
         }
         ReplyTarget target = to;
         target.configVersion = decision.configVersion;
-        propose(step, std::move(std::get<WorkCommand>(decision.outcome)), target);
+        const JobKey key = work ? work->key : JobKey {};
+        if (!propose(step, std::move(std::get<WorkCommand>(decision.outcome)), target))
+            m_admission.didPropose(key, false);
     }
 
     /// Returns false if a later report of the same incarnation has arrived before.
@@ -435,6 +443,7 @@
             m_advice.clear();
             m_advice.setQueues(table().config().queues);
             m_planner.clear();
+            m_admission.clear();
             m_inFlight.clear();
             m_summary.clear();
             m_planPacer.request();
@@ -491,6 +500,7 @@
     void didApply(FleetStep& step, const SubmitWork& command, const Applied& applied)
     {
         m_planPacer.request();
+        m_admission.didPropose(command.key, applied.result.status == WorkStatus::Applied);
         if (applied.result.status == WorkStatus::NoMemory || applied.result.status == WorkStatus::CancelledEarly)
             logRefusal(step, table(), command, applied.result.status);
         if (applied.result.status != WorkStatus::Applied)
@@ -542,6 +552,7 @@
             m_dispatcher.forget(summary.key);
             m_planPacer.request();
             const WorkJob* job = table().job(summary.key);
+            m_admission.didEnd(step, m_counters, summary.key, job);
             if (!job)
                 continue;
             if (job->state != WorkState::Done)
@@ -604,6 +615,8 @@
         m_counters.add(FleetCounter::Plans);
         m_counters.add(FleetCounter::JobsExamined, plan.examinedJobs);
         m_planPacer.planBy(plan.nextDue);
+        if (m_admission.needsOpenWork(step.now))
+            m_admission.update(summarizeOpenWork(table(), m_dispatcher.workerViews(), m_planner.readySteps(), step.now));
         PlaceRuns command;
         for (const PlannedRun& run : plan.runs)
             command.placements.push_back(run.placement);
@@ -644,6 +657,7 @@
     CallRelay m_relay;
     AdviceClient m_advice;
     WorkPlanner<Policy> m_planner;
+    AdmissionControl<Admission> m_admission;
     ControlPeers m_peers;
     ConfigHistory m_configHistory;
     LogFormation m_formation;
--- a/src/fleet_counters.h
+++ b/src/fleet_counters.h
@@ -27,6 +27,10 @@
     StorageRefusals, ///< Times that the disk began to refuse the writes of the log.
     TasksSuspected, ///< Possible causes of crashes of workers; a task counts again with each crash.
     JobsGivenUp, ///< Failed because a task crashed its workers.
+    JobsRefusedBehindUrgent, ///< Submissions refused for the work of the most urgent priority.
+    JobsRefusedBehindOwed, ///< Submissions beyond a share, refused for the work that is owed.
+    JobsPastLimit, ///< Jobs that ended after their late limit.
+    ForecastsTooLate, ///< Jobs that ended before the forecast, which is to be a lower bound.
     Count
 };
 
@@ -34,7 +38,8 @@
 {
     constexpr NameTable<FleetCounter> table { "jobs_accepted", "jobs_repeated", "calls_passed_on", "runs_placed", "runs_lost",
         "runs_stopped_for_gangs", "workers_lost", "workers_set_aside", "advice_asked", "advice_unanswered",
-        "calls_relayed", "relays_unanswered", "plans", "reports_refused", "reports_outdated", "answers_unreadable", "starts_withdrawn", "jobs_examined", "storage_refusals", "tasks_suspected", "jobs_given_up" };
+        "calls_relayed", "relays_unanswered", "plans", "reports_refused", "reports_outdated", "answers_unreadable", "starts_withdrawn", "jobs_examined", "storage_refusals", "tasks_suspected", "jobs_given_up",
+        "jobs_refused_behind_urgent", "jobs_refused_behind_owed", "jobs_past_limit", "forecasts_too_late" };
     static_assert(detail::isComplete<FleetCounter>(table));
     return table;
 }
@@ -72,13 +77,14 @@
     UrgentMailboxWait, ///< Of urgent ones.
     YieldWait, ///< From a yield of the core's task until it runs again: the work of all other tasks that were ready.
     LogSync, ///< From the core's write until it is durable.
+    EndAfterForecast, ///< From the forecast end of an admitted job to its end.
     Count
 };
 
 constexpr NameTable<FleetTimer> nameTable(FleetTimer)
 {
     constexpr NameTable<FleetTimer> table { "hand_in_to_commit_seconds", "commit_to_start_seconds", "order_round_trip_seconds",
-        "acknowledgement_age_seconds", "mailbox_wait_seconds", "urgent_mailbox_wait_seconds", "yield_wait_seconds", "log_sync_seconds" };
+        "acknowledgement_age_seconds", "mailbox_wait_seconds", "urgent_mailbox_wait_seconds", "yield_wait_seconds", "log_sync_seconds", "end_after_forecast_seconds" };
     static_assert(detail::isComplete<FleetTimer>(table));
     return table;
 }
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -108,18 +108,22 @@
     NoMemory, ///< Like `NotAccepted`, as the state has no room for the job or its cancellation. Sending it elsewhere doesn't help.
     UnknownKey, ///< The queue needs a key, and no workspace of the configuration in force has the call's.
     NameTaken, ///< Another workspace has a job of this name, so the job was not accepted and never runs.
+    Overloaded, ///< Like `NotAccepted`, as the job could not end before its late limit.
     Count
 };
 
 constexpr NameTable<ControlStatus> nameTable(ControlStatus)
 {
-    constexpr NameTable<ControlStatus> table { "ok", "unknown-queue", "unknown-job", "cancelled-early", "unavailable", "not-accepted", "no-memory", "unknown-key", "name-taken" };
+    constexpr NameTable<ControlStatus> table { "ok", "unknown-queue", "unknown-job", "cancelled-early", "unavailable", "not-accepted", "no-memory", "unknown-key", "name-taken", "overloaded" };
     static_assert(detail::isComplete<ControlStatus>(table));
     return table;
 }
 
 /// Whether a call with this status had no effect and won't have one, whatever its other attempts did.
-constexpr bool hadNoEffect(ControlStatus status) { return status == ControlStatus::NotAccepted || status == ControlStatus::NoMemory; }
+constexpr bool hadNoEffect(ControlStatus status)
+{
+    return status == ControlStatus::NotAccepted || status == ControlStatus::NoMemory || status == ControlStatus::Overloaded;
+}
 
 struct ControlReply {
     ControlStatus status = ControlStatus::Ok;
@@ -129,11 +133,12 @@
     std::optional<QueueSpec> queue {}; ///< The requested queue.
     uint64_t configVersion = 0; ///< Version by which the call's queue was found; 0 in replies to other calls.
     std::string workspace {}; ///< For which the caller of a requested queue acts; empty for none.
-    Duration retryAfter {}; ///< When the caller of a refused call should come back. Set by the host that took the call; not sent to others.
+    Duration retryAfter {}; ///< When the caller of a refused call should come back. Set by the leader if the call is refused for overload, otherwise by the host that took the call.
 
     static constexpr auto members()
     {
-        return std::make_tuple(&ControlReply::status, &ControlReply::state, &ControlReply::count, &ControlReply::text, &ControlReply::queue, &ControlReply::configVersion, &ControlReply::workspace);
+        return std::make_tuple(&ControlReply::status, &ControlReply::state, &ControlReply::count, &ControlReply::text, &ControlReply::queue, &ControlReply::configVersion, &ControlReply::workspace,
+            &ControlReply::retryAfter);
     }
 };
 
--- a/src/ready_steps.cpp
+++ b/src/ready_steps.cpp
@@ -47,16 +47,20 @@
     return longest;
 }
 
-Duration objectiveOf(const WorkJob& job)
+Duration criticalPathLength(const WorkSpec& work)
 {
-    Duration chain = Duration::zero();
-    for (uint32_t first = 0; first < job.work.steps.size(); ++first) {
-        if (job.work.steps[first].deps.empty())
-            chain = std::max(chain, criticalPathLength(job.work, first));
+    Duration longest = Duration::zero();
+    for (uint32_t first = 0; first < work.steps.size(); ++first) {
+        if (work.steps[first].deps.empty())
+            longest = std::max(longest, criticalPathLength(work, first));
     }
-    return scaled(chain, job.queue.stretch) + job.queue.targetLatency;
+    return longest;
 }
 
+Duration objectiveOf(const QueueSpec& queue, const WorkSpec& work) { return scaled(criticalPathLength(work), queue.stretch) + queue.targetLatency; }
+
+Duration lateLimitOf(const QueueSpec& queue, const WorkSpec& work) { return objectiveOf(queue, work) * lateLimitFactor; }
+
 size_t ReadySteps::update(const WorkTable& table, Time now)
 {
     size_t examined = 0;
--- a/src/ready_steps.h
+++ b/src/ready_steps.h
@@ -66,8 +66,13 @@
 
 /// Length of the critical path that starts at the step `from`, by the steps' estimates.
 Duration criticalPathLength(const WorkSpec& work, uint32_t from);
+/// Of all steps.
+Duration criticalPathLength(const WorkSpec& work);
 
 /// Time from submission within which a job should be done.
-Duration objectiveOf(const WorkJob& job);
+Duration objectiveOf(const QueueSpec& queue, const WorkSpec& work);
+inline Duration objectiveOf(const WorkJob& job) { return objectiveOf(job.queue, job.work); }
+/// Time from submission after which a job's result has no value to its caller.
+Duration lateLimitOf(const QueueSpec& queue, const WorkSpec& work);
 
 } // namespace eelgrassloft
--- a/src/share_meter.h
+++ b/src/share_meter.h
@@ -18,11 +18,9 @@
     {
         if (weight <= 0)
             return true;
-        const double depth = std::max(1.0, weight * std::chrono::duration<double>(config::shareWindow).count());
-        const auto [position, isNew] = m_buckets.try_emplace(workspace, Bucket { depth, at });
+        const auto [position, isNew] = m_buckets.try_emplace(workspace, Bucket { depthOf(weight), at });
         Bucket& bucket = position->second;
-        const double elapsed = std::chrono::duration<double>(std::max(at - bucket.at, Duration::zero())).count();
-        bucket.tokens = std::min(depth, bucket.tokens + elapsed * weight);
+        bucket.tokens = bucket.refilled(at, weight);
         bucket.at = std::max(bucket.at, at);
         if (bucket.tokens < 1)
             return false;
@@ -30,6 +28,13 @@
         return true;
     }
 
+    /// Whether a submission would be beyond the weight of its workspace.
+    bool isBeyondShare(Time at, const std::string& workspace, double weight) const
+    {
+        const auto found = m_buckets.find(workspace);
+        return weight > 0 && found != m_buckets.end() && found->second.refilled(at, weight) < 1;
+    }
+
     /// Forgets the workspaces for which `isKnown` does not hold.
     template <typename Predicate>
     void retain(Predicate isKnown)
@@ -40,10 +45,18 @@
     static constexpr auto members() { return std::make_tuple(&ShareMeter::m_buckets); }
 
 private:
+    static double depthOf(double weight) { return std::max(1.0, weight * std::chrono::duration<double>(config::shareWindow).count()); }
+
     struct Bucket {
         double tokens = 0; ///< Jobs.
         Time at {}; ///< Of the latest submission.
 
+        double refilled(Time now, double weight) const
+        {
+            const double elapsed = std::chrono::duration<double>(std::max(now - at, Duration::zero())).count();
+            return std::min(depthOf(weight), tokens + elapsed * weight);
+        }
+
         static constexpr auto members() { return std::make_tuple(&Bucket::tokens, &Bucket::at); }
     };
 
--- a/src/work_table.cpp
+++ b/src/work_table.cpp
@@ -174,6 +174,12 @@
     return {};
 }
 
+bool WorkTable::isBeyondShare(Time at, const std::string& name) const
+{
+    const WorkspaceSpec* workspace = m_config.workspace(name);
+    return workspace && m_shares.isBeyondShare(at, workspace->name, workspace->weight);
+}
+
 WorkTable::Result WorkTable::handle(Time at, const CancelWork& command)
 {
     const auto found = m_jobs.find(command.key);
--- a/src/work_table.h
+++ b/src/work_table.h
@@ -316,6 +316,8 @@
     bool isCancelledEarly(JobKey key, const std::string& workspace) const { return m_earlyCancellations.contains(key, workspace); }
     /// Whether a caller that acts for a workspace, or for none, may see and cancel the job.
     bool mayUse(const std::string& workspace, const WorkJob& job) const;
+    /// Whether a job that the workspace submits now would be beyond its share.
+    bool isBeyondShare(Time at, const std::string& workspace) const;
     /// What the workspaces have on the workers.
     const WorkspaceLedger& ledger() const { return m_ledger; }
     const FleetWorker* worker(WorkerNumber number) const;
--- a/tests/call_forwarder_test.cpp
+++ b/tests/call_forwarder_test.cpp
@@ -110,6 +110,28 @@
     BOOST_TEST((std::get<SendControlReply>(step.effects.back()).reply.status == ControlStatus::Unavailable));
 }
 
+/// One of two copies of a submission was refused. Its caller was told that the job never runs while the other
+/// copy was on its way by another control host.
+BOOST_AUTO_TEST_CASE(overloadIsReportedOnceNoOtherCopyIsOpen)
+{
+    Forwarding test;
+    test.forwarder.setRelay(other);
+    test.run(config::callResendInterval + 20ms);
+    BOOST_TEST((test.takeSent() == std::vector<HostId> { leader, other }));
+    ControlReply refusal { ControlStatus::Overloaded, {}, 0, {} };
+    refusal.retryAfter = 7s;
+    const auto replies = [&] {
+        test.forwarder.receive(test.step, { 1, HostId { 9 }, refusal });
+        const auto effects = std::exchange(test.step.effects, {});
+        return effects.empty() ? std::optional<ControlReply> {} : std::get<SendControlReply>(effects.front()).reply;
+    };
+    BOOST_TEST(!replies().has_value());
+    const auto last = replies();
+    BOOST_REQUIRE(last.has_value());
+    BOOST_TEST((last->status == ControlStatus::Overloaded));
+    BOOST_TEST((last->retryAfter == 7s));
+}
+
 /// A host that became the leader said of calls that they had not run, although it had forwarded them
 /// to the former leader before.
 BOOST_AUTO_TEST_CASE(forwardedCallMayHaveRunWhereItsHostBecomesTheLeader)
--- a/tests/support/planner_fleet.h
+++ b/tests/support/planner_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "open_work.h"
 #include "queue_policy.h"
 #include "random.h"
 #include "ready_steps.h"
@@ -61,10 +62,15 @@
     JobKey submit(const std::string& queue, StepSpec step)
     {
         const JobKey key { m_nextJob++ };
-        m_table.apply(m_now, SubmitWork { key, queue, { "text", { std::move(step) }, 0, {}, {} } });
+        submitAs(key, queue, std::move(step), {});
         return key;
     }
 
+    void submitAs(JobKey key, const std::string& queue, StepSpec step, const std::string& workspace)
+    {
+        m_table.apply(m_now, SubmitWork { key, queue, { "text", { std::move(step) }, 0, {}, {} }, workspace });
+    }
+
     /// Takes workers away for good, with all that they run.
     void loseWorkers(size_t count)
     {
@@ -115,6 +121,8 @@
     }
 
     Time now() const { return m_now; }
+    const WorkTable& table() const { return m_table; }
+    OpenWork openWork() const { return summarizeOpenWork(m_table, m_views.all(), m_planner.readySteps(), m_now); }
     Random& random() { return m_random; }
     size_t adviceCalls(uint32_t priority) const { return countAt(m_adviceCalls, priority); }
     size_t placedSteps(uint32_t priority) const { return countAt(m_placedSteps, priority); }
