Bound the number of registered workers; raise the version of the peers' protocol

A client that reports under ever new ids made every control host keep and poll any number of workers.

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -104,7 +104,7 @@
 inline constexpr uint64_t recordsPerSnapshotEntry = 8; ///< A state of more records is copied more rarely: at most once in (records / 8) entries.
 
 // Connections and calls between hosts.
-inline constexpr uint32_t peerProtocolVersion = 3;
+inline constexpr uint32_t peerProtocolVersion = 4;
 inline constexpr size_t maxFrameBytes = 16UL * 1024 * 1024;
 inline constexpr size_t largeMessageBytes = 256UL * 1024; ///< A message between hosts of at least this size gets a line in the log.
 inline constexpr size_t frameReadBytes = 16UL * 1024; ///< Read at once from a connection between hosts; larger frames take more.
--- a/src/control_calls.h
+++ b/src/control_calls.h
@@ -11,6 +11,7 @@
     const WorkTable& table;
     const WorkerDispatcher& dispatcher;
     bool isReportOutdated = false; ///< Whether the call is a worker's report that a later one overtook.
+    uint32_t maxWorkers = 0; ///< If there are as many, further workers are refused; 0: no limit.
 };
 
 /// What the leader does with a call: it replies at once, or proposes a command whose result is the reply.
@@ -112,7 +113,9 @@
     const FleetWorker* record = table.worker(table.findWorker(request.info.id));
     if (record && record->info == request.info)
         return { ControlReply {} };
-    return { WorkCommand { SetFleetWorker { request.info, request.sequence } } };
+    if (!table.hasRoomFor(request.info, context.maxWorkers))
+        return { ControlReply { ControlStatus::NoMemory, {}, 0, {} }, 0, FleetCounter::WorkersRefused };
+    return { WorkCommand { SetFleetWorker { request.info, request.sequence, context.maxWorkers } } };
 }
 
 /// Stops placing tasks on the worker. The message may be delayed and belong to an earlier incarnation,
@@ -124,7 +127,7 @@
         return { ControlReply {} };
     WorkerInfo info = record->info;
     info.isLeaving = true;
-    return { WorkCommand { SetFleetWorker { std::move(info), record->reportSequence } } };
+    return { WorkCommand { SetFleetWorker { std::move(info), record->reportSequence, 0 } } };
 }
 
 inline CallDecision decideCall(const CallContext& context, const ControlRequest& request)
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -338,7 +338,7 @@
     void process(FleetStep& step, const ReplyTarget& to, const ControlRequest& request)
     {
         const auto* report = std::get_if<ReportWorker>(&request);
-        CallDecision decision = decideCall({ table(), m_dispatcher, report && !noteReport(step.now, *report) }, request);
+        CallDecision decision = decideCall({ table(), m_dispatcher, report && !noteReport(step.now, *report), m_settings.maxWorkers }, request);
         if (decision.counter)
             m_counters.add(*decision.counter);
         if (decision.refused)
--- a/src/fleet_events.h
+++ b/src/fleet_events.h
@@ -210,6 +210,7 @@
     uint32_t voters = 3; ///< Number of voters of the log once there are as many control hosts.
     Duration maxLease = std::chrono::seconds(5); ///< Longest lease that workers accept.
     Duration gangTimeout = std::chrono::seconds(3); ///< How long the members of a gang wait for each other.
+    uint32_t maxWorkers = 4096; ///< Workers that may be registered at a time; ten times as many as the largest fleet has.
     double remoteFactor = 1; ///< Slowdown of a task that runs outside the rack of its data.
 };
 
--- a/src/io/fleet_settings_json.cpp
+++ b/src/io/fleet_settings_json.cpp
@@ -76,6 +76,7 @@
     settings.node.voters = fields.optional<uint32_t>("toleratedLosses", 1) * 2 + 1;
     settings.node.maxLease = readMilliseconds(fields, "maxLeaseMs", settings.node.maxLease);
     settings.node.gangTimeout = readMilliseconds(fields, "gangTimeoutMs", settings.node.gangTimeout);
+    settings.node.maxWorkers = fields.optional<uint32_t>("maxWorkers", settings.node.maxWorkers);
     settings.node.remoteFactor = fields.optional<double>("remoteFactor", settings.node.remoteFactor);
     settings.linkPort = fields.required<uint16_t>("linkPort");
     settings.dataFolder = fields.optional<std::string>("dataFolder", {});
--- a/src/work_table.cpp
+++ b/src/work_table.cpp
@@ -224,6 +224,8 @@
 WorkTable::Result WorkTable::handle(Time at, const SetFleetWorker& command)
 {
     const WorkerInfo& info = command.info;
+    if (!hasRoomFor(info, command.maxWorkers))
+        return { WorkStatus::NoMemory };
     std::vector<WorkerNumber> former;
     for (auto& [number, record] : m_workers) {
         if (!record.info.isSameWorker(info))
@@ -248,6 +250,11 @@
     return {};
 }
 
+bool WorkTable::hasRoomFor(const WorkerInfo& info, uint32_t maxWorkers) const
+{
+    return !maxWorkers || m_workers.size() < maxWorkers || std::any_of(m_workers.begin(), m_workers.end(), [&](const auto& entry) { return entry.second.info.isSameWorker(info); });
+}
+
 bool WorkTable::displacesWorker(const WorkerInfo& info) const
 {
     return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto& entry) { return entry.second.info.isSameWorker(info) && !isSameIncarnation(entry.second.info, info); });
--- a/src/work_table.h
+++ b/src/work_table.h
@@ -186,8 +186,9 @@
 struct SetFleetWorker {
     WorkerInfo info;
     uint64_t reportSequence = 0;
+    uint32_t maxWorkers = 0; ///< If there are as many, a further worker is refused; 0: no limit.
 
-    static constexpr auto members() { return std::make_tuple(&SetFleetWorker::info, &SetFleetWorker::reportSequence); }
+    static constexpr auto members() { return std::make_tuple(&SetFleetWorker::info, &SetFleetWorker::reportSequence, &SetFleetWorker::maxWorkers); }
 };
 
 /// Removes an incarnation of a worker that has ended, so that nothing runs on it any more.
@@ -245,7 +246,7 @@
     UnknownQueue,
     UnknownJob, ///< Nothing was there to cancel, and the job won't be accepted.
     CancelledEarly, ///< The job was cancelled before it was submitted.
-    NoMemory, ///< There is no room for the job or its cancellation.
+    NoMemory, ///< There is no room for the job, its cancellation or the worker.
     NameTaken, ///< Another workspace has a job of this name.
     Count
 };
@@ -336,6 +337,8 @@
     /// Whether a report of this worker would end the record of another one, of which it claims the id,
     /// the address or the machine.
     bool displacesWorker(const WorkerInfo& info) const;
+    /// Whether the worker or a former incarnation of it is known, or there are fewer than `maxWorkers`; 0: no limit.
+    bool hasRoomFor(const WorkerInfo& info, uint32_t maxWorkers) const;
     /// Number of the worker's current incarnation; invalid if the worker is unknown.
     WorkerNumber findWorker(const std::string& id) const;
 
--- a/tests/open_jobs_memory_test.cpp
+++ b/tests/open_jobs_memory_test.cpp
@@ -59,6 +59,42 @@
     }
 }
 
+/// A client that reported under ever new ids made every control host keep and poll any number of workers.
+BOOST_AUTO_TEST_CASE(workersBeyondTheLimitAreRefused)
+{
+    WorkTable table = tableWithQueue();
+    const auto report = [&](uint32_t number, int64_t startedAtMs, uint32_t maxWorkers = 3) {
+        WorkerInfo info;
+        info.id = "worker-" + std::to_string(number);
+        info.address = "10.0.0." + std::to_string(number) + ":1";
+        info.startedAtMs = startedAtMs;
+        return table.apply({}, SetFleetWorker { info, 0, maxWorkers }).status;
+    };
+    for (uint32_t number = 1; number <= 3; ++number)
+        BOOST_TEST((report(number, 1) == WorkStatus::Applied));
+    BOOST_TEST((report(4, 1) == WorkStatus::NoMemory));
+    BOOST_TEST(table.workers().size() == 3U);
+    BOOST_TEST((report(2, 2) == WorkStatus::Applied)); // The next incarnation of a known one.
+    table.apply({}, RemoveFleetWorker { table.findWorker("worker-1") });
+    BOOST_TEST((report(4, 1) == WorkStatus::Applied));
+    BOOST_TEST((report(5, 1) == WorkStatus::NoMemory));
+    BOOST_TEST((report(5, 1, 0) == WorkStatus::Applied)); // Without a limit.
+}
+
+BOOST_AUTO_TEST_CASE(furtherWorkersAreToldAndCounted)
+{
+    FleetCluster::Options options;
+    options.workers = 4;
+    options.maxWorkers = 3;
+    FleetCluster fleet(options);
+    BOOST_REQUIRE(fleet.runUntil(10s, [&] { return fleet.leader() && fleet.table().workers().size() == 3; }));
+    fleet.run(2s);
+    BOOST_TEST(fleet.table().workers().size() == 3U);
+    BOOST_TEST(fleet.control(*fleet.leader()).counters().events[FleetCounter::WorkersRefused] > 0U);
+    BOOST_REQUIRE(fleet.callUntilOk(PutConfig { configWithOneQueue() }));
+    BOOST_TEST(fleet.callUntilOk(SubmitJob { jobOf(1, 4), {} }));
+}
+
 BOOST_AUTO_TEST_CASE(callerIsToldAtOnceAndOthersAreServed)
 {
     FleetCluster fleet({});
--- a/tests/support/fleet_cluster.h
+++ b/tests/support/fleet_cluster.h
@@ -28,6 +28,7 @@
         Duration stepDuration {}; ///< How long a control host takes to do what follows from events, as it is told; time does not pass.
         uint32_t lateReportPercent = 0; ///< Percentage of the workers' reports that arrive up to 3 s late.
         uint32_t dataCentres = 1; ///< Number of data centres, over which workers and control hosts are spread.
+        uint32_t maxWorkers = FleetSettings {}.maxWorkers;
         uint64_t entryLinkBytesPerSecond = 0; ///< What the entry host can receive from all control hosts together; 0: no limit.
     };
 
@@ -383,6 +384,7 @@
         settings.self = HostId { id };
         settings.seeds = { HostId { 1 }, HostId { 2 }, HostId { 3 } };
         settings.maxLease = std::chrono::seconds(3);
+        settings.maxWorkers = m_options.maxWorkers;
         settings.dataCentre = dataCentreOf(id);
         return settings;
     }
