--- a/src/advice_client.h
+++ b/src/advice_client.h
@@ -68,6 +68,7 @@
     void setHosts(std::set<HostId> hosts)
     {
         m_hosts = std::move(hosts);
+        std::erase_if(m_loads, [&](const auto& entry) { return !m_hosts.count(entry.first); });
         std::erase_if(m_pendingQueries, [&](const auto& entry) {
             if (m_hosts.count(entry.second.host))
                 return false;
@@ -76,6 +77,18 @@
         });
     }
 
+    /// Notes the load that a host has reported. Of the free hosts, the one with the least load makes the next call.
+    void noteLoad(HostId host, const HostLoad& load) { m_loads[host] = load.score(); }
+
+    /// Load of the busiest host.
+    uint64_t busiestLoad() const
+    {
+        uint64_t busiest = 0;
+        for (const auto& [host, load] : m_loads)
+            busiest = std::max(busiest, load);
+        return busiest;
+    }
+
     const StepAdvice* find(const TaskRef& step) const
     {
         const auto found = m_steps.find(step);
@@ -239,13 +252,23 @@
         for (const auto& [number, pendingQuery] : m_pendingQueries)
             busy.insert(pendingQuery.host);
         HostId free;
+        std::pair<bool, uint64_t> lowestRank; // This host comes last.
         for (const HostId host : m_hosts) {
-            if (!busy.count(host) && (!free.isValid() || free == self))
-                free = host;
+            const std::pair<bool, uint64_t> rank { host == self, loadOf(host) };
+            if (busy.count(host) || (free.isValid() && rank >= lowestRank))
+                continue;
+            free = host;
+            lowestRank = rank;
         }
         return free;
     }
 
+    uint64_t loadOf(HostId host) const
+    {
+        const auto found = m_loads.find(host);
+        return found == m_loads.end() ? 0 : found->second;
+    }
+
     void clearQueryPending(const PendingQuery& pendingQuery)
     {
         const auto entry = m_steps.find(pendingQuery.query.step);
@@ -255,6 +278,7 @@
 
     Duration m_longThreshold = config::longAdviceThreshold;
     std::set<HostId> m_hosts;
+    std::map<HostId, uint64_t> m_loads; ///< As last reported.
     std::map<TaskRef, StepAdvice> m_steps;
     std::map<uint64_t, PendingQuery> m_pendingQueries;
     std::map<Duration, double> m_allowedFraction; ///< By the decision time in the queue's advice timing.
--- a/src/call_forwarder.h
+++ b/src/call_forwarder.h
@@ -116,6 +116,15 @@
     }
 
     size_t size() const { return m_pending.size(); }
+
+    /// Load by the calls without a reply. They are numbered in the order of their arrival.
+    HostLoad load(Time now) const
+    {
+        if (m_pending.empty())
+            return {};
+        return { static_cast<uint32_t>(m_pending.size()), now - m_pending.begin()->second.arrivedAt };
+    }
+
     uint64_t forwardedCount() const { return m_forwardedCount; }
     const EnumArray<ControlStatus, uint64_t>& replies() const { return m_replies; }
 
--- a/src/capacity_view.cpp
+++ b/src/capacity_view.cpp
@@ -23,23 +23,37 @@
     for (const auto& [number, workerView] : workerViews) {
         if (!workerView.acceptsPlacements(now) || workerView.isolatedRuns)
             continue;
-        m_workers.push_back({ &workerView, workerView.freeCapacity(), {}, workerView.isOnProbation(now) });
+        m_workers.push_back({ &workerView, workerView.freeCapacity(), {}, {}, workerView.isOnProbation(now), workerView.speed.factor(now) });
         m_numbers.push_back(number);
     }
 }
 
+void CapacityView::restrain(Worker& worker, double allowance)
+{
+    if (allowance >= 1)
+        return;
+    const Resources& capacity = worker.view->info.capacity;
+    const auto beyond = [&](uint32_t amount) { return static_cast<uint32_t>(amount * (1 - allowance)); };
+    worker.withheld = componentwiseMin(worker.freeCapacity, { beyond(capacity.processorMillis), beyond(capacity.memoryMiB), beyond(capacity.accelerators) });
+    worker.freeCapacity -= worker.withheld;
+    worker.mayExceedAllowance = worker.view->runs.empty();
+}
+
 bool CapacityView::fits(const Worker& worker, const StepSpec& step)
 {
-    return chargedSize(step).fitsIn(worker.freeCapacity);
+    const Resources size = chargedSize(step);
+    return size.fitsIn(worker.freeCapacity) || (worker.mayExceedAllowance && size.fitsIn(worker.freeCapacity + worker.withheld));
 }
 
 void CapacityView::allocate(Worker& worker, const StepSpec& step)
 {
+    worker.mayExceedAllowance = false;
     if (worker.isOnProbation) {
         worker.freeCapacity = {};
         return;
     }
-    worker.freeCapacity -= chargedSize(step);
+    const Resources size = chargedSize(step);
+    worker.freeCapacity -= componentwiseMin(worker.freeCapacity, size);
 }
 
 void CapacityView::reserveTasks(Worker& worker, const StepSpec& step, uint32_t tasks)
--- a/src/capacity_view.h
+++ b/src/capacity_view.h
@@ -24,10 +24,13 @@
 
     struct Worker {
         const WorkerView* view = nullptr;
-        Resources freeCapacity;
+        Resources freeCapacity; ///< Without `withheld`.
         Resources promised; ///< Capacity in use that gangs have reserved for when it becomes free.
         Resources asked; ///< Free capacity that steps are expected to use once their queries are answered.
         bool isOnProbation = false;
+        double speed = 1; ///< Estimated, against the usual one.
+        Resources withheld {}; ///< Free capacity that the worker's restraint leaves out.
+        bool mayExceedAllowance = false; ///< Whether the first task may be larger than the restraint allows, as the worker is idle.
         bool isReserved = false; ///< Whether a gang has a reservation on the worker.
         std::optional<std::vector<Release>> releases {}; ///< By their time, once some gang has needed them.
     };
@@ -37,6 +40,9 @@
     Worker* find(WorkerNumber number);
     /// Workers by decreasing free capacity, as it was at the first call; those that are reserved for gangs last.
     const std::vector<Worker*>& byFreeCapacity();
+    /// Leaves out the free capacity beyond a part of the worker's capacity. An idle worker may still take one
+    /// task of any size.
+    static void restrain(Worker& worker, double allowance);
     /// Takes the capacity of one task. A worker on probation gets no further task in this plan.
     static void allocate(Worker& worker, const StepSpec& step);
     /// Reserves capacity for `tasks` tasks: takes what is free and adds the rest to `promised`.
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -178,6 +178,7 @@
         report.isLeading = m_isLeading && m_replica.hasLease(now);
         report.configVersion = table().config().version;
         report.answeredAt = m_peers.entryStatusTime(to);
+        report.load = m_forwarder.load(now);
         for (const Member& member : m_replica.membership().voters)
             report.hosts.push_back(member.host);
         return report;
@@ -215,10 +216,16 @@
         step.log(LogEventKind::LogFormed, { { "log", "fleet" }, { "voters", std::to_string(membership->voters.size()) } });
     }
 
-    void receive(FleetStep& step, HostId from, const ControlStatusReport&) { m_replica.observeContact(step.now, from); }
+    void receive(FleetStep& step, HostId from, const ControlStatusReport& report)
+    {
+        m_replica.observeContact(step.now, from);
+        m_dispatcher.noteLoad(from, report.load);
+        m_advice.noteLoad(from, report.load);
+    }
 
     void receive(FleetStep& step, HostId from, const EntryStatusReport& report)
     {
+        m_advice.noteLoad(from, report.load);
         if (m_peers.noteEntryStatus(from, report.sentAt)) // The periodic status answers later ones.
             step.send(from, status(step.now, from));
     }
--- a/src/crash_isolation.cpp
+++ b/src/crash_isolation.cpp
@@ -46,14 +46,17 @@
 void CrashIsolation::setWithheldFree(CapacityView& capacityView, bool isFree)
 {
     for (const auto& [number, since] : m_withheld) {
-        if (CapacityView::Worker* worker = capacityView.find(number))
-            worker->freeCapacity = isFree ? worker->view->freeCapacity() : Resources {};
+        CapacityView::Worker* worker = capacityView.find(number);
+        if (!worker)
+            continue;
+        worker->freeCapacity = isFree ? worker->view->freeCapacity() - worker->withheld : Resources {};
+        worker->mayExceedAllowance = isFree && worker->withheld != Resources {} && worker->view->runs.empty();
     }
 }
 
 bool CrashIsolation::isSuitable(const CapacityView::Worker& worker) const
 {
-    if (worker.view->hasUnprovenRuns() || worker.freeCapacity != worker.view->freeCapacity())
+    if (worker.view->hasUnprovenRuns() || worker.freeCapacity + worker.withheld != worker.view->freeCapacity())
         return false;
     const auto withheld = m_withheld.find(worker.view->number);
     return worker.view->runs.size() <= maxRunsAtStake || (withheld != m_withheld.end() && m_now >= withheld->second + maxClearingTime);
@@ -72,7 +75,8 @@
 void CrashIsolation::isolate(CapacityView::Worker& worker)
 {
     m_isolated += worker.freeCapacity != Resources {};
-    worker.freeCapacity = {};
+    worker.freeCapacity = worker.withheld = {};
+    worker.mayExceedAllowance = false;
     m_withheld.erase(worker.view->number);
     m_nextWithheld.erase(worker.view->number);
 }
--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -52,12 +52,13 @@
 {
     m_connected.insert(event.host);
     m_forwarder.didConnect(step, event.host);
-    step.send(event.host, EntryStatusReport { config().version, m_isStopping, step.now });
+    step.send(event.host, status(step.now));
 }
 
 void EntryNode::handle(FleetStep&, const FleetPeerDown& event)
 {
     m_connected.erase(event.host);
+    m_loads.erase(event.host);
     m_configReceiver.hostDown(event.host);
     m_relay.dropRequester(event.host);
 }
@@ -84,6 +85,7 @@
 void EntryNode::receive(FleetStep& step, HostId from, const ControlStatusReport& report)
 {
     m_configReceiver.offer(from, report.configVersion);
+    m_loads[from] = report.load.score();
     if (report.term < m_leaderTerm)
         return;
     if (!report.hosts.empty()) // The leader may not be among the seeds.
@@ -141,12 +143,26 @@
         target = m_leader;
     else if (!m_connected.empty())
         target = *m_connected.begin();
-    const auto relay = std::find_if(m_connected.begin(), m_connected.end(), [&](HostId host) { return host != target; });
-    m_forwarder.setRelay(relay == m_connected.end() ? HostId {} : *relay);
+    m_forwarder.setRelay(leastLoadedBeside(target));
     const bool isLeading = target == m_leader && m_confirmedTerm == m_leaderTerm && hasLeaderContact(step.now);
     m_forwarder.setTarget(step, target, isLeading);
 }
 
+/// The connected control host with the least load but for `target`; invalid if there is none.
+HostId EntryNode::leastLoadedBeside(HostId target) const
+{
+    const auto loadOf = [&](HostId host) {
+        const auto found = m_loads.find(host);
+        return found == m_loads.end() ? 0 : found->second;
+    };
+    HostId least;
+    for (const HostId host : m_connected) {
+        if (host != target && (!least.isValid() || loadOf(host) < loadOf(least)))
+            least = host;
+    }
+    return least;
+}
+
 void EntryNode::updateConnectTargets(FleetStep& step)
 {
     std::set<HostId> hosts(m_settings.seeds.begin(), m_settings.seeds.end());
@@ -161,7 +177,7 @@
 {
     m_nextStatus = step.now + config::fleetStatusPeriod;
     for (const HostId host : m_connected)
-        step.send(host, EntryStatusReport { config().version, m_isStopping, step.now });
+        step.send(host, status(step.now));
 }
 
 void EntryNode::logReadiness(FleetStep& step)
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -79,6 +79,8 @@
     void findQueue(FleetStep& step, const ControlCallReceived& event, const QueueAddress& address);
     void updateConnectTargets(FleetStep& step);
     void chooseTarget(FleetStep& step);
+    HostId leastLoadedBeside(HostId target) const;
+    EntryStatusReport status(Time now) const { return { config().version, m_isStopping, now, m_forwarder.load(now) }; }
     void sendStatus(FleetStep& step);
     void logReadiness(FleetStep& step);
 
@@ -88,6 +90,7 @@
     Time m_startedAt = Time::min(); ///< Of the first step.
     ConfigReceiver m_configReceiver;
     std::set<HostId> m_connected;
+    std::map<HostId, uint64_t> m_loads; ///< Of the connected control hosts, as last reported.
     std::set<HostId> m_connectTargets;
     std::vector<HostId> m_controlHosts; ///< From the latest status report that listed hosts; older terms are ignored.
     HostId m_leader;
--- a/src/fleet_counters.h
+++ b/src/fleet_counters.h
@@ -27,6 +27,7 @@
     StorageRefusals, ///< Times that the disk began to refuse the writes of the log.
     TasksSuspected, ///< Possible causes of crashes of workers; a task counts again with each crash.
     JobsGivenUp, ///< Failed because a task crashed its workers.
+    WorkersRestrained, ///< Workers that get less work for a while, as they crashed or lost runs.
     Count
 };
 
@@ -34,7 +35,7 @@
 {
     constexpr NameTable<FleetCounter> table { "jobs_accepted", "jobs_repeated", "calls_passed_on", "runs_placed", "runs_lost",
         "runs_stopped_for_gangs", "workers_lost", "workers_set_aside", "advice_asked", "advice_unanswered",
-        "calls_relayed", "relays_unanswered", "plans", "reports_refused", "reports_outdated", "answers_unreadable", "starts_withdrawn", "jobs_examined", "storage_refusals", "tasks_suspected", "jobs_given_up" };
+        "calls_relayed", "relays_unanswered", "plans", "reports_refused", "reports_outdated", "answers_unreadable", "starts_withdrawn", "jobs_examined", "storage_refusals", "tasks_suspected", "jobs_given_up", "workers_restrained" };
     static_assert(detail::isComplete<FleetCounter>(table));
     return table;
 }
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "eelgrassloft/effects.h"
+#include "host_load.h"
 #include "replica_messages.h"
 #include "worker_orders.h"
 
@@ -160,11 +161,12 @@
     std::vector<HostId> hosts; ///< Voters of the log.
     uint64_t configVersion = 0; ///< Version that the sender holds; the one in force if it leads.
     Time answeredAt {}; ///< Time of the receiver's latest status report that the sender knows, by the receiver's clock.
+    HostLoad load {};
 
     static constexpr auto members()
     {
         return std::make_tuple(&ControlStatusReport::term, &ControlStatusReport::leader, &ControlStatusReport::isLeading,
-            &ControlStatusReport::hosts, &ControlStatusReport::configVersion, &ControlStatusReport::answeredAt);
+            &ControlStatusReport::hosts, &ControlStatusReport::configVersion, &ControlStatusReport::answeredAt, &ControlStatusReport::load);
     }
 };
 
@@ -173,8 +175,9 @@
     uint64_t configVersion = 0; ///< Version that the host uses.
     bool isStopping = false;
     Time sentAt {}; ///< By the sender's clock. The answer repeats it, so that a delayed answer does not count as new.
+    HostLoad load {};
 
-    static constexpr auto members() { return std::make_tuple(&EntryStatusReport::configVersion, &EntryStatusReport::isStopping, &EntryStatusReport::sentAt); }
+    static constexpr auto members() { return std::make_tuple(&EntryStatusReport::configVersion, &EntryStatusReport::isStopping, &EntryStatusReport::sentAt, &EntryStatusReport::load); }
 };
 
 /// Asks a control host for the queues that changed after a version of the configuration.
--- a/src/gang_reservation.h
+++ b/src/gang_reservation.h
@@ -23,7 +23,7 @@
         , m_wasReserved(wasReserved)
     {
         if (!worker.releases)
-            worker.releases = releasesOf(*worker.view, forecast, now);
+            worker.releases = releasesOf(worker, forecast, now);
         addFits(step, priority, now);
     }
 
@@ -43,11 +43,11 @@
 
 private:
     template <RunForecast Forecast>
-    static std::vector<CapacityView::Release> releasesOf(const WorkerView& view, const Forecast& forecast, Time now)
+    static std::vector<CapacityView::Release> releasesOf(const CapacityView::Worker& worker, const Forecast& forecast, Time now)
     {
         std::vector<CapacityView::Release> releases;
-        for (const auto& [run, runView] : view.runs) {
-            const Time end = runView.isStopRequested ? now : forecast.endOf(runView, now);
+        for (const auto& [run, runView] : worker.view->runs) {
+            const Time end = runView.isStopRequested ? now : forecast.endOf(runView, worker.speed, now);
             if (end != never)
                 releases.push_back({ end, WorkerView::chargedSize(runView) });
         }
--- a/src/leader_summary.h
+++ b/src/leader_summary.h
@@ -45,7 +45,7 @@
     {
         std::vector<LogField> fields { { "calls", std::to_string(m_calls) }, { "repeated", std::to_string(m_repeatedCalls) }, { "plans", std::to_string(m_plans) },
             { "examinedJobs", std::to_string(m_examinedJobs) }, { "queries", std::to_string(m_queries) }, { "placed", std::to_string(m_placements) }, { "preempted", std::to_string(m_preemptions) },
-            { "openJobs", std::to_string(table.openJobs().size()) }, { "adviceCalls", std::to_string(advice.pendingCount()) }, { "adviceHosts", std::to_string(advice.hostCount()) } };
+            { "openJobs", std::to_string(table.openJobs().size()) }, { "adviceCalls", std::to_string(advice.pendingCount()) }, { "adviceHosts", std::to_string(advice.hostCount()) }, { "busiestHost", std::to_string(advice.busiestLoad()) } };
         addAdvice(fields);
         addWaiting(fields, ready, step.now);
         forEachValue<PlacementObstacle>([&](PlacementObstacle obstacle) { fields.push_back({ name(obstacle), std::to_string(m_obstacles[obstacle]) }); });
@@ -60,6 +60,9 @@
 private:
     static constexpr size_t shownPriorities = 4; // The last one includes all that follow.
 
+    static constexpr double slowFactor = 0.85; // Of the usual speed of workers.
+    static constexpr double fastFactor = 1.15;
+
     static size_t shownPriority(uint32_t priority) { return std::min<size_t>(priority, shownPriorities - 1); }
 
     /// What the steps of a priority asked of the advice service.
@@ -95,7 +98,7 @@
     static void addWorkers(std::vector<LogField>& fields, const WorkerDispatcher& dispatcher, Time now)
     {
         EnumArray<RunPhase, size_t> runs;
-        size_t accepting = 0, unsynced = 0, unresponsive = 0, unansweredStart = 0, quarantined = 0, onProbation = 0, stopping = 0;
+        size_t accepting = 0, unsynced = 0, unresponsive = 0, unansweredStart = 0, quarantined = 0, onProbation = 0, restrained = 0, slow = 0, fast = 0, stopping = 0;
         uint64_t capacity = 0, used = 0, capacityMiB = 0, usedMiB = 0;
         for (const auto& [number, view] : dispatcher.workerViews()) {
             unsynced += !view.isSynced;
@@ -103,6 +106,9 @@
             unansweredStart += view.hasUnansweredStart;
             quarantined += now < view.quarantinedUntil;
             onProbation += view.isOnProbation(now);
+            restrained += view.restraint.allowance(now, false) < 1;
+            slow += view.speed.factor(now) < slowFactor;
+            fast += view.speed.factor(now) > fastFactor;
             for (const auto& [run, runView] : view.runs) {
                 ++runs[runView.phase];
                 stopping += runView.isStopRequested;
@@ -123,6 +129,9 @@
         add("unansweredStart", unansweredStart);
         add("quarantined", quarantined);
         add("onProbation", onProbation);
+        add("restrained", restrained);
+        add("slow", slow);
+        add("fast", fast);
         add("usedPercent", capacity ? used * 100 / capacity : 0);
         add("usedMemoryPercent", capacityMiB ? usedMiB * 100 / capacityMiB : 0);
         add("reserved", runs[RunPhase::Reserved]);
--- a/src/run_placer.h
+++ b/src/run_placer.h
@@ -2,12 +2,14 @@
 
 #include "work_plan.h"
 #include "worker_eligibility.h"
+#include "worker_preference.h"
 
 #include <unordered_map>
 
 namespace eelgrassloft {
 
 /// Chooses workers for the tasks of one step among those that have room for them.
+template <WorkerPreference Preference>
 class RunPlacer {
 public:
     using Worker = CapacityView::Worker;
@@ -19,15 +21,19 @@
 
     /// Places up to `limit` of the step's waiting tasks, or all of them if they are a gang. Returns the number
     /// of tasks that need no further worker in this plan.
-    size_t placeAll(WorkPlan& plan, CapacityView& capacityView, std::vector<Worker*>& candidates, const ReadyStep& step, const StepAdvice* stepAdvice, uint32_t limit) const
+    size_t placeAll(WorkPlan& plan, CapacityView& capacityView, std::vector<Worker*>& candidates, const ReadyStep& step, const StepAdvice* stepAdvice, uint32_t limit, Time now) const
     {
-        return step.spec().isGang ? placeGang(plan, capacityView, candidates, step, stepAdvice) : placeEach(plan, capacityView, candidates, step, stepAdvice, limit);
+        const double slack = m_preference.slack(step, now);
+        return step.spec().isGang ? placeGang(plan, capacityView, candidates, step, stepAdvice, slack) : placeEach(plan, capacityView, candidates, step, stepAdvice, limit, slack);
     }
 
+    const Preference& preference() const { return m_preference; }
+
 private:
     /// Best fit: the worker with the lowest sum of the fractions of processors and memory that would
-    /// be left, plus penalties for workers reserved for a gang and for a rack without the input data.
-    Worker* bestWorker(std::vector<Worker*>& candidates, const ReadyStep& step, std::unordered_map<uint32_t, uint32_t>& perWorker) const
+    /// be left, plus penalties for workers reserved for a gang and for a rack without the input data, and the
+    /// cost by the preference.
+    Worker* bestWorker(std::vector<Worker*>& candidates, const ReadyStep& step, std::unordered_map<uint32_t, uint32_t>& perWorker, double slack) const
     {
         const StepSpec& spec = step.spec();
         Worker* best = nullptr;
@@ -37,9 +43,10 @@
                 continue;
             if (spec.maxPerWorker && perWorker[worker->view->number.value] >= spec.maxPerWorker)
                 continue;
-            const Resources left = worker->freeCapacity - spec.size;
+            const Resources left = worker->freeCapacity + worker->withheld - spec.size;
             const Resources& capacity = worker->view->info.capacity;
             double score = remainingFraction(left.processorMillis, capacity.processorMillis) + remainingFraction(left.memoryMiB, capacity.memoryMiB);
+            score += m_preference.cost(*worker, slack);
             if (worker->isReserved)
                 score += reservedPenalty;
             if (!spec.dataRack.empty() && !worker->view->info.hasLabel(spec.dataRack))
@@ -69,12 +76,12 @@
         return perWorker;
     }
 
-    size_t placeEach(WorkPlan& plan, CapacityView& capacityView, std::vector<Worker*>& candidates, const ReadyStep& step, const StepAdvice* stepAdvice, uint32_t limit) const
+    size_t placeEach(WorkPlan& plan, CapacityView& capacityView, std::vector<Worker*>& candidates, const ReadyStep& step, const StepAdvice* stepAdvice, uint32_t limit, double slack) const
     {
         auto perWorker = countPerWorker(candidates, step);
         size_t count = 0;
         for (const uint32_t index : step.waiting) {
-            Worker* worker = count < limit ? bestWorker(candidates, step, perWorker) : nullptr;
+            Worker* worker = count < limit ? bestWorker(candidates, step, perWorker, slack) : nullptr;
             if (!worker)
                 break;
             ++perWorker[worker->view->number.value];
@@ -84,24 +91,31 @@
         return count;
     }
 
-    size_t placeGang(WorkPlan& plan, CapacityView& capacityView, std::vector<Worker*>& candidates, const ReadyStep& step, const StepAdvice* stepAdvice) const
+    size_t placeGang(WorkPlan& plan, CapacityView& capacityView, std::vector<Worker*>& candidates, const ReadyStep& step, const StepAdvice* stepAdvice, double slack) const
     {
         if (step.waiting.size() != step.spec().count)
             return step.waiting.size(); // Members of an earlier attempt have not ended yet.
         auto perWorker = countPerWorker(candidates, step);
-        std::vector<std::pair<Worker*, Resources>> capacityBefore;
+        struct Allocation {
+            Worker* worker = nullptr;
+            Resources freeBefore;
+            bool mightExceedAllowance = false;
+        };
+        std::vector<Allocation> allocations;
         std::vector<Worker*> chosen;
         for (size_t i = 0; i < step.waiting.size(); ++i) {
-            Worker* worker = bestWorker(candidates, step, perWorker);
+            Worker* worker = bestWorker(candidates, step, perWorker, slack);
             if (!worker)
                 break;
-            capacityBefore.push_back({ worker, worker->freeCapacity });
+            allocations.push_back({ worker, worker->freeCapacity, worker->mayExceedAllowance });
             capacityView.allocate(*worker, step.spec());
             ++perWorker[worker->view->number.value];
             chosen.push_back(worker);
         }
-        for (auto undo = capacityBefore.rbegin(); undo != capacityBefore.rend(); ++undo)
-            undo->first->freeCapacity = undo->second;
+        for (auto undo = allocations.rbegin(); undo != allocations.rend(); ++undo) {
+            undo->worker->freeCapacity = undo->freeBefore;
+            undo->worker->mayExceedAllowance = undo->mightExceedAllowance;
+        }
         if (chosen.size() < step.waiting.size())
             return 0;
         uint32_t attempt = 0;
@@ -131,6 +145,7 @@
     static constexpr double reservedPenalty = 10; // in remaining fractions of a worker
 
     double m_remoteFactor;
+    Preference m_preference;
 };
 
 } // namespace eelgrassloft
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -13,7 +13,7 @@
 
 /// Chooses workers for the waiting tasks in the order of the policy, and the queries to the advice
 /// service.
-template <QueuePolicy Policy, GangAdvicePolicy GangAdvice = SufficientGangAdvice, RunForecast Forecast = ProgressForecast>
+template <QueuePolicy Policy, GangAdvicePolicy GangAdvice = SufficientGangAdvice, RunForecast Forecast = ProgressForecast, WorkerPreference Preference = UnevenFleetPreference>
 class WorkPlanner {
 public:
     explicit WorkPlanner(double remoteFactor)
@@ -31,6 +31,8 @@
         const auto steps = sortedSteps(mostUrgentPriority(table.config()), inFlight, partlyInFlight, now);
         CapacityView capacityView(workerViews, now);
         capacityView.markReserved(m_reserved);
+        for (Worker& worker : capacityView.workers())
+            CapacityView::restrain(worker, m_placer.preference().allowance(*worker.view, now, now < m_roomWantedUntil));
         m_isolation.begin(workerViews, capacityView, now < m_roomLackedUntil, now);
         m_previouslyReserved = std::exchange(m_reserved, {});
         m_reservedGangs.clear();
@@ -51,6 +53,8 @@
                 withoutRoom += !isSuspect && obstacle == PlacementObstacle::Capacity;
             }
         }
+        if (withoutRoom)
+            m_roomWantedUntil = now + config::roomLackMemory;
         if (withoutRoom > workerViews.size() / workersPerWaitingStep)
             m_roomLackedUntil = now + config::roomLackMemory;
         return plan;
@@ -62,6 +66,7 @@
         m_ready.clear();
         m_isolation.clear();
         m_roomLackedUntil = {};
+        m_roomWantedUntil = {};
     }
 
     const ReadySteps& readySteps() const { return m_ready; }
@@ -163,7 +168,7 @@
         const StepAdvice* stepAdvice = queue.advice ? advice.find(step.step) : nullptr;
         std::vector<Worker*> candidates = fittingWorkers(capacityView, queue, step, stepAdvice, now);
         const size_t firstRun = plan.runs.size();
-        const size_t placedCount = m_placer.placeAll(plan, capacityView, candidates, step, stepAdvice, limit);
+        const size_t placedCount = m_placer.placeAll(plan, capacityView, candidates, step, stepAdvice, limit, now);
         plan.placedSteps[queue.priority] += plan.runs.size() > firstRun;
         const size_t maxReserved = std::max(config::maxReservedGangs, capacityView.workers().size() / config::workersPerReservedGang);
         if (spec.isGang && !placedCount) {
@@ -191,12 +196,12 @@
 
     /// Places tasks that may have crashed a worker where they harm few others, as many as fit on one
     /// worker, or a gang on several.
-    size_t placeSuspects(WorkPlan& plan, CapacityView& capacityView, const std::vector<Worker*>& candidates, const ReadyStep& step, const StepAdvice* stepAdvice, uint32_t limit)
+    size_t placeSuspects(WorkPlan& plan, CapacityView& capacityView, const std::vector<Worker*>& candidates, const ReadyStep& step, const StepAdvice* stepAdvice, uint32_t limit, Time now)
     {
         const bool isGang = step.spec().isGang;
         const size_t firstRun = plan.runs.size();
         std::vector<Worker*> suitable = m_isolation.hasRoom() ? m_isolation.suitable(candidates, isGang) : std::vector<Worker*> {};
-        const size_t placedCount = m_placer.placeAll(plan, capacityView, suitable, step, stepAdvice, limit);
+        const size_t placedCount = m_placer.placeAll(plan, capacityView, suitable, step, stepAdvice, limit, now);
         for (size_t i = firstRun; i < plan.runs.size(); ++i)
             m_isolation.isolate(*capacityView.find(plan.runs[i].placement.worker));
         return placedCount;
@@ -212,7 +217,7 @@
         m_isolation.setWithheldFree(capacityView, true);
         const std::vector<Worker*> candidates = fittingWorkers(capacityView, queue, step, stepAdvice, now);
         const size_t firstRun = plan.runs.size();
-        const size_t placedCount = placeSuspects(plan, capacityView, candidates, step, stepAdvice, limit);
+        const size_t placedCount = placeSuspects(plan, capacityView, candidates, step, stepAdvice, limit, now);
         m_isolation.setWithheldFree(capacityView, false);
         if (placedCount)
             return plan.runs.size() > firstRun ? PlacementObstacle::None : PlacementObstacle::GangMembers;
@@ -297,13 +302,14 @@
     static constexpr size_t workersPerWaitingStep = 16; // Of one for this many workers it does not matter that it has to wait.
 
     Policy m_policy;
-    RunPlacer m_placer;
+    RunPlacer<Preference> m_placer;
     AdvicePlanner<GangAdvice> m_advicePlanner;
     Forecast m_forecast;
     ReadySteps m_ready;
     CrashIsolation m_isolation;
     WorkspaceRoom m_quotaRoom; ///< Of the current plan.
     Time m_roomLackedUntil {}; ///< Until then steps that are no suspects count as lacking room.
+    Time m_roomWantedUntil {}; ///< Until then some step counts as lacking room, so that the restraint of workers is short.
     ReservedWorkers m_reserved; ///< Reservations of the current plan.
     ReservedWorkers m_previouslyReserved; ///< Reservations of the previous plan.
     std::map<TaskRef, Time> m_waitingSince; ///< When the gangs with a reservation first had one.
--- a/src/worker_calls.h
+++ b/src/worker_calls.h
@@ -63,6 +63,7 @@
     // Hosts that may relay calls.
 
     void hostUp(HostId host, std::string dataCentre, std::string region) { m_routes.hostUp(host, std::move(dataCentre), std::move(region)); }
+    void noteLoad(HostId host, const HostLoad& load) { m_routes.noteLoad(host, load); }
     /// Returns the calls that the host was relaying.
     std::set<CallId> hostDown(HostId host) { return m_routes.hostDown(host); }
     /// Returns the calls whose relay did not respond in time.
--- a/src/worker_dispatcher.cpp
+++ b/src/worker_dispatcher.cpp
@@ -16,6 +16,7 @@
 void WorkerDispatcher::stop()
 {
     m_workerViews.clear();
+    m_speedLearner.clear();
     m_calls.clear();
     m_commands.clear();
     m_startedJobs.clear();
@@ -192,12 +193,14 @@
     workerView.nextPoll = std::max(step.now, call.sentAt + config::pollInterval);
     processEnds(step, table, workerView, response.ends);
     noteActiveRuns(table, workerView, step.now, response.running);
+    m_speedLearner.noteProgress(table, workerView, step.now, response.running);
     workerView.noteLastingRuns(step.now);
     for (const ReportedRun& listed : response.running)
         markStarted(table, listed.run.task.job);
     requeueUnlisted(step, workerView, call.sentAt, response);
     stopStuckRuns(step, table, workerView);
     workerView.isSynced = true;
+    workerView.restraint.noteResponse(step.now);
 }
 
 /// Stops runs that are reported without making progress, and quarantines their worker. The members
@@ -229,6 +232,12 @@
     step.log(LogEventKind::WorkerQuarantined, { { "worker", workerView.info.id }, { "jobs", std::to_string(workerView.failedJobs.size()) } });
 }
 
+void WorkerDispatcher::restrain(WorkerView& workerView, Time now)
+{
+    workerView.restraint.noteLoss(now);
+    m_counters.add(FleetCounter::WorkersRestrained);
+}
+
 void WorkerDispatcher::processEnds(FleetStep& step, const WorkTable& table, WorkerView& workerView, const std::vector<EndedRun>& ends)
 {
     RecordRunOutcomes command { workerView.number, {} };
@@ -241,6 +250,8 @@
         const auto ended = workerView.runs.find(end.run);
         if (workerView.noteOutcome(step.now, end, ended == workerView.runs.end() ? nullptr : &ended->second))
             quarantine(step, workerView);
+        if (ended != workerView.runs.end())
+            m_speedLearner.noteEnd(table, workerView, step.now, end, ended->second);
         markStarted(table, end.run.task.job);
         workerView.removeRun(end.run);
         command.ends.push_back(end);
@@ -268,8 +279,10 @@
     }
     for (const TaskRun& run : missing)
         logRun(step, LogEventKind::RunLost, workerView, run, "not-listed");
-    if (!missing.empty())
-        requeue(workerView, step.now, missing);
+    if (missing.empty())
+        return;
+    requeue(workerView, step.now, missing);
+    restrain(workerView, step.now);
 }
 
 /// Requeues runs that were lost. If the worker `mayHaveCrashed`, the log keeps those that may be the cause.
@@ -330,6 +343,7 @@
         for (const auto& [run, runView] : workerView.runs)
             logRun(step, LogEventKind::RunLost, workerView, run, "lease-over");
         requeueAll(workerView, step.now);
+        restrain(workerView, step.now);
         workerView.isSynced = false;
     }
     if (workerView.isUnresponsive && workerView.runs.empty() && step.now > workerView.lastReport + config::fleetPeerTimeout * 5) {
--- a/src/worker_dispatcher.h
+++ b/src/worker_dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet_events.h"
+#include "speed_learner.h"
 #include "worker_calls.h"
 #include "worker_views.h"
 
@@ -26,7 +27,7 @@
     void stop();
 
     /// Updates the views of the workers after some joined, changed or were removed.
-    void updateWorkers(const WorkTable& table, Time now) { m_workerViews.update(table, now); }
+    void updateWorkers(const WorkTable& table, Time now) { m_counters.add(FleetCounter::WorkersRestrained, m_workerViews.update(table, now)); }
     /// Stops the remaining runs of a job that has ended.
     void stopJob(Time now, JobKey job) { m_workerViews.stopJob(now, job); }
     /// Whether a worker has confirmed a run of the job to this leader.
@@ -55,6 +56,7 @@
     // Hosts that may relay calls to workers.
 
     void hostUp(HostId host, std::string dataCentre, std::string region) { m_calls.hostUp(host, std::move(dataCentre), std::move(region)); }
+    void noteLoad(HostId host, const HostLoad& load) { m_calls.noteLoad(host, load); }
     void hostDown(FleetStep& step, const WorkTable& table, HostId host);
 
     // Steps.
@@ -78,6 +80,7 @@
     void stopStuckRuns(FleetStep& step, const WorkTable& table, WorkerView& workerView);
     static void noteBrokenPoll(WorkerView& workerView, const PendingWorkerCall& call, Time now);
     void quarantine(FleetStep& step, WorkerView& workerView);
+    void restrain(WorkerView& workerView, Time now);
     void markStarted(const WorkTable& table, JobKey job);
     void handleUnansweredRelays(FleetStep& step, const WorkTable& table, const std::set<CallId>& calls);
     void logRun(FleetStep& step, LogEventKind kind, const WorkerView& workerView, const TaskRun& run, std::string_view reason);
@@ -102,6 +105,7 @@
     FleetSettings m_settings;
     uint64_t m_fencingToken = 0;
     WorkerViews m_workerViews;
+    SpeedLearner m_speedLearner;
     WorkerCalls m_calls;
     std::vector<WorkCommand> m_commands;
     std::set<JobKey> m_startedJobs; ///< Open jobs with a run that a worker has confirmed.
--- a/src/worker_routes.h
+++ b/src/worker_routes.h
@@ -21,6 +21,13 @@
 
     void hostUp(HostId host, std::string dataCentre, std::string region) { m_hosts[host] = { std::move(dataCentre), std::move(region) }; }
 
+    /// Notes the load that a host has reported.
+    void noteLoad(HostId host, const HostLoad& load)
+    {
+        if (const auto found = m_hosts.find(host); found != m_hosts.end())
+            found->second.load = load.score();
+    }
+
     /// Removes a host. Returns the calls that it was relaying.
     std::set<CallId> hostDown(HostId host)
     {
@@ -34,15 +41,16 @@
         if (workerCount <= config::directWorkers)
             return {};
         HostId leastBusy;
-        size_t fewestCalls = SIZE_MAX;
+        uint64_t leastLoad = UINT64_MAX;
         for (const auto& [host, entry] : m_hosts) {
             if (now < entry.avoidedUntil)
                 continue;
-            if (entry.dataCentre == dataCentre)
+            if (entry.dataCentre == dataCentre && entry.load < busyLoad)
                 return host;
-            if (entry.region == m_region && entry.calls < fewestCalls) {
+            const uint64_t load = entry.calls + entry.load;
+            if (entry.region == m_region && load < leastLoad) {
                 leastBusy = host;
-                fewestCalls = entry.calls;
+                leastLoad = load;
             }
         }
         return leastBusy;
@@ -99,6 +107,7 @@
         std::string region;
         Time avoidedUntil {};
         size_t calls = 0; ///< Calls that it relays now.
+        uint64_t load = 0; ///< As it last reported.
     };
 
     struct Call {
@@ -119,6 +128,10 @@
         return calls;
     }
 
+    /// With so much load a host no longer relays all calls to the workers of its data centre. Others of the
+    /// region are a link farther away, so that less does not matter.
+    static constexpr uint64_t busyLoad = 50;
+
     std::string m_region; ///< Of this host.
     std::map<HostId, Host> m_hosts;
     std::map<CallId, Call> m_calls;
--- a/src/worker_view.h
+++ b/src/worker_view.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "worker_orders.h"
+#include "worker_restraint.h"
+#include "worker_speed.h"
 
 #include "eelgrassloft/config.h"
 
@@ -50,6 +52,7 @@
     bool isProven = false; ///< Has been at work for long enough not to be the cause of a later crash.
     Time nextOrder {};
     Time placedAt {};
+    ProgressSampler speedSampler {}; ///< Of the run's progress, for the speed of its worker.
 
     /// Whether the worker may be running it: it was not only placed, but ordered to start.
     bool mayBeActive() const { return phase == RunPhase::Running || phase == RunPhase::Stopping || isOrderPending || mayStartLate; }
@@ -183,6 +186,8 @@
     std::vector<JobKey> failedJobs; ///< Distinct jobs with failures since the last success on the worker.
     Time evidenceSince {}; ///< Runs placed since then, after the last failure or quarantine, show whether the worker still fails.
     Time quarantinedUntil {};
+    WorkerSpeed speed;
+    WorkerRestraint restraint;
     Time probationUntil {}; ///< Until then, after its quarantine, the worker gets one task at a time, or until one succeeds.
 
     bool acceptsPlacements(Time now) const
--- a/src/worker_views.cpp
+++ b/src/worker_views.cpp
@@ -1,9 +1,14 @@
 #include "worker_views.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace eelgrassloft {
 
 namespace {
 
+constexpr Duration conductMemory = std::chrono::minutes(1); // For the next incarnation of a worker that is gone.
+
 /// Initial state of a run with the size that its job's step requests, or `unknownSize` if the table
 /// has no such step.
 RunView initialRunView(const WorkTable& table, const TaskRef& task, const Resources& unknownSize)
@@ -36,6 +41,7 @@
 void WorkerViews::clear()
 {
     m_views.clear();
+    m_formerWorkers.clear();
     m_schedule.clear();
 }
 
@@ -60,15 +66,47 @@
     return workerView;
 }
 
-void WorkerViews::update(const WorkTable& table, Time now)
+size_t WorkerViews::update(const WorkTable& table, Time now)
 {
-    std::erase_if(m_views, [&](const auto& entry) { return !table.worker(entry.first); });
+    removeGone(table, now);
+    size_t crashed = 0;
     for (const auto& [number, record] : table.workers()) {
-        if (WorkerView* known = find(number))
+        if (WorkerView* known = find(number)) {
             known->info = record.info;
-        else
-            stopInheritedRuns(add(table, record, number, now), now);
+            continue;
+        }
+        WorkerView& added = add(table, record, number, now);
+        stopInheritedRuns(added, now);
+        crashed += inheritConduct(added, now);
     }
+    return crashed;
+}
+
+void WorkerViews::removeGone(const WorkTable& table, Time now)
+{
+    std::erase_if(m_formerWorkers, [&](const FormerWorker& former) { return now >= former.removedAt + conductMemory; });
+    std::erase_if(m_views, [&](const auto& entry) {
+        const WorkerView& view = entry.second;
+        if (table.worker(entry.first))
+            return false;
+        m_formerWorkers.push_back({ view.info, view.speed, view.restraint, now });
+        return true;
+    });
+}
+
+/// Takes over what is known of the worker's former incarnation. Returns whether that had not announced its end.
+bool WorkerViews::inheritConduct(WorkerView& workerView, Time now)
+{
+    const auto former = std::find_if(m_formerWorkers.rbegin(), m_formerWorkers.rend(), [&](const FormerWorker& candidate) { return candidate.info.isSameWorker(workerView.info); });
+    if (former == m_formerWorkers.rend())
+        return false;
+    workerView.speed = former->speed;
+    workerView.restraint = former->restraint;
+    const bool hasCrashed = !former->info.isLeaving;
+    if (hasCrashed)
+        workerView.restraint.noteLoss(now);
+    m_formerWorkers.erase(std::next(former).base());
+    return hasCrashed;
 }
 
 /// Stops the runs that a new incarnation may have got by orders to the former one. Those orders may still
--- a/src/worker_views.h
+++ b/src/worker_views.h
@@ -15,8 +15,9 @@
     /// Adds the workers in the table, to which an earlier leader may have granted leases of up to `maxLease`.
     void start(const WorkTable& table, Time now, Duration maxLease);
     void clear();
-    /// Updates the views after some workers joined, changed or were removed.
-    void update(const WorkTable& table, Time now);
+    /// Updates the views after some workers joined, changed or were removed. Returns the number of workers of
+    /// which a former incarnation is known and had not announced its end.
+    size_t update(const WorkTable& table, Time now);
     /// Notes a report of a worker, changed or not. Returns false if it was sent before one that arrived
     /// earlier, and tells nothing new.
     bool noteReport(WorkerNumber number, uint64_t sequence, Time now);
@@ -46,10 +47,21 @@
 
 private:
     WorkerView& add(const WorkTable& table, const FleetWorker& record, WorkerNumber number, Time now);
+    /// What is known of a worker whose incarnation has ended, for the next one.
+    struct FormerWorker {
+        WorkerInfo info;
+        WorkerSpeed speed;
+        WorkerRestraint restraint;
+        Time removedAt {};
+    };
+
+    void removeGone(const WorkTable& table, Time now);
+    bool inheritConduct(WorkerView& workerView, Time now);
     void stopInheritedRuns(WorkerView& workerView, Time now) const;
 
     Duration m_maxLease {};
     std::map<WorkerNumber, WorkerView> m_views;
+    std::vector<FormerWorker> m_formerWorkers; ///< Removed within `conductMemory`.
     std::set<std::pair<Time, WorkerNumber>> m_schedule;
 };
 
--- a/tests/support/planner_fleet.h
+++ b/tests/support/planner_fleet.h
@@ -3,6 +3,7 @@
 #include "queue_policy.h"
 #include "random.h"
 #include "ready_steps.h"
+#include "speed_learner.h"
 #include "work_planner.h"
 #include "worker_views.h"
 
@@ -20,6 +21,7 @@
         uint32_t workers = 60;
         uint32_t adviceHosts = 10;
         uint64_t seed = 1;
+        std::vector<double> speeds {}; ///< Of the workers by turns; 1 if empty.
     };
 
     /// How the jobs of a queue went, by their objective and their late limit.
@@ -34,6 +36,7 @@
 
     PlannerFleet(Options options, FleetConfig config)
         : m_random(options.seed)
+        , m_speeds(options.speeds)
     {
         m_table.apply(m_now, SetFleetConfig { std::move(config) });
         for (uint32_t i = 0; i < options.workers; ++i) {
@@ -58,6 +61,23 @@
     /// Sets the percentage of the workers that the service allows for steps of the queue.
     void setAllowedPercent(const std::string& queue, uint32_t percent) { m_allowedPercent[queue] = percent; }
 
+    /// Sets how much longer the tasks of a queue take than estimated.
+    void setEstimateError(const std::string& queue, double factor) { m_estimateError[queue] = factor; }
+
+    /// Estimated speed of the workers that have the given one, on average.
+    double estimatedSpeed(double speed) const
+    {
+        double sum = 0;
+        size_t count = 0;
+        for (const auto& [number, view] : m_views.all()) {
+            if (speedOf(number) != speed)
+                continue;
+            sum += view.speed.factor(m_now);
+            ++count;
+        }
+        return sum / static_cast<double>(count);
+    }
+
     JobKey submit(const std::string& queue, StepSpec step)
     {
         const JobKey key { m_nextJob++ };
@@ -81,6 +101,30 @@
         }
     }
 
+    /// Crashes a worker, which starts again at once under its id. The runs on it are lost.
+    void crashWorker(const std::string& id)
+    {
+        const WorkerNumber former = m_table.findWorker(id);
+        WorkerInfo info = m_table.worker(former)->info;
+        ++info.startedAtMs;
+        RequeueLostRuns requeue { former, {} };
+        for (const auto& [run, view] : m_views.all().at(former).runs) {
+            requeue.runs.push_back({ run, {}, CrashEvidence::None });
+            m_active.erase(run);
+        }
+        m_lostRuns += requeue.runs.size();
+        m_table.apply(m_now, requeue);
+        m_table.apply(m_now, SetFleetWorker { info });
+        m_views.update(m_table, m_now);
+        WorkerView& view = *m_views.find(m_table.findWorker(id));
+        view.isSynced = true;
+        view.restraint.noteResponse(m_now);
+    }
+
+    /// Runs that the worker has now.
+    size_t runsOn(const std::string& id) { return m_views.find(m_table.findWorker(id))->runs.size(); }
+    size_t lostRuns() const { return m_lostRuns; }
+
     void run(Duration duration)
     {
         const Time end = m_now + duration;
@@ -145,6 +189,11 @@
         return found == counts.end() ? 0 : found->second;
     }
 
+    static Duration timesFactor(Duration duration, double factor) { return factor == 1 ? duration : std::chrono::duration_cast<Duration>(duration * factor); }
+
+    /// Workers are numbered from 1 in the order in which they were added.
+    double speedOf(WorkerNumber number) const { return m_speeds.empty() ? 1 : m_speeds[(number.value - 1) % m_speeds.size()]; }
+
     void deliverReplies()
     {
         for (size_t i = 0; i < m_replies.size();) {
@@ -177,9 +226,12 @@
         const ActiveRun active = m_active.at(run);
         m_active.erase(run);
         if (outcome == RunOutcome::Stopped)
-            m_workLeft[run.task] = active.length - std::max(m_now - active.startsAt, Duration {}) + restoreTime;
-        m_views.find(active.worker)->removeRun(run);
-        const WorkResult result = m_table.apply(m_now, RecordRunOutcomes { active.worker, { { ++m_nextEnd, run, outcome, "saved" } } });
+            m_workLeft[run.task] = timesFactor(active.length - std::max(m_now - active.startsAt, Duration {}), speedOf(active.worker)) + restoreTime;
+        WorkerView& view = *m_views.find(active.worker);
+        const EndedRun ended { ++m_nextEnd, run, outcome, "saved" };
+        m_speedLearner.noteEnd(m_table, view, m_now, ended, view.runs.at(run));
+        view.removeRun(run);
+        const WorkResult result = m_table.apply(m_now, RecordRunOutcomes { active.worker, { ended } });
         for (const EndedJob& job : result.ended)
             m_advice.forget(job.key);
     }
@@ -192,8 +244,10 @@
             if (active.startsAt <= m_now)
                 reports[active.worker].push_back({ run, "saved", static_cast<uint32_t>((m_now - active.startsAt) * 100 / active.length) });
         }
-        for (const auto& [number, runs] : reports)
+        for (const auto& [number, runs] : reports) {
             noteActiveRuns(m_table, *m_views.find(number), m_now, runs);
+            m_speedLearner.noteProgress(m_table, *m_views.find(number), m_now, runs);
+        }
     }
 
     void plan()
@@ -225,7 +279,11 @@
             seed.task.index = 0;
         const uint64_t percent = 80 + mixHash(seed.task.job.value * 1000 + seed.task.index) % 41;
         const auto left = m_workLeft.find(placement.run.task);
-        const Duration length = left == m_workLeft.end() ? step.estimate * static_cast<Duration::rep>(percent) / 100 : left->second;
+        const auto error = m_estimateError.find(m_table.job(seed.task.job)->queue.name);
+        const Duration estimated = step.estimate * static_cast<Duration::rep>(percent) / 100;
+        const Duration work = left != m_workLeft.end() ? left->second : error == m_estimateError.end() ? estimated
+                                                                                                       : timesFactor(estimated, error->second);
+        const Duration length = timesFactor(work, 1 / speedOf(placement.worker));
         m_active[placement.run] = { placement.worker, m_now + startDelay, length };
     }
 
@@ -253,6 +311,9 @@
 
     Time m_now { std::chrono::hours(1) };
     Random m_random;
+    std::vector<double> m_speeds;
+    std::map<std::string, double> m_estimateError; ///< By queue.
+    SpeedLearner m_speedLearner;
     WorkTable m_table;
     WorkerViews m_views;
     AdviceClient m_advice;
@@ -264,6 +325,7 @@
     std::map<uint32_t, size_t> m_adviceCalls; ///< By the priority of the queue.
     std::map<uint32_t, size_t> m_placedSteps;
     size_t m_preemptions = 0;
+    size_t m_lostRuns = 0;
     Time m_nextReport {};
     uint64_t m_nextJob = 1;
     uint64_t m_nextEnd = 0;
