--- a/src/entry_node.cpp
+++ b/src/entry_node.cpp
@@ -62,7 +62,7 @@
     m_connected.insert(event.host);
     m_views.add(event.host, step.now);
     m_forwarder.didConnect(step, event.host);
-    step.send(event.host, EntryStatusReport { config().version, m_isStopping, step.now });
+    step.send(event.host, status(step.now));
 }
 
 void EntryNode::handle(FleetStep&, const FleetPeerDown& event)
@@ -177,7 +177,7 @@
 {
     m_nextStatus = step.now + config::fleetStatusPeriod;
     for (const HostId host : m_connected)
-        step.send(host, EntryStatusReport { config().version, m_isStopping, step.now });
+        step.send(host, status(step.now));
 }
 
 void EntryNode::logReadiness(FleetStep& step)
--- a/src/entry_node.h
+++ b/src/entry_node.h
@@ -81,6 +81,7 @@
     void findQueue(FleetStep& step, const ControlCallReceived& event, const QueueAddress& address);
     void updateConnectTargets(FleetStep& step);
     void chooseTarget(FleetStep& step);
+    EntryStatusReport status(Time now) const { return { config().version, m_isStopping, now, m_forwarder.load(now) }; }
     void sendStatus(FleetStep& step);
     void logReadiness(FleetStep& step);
 
