--- a/src/speed_learner.h
+++ b/src/speed_learner.h
@@ -30,7 +30,7 @@
         if (end.runOutcome != RunOutcome::Done || !isComparable(run))
             return;
         // A run that was too short for a report. One that resumed from a checkpoint took only a part of the time.
-        if (!run.speedSampler.hasBegun() && run.confirmedAt != Time {} && !run.isInherited && end.run.attempt == 1)
+        if (!run.speedSampler.hasBegun() && run.confirmedAt != Time {} && run.hasStarted && end.run.attempt == 1)
             run.speedSampler.begin(run.confirmedAt, 0);
         if (const auto sample = run.speedSampler.advance(now, 100, true))
             observe(table, workerView, end.run, run, *sample, now);
