--- a/src/call_forwarder.h
+++ b/src/call_forwarder.h
@@ -24,12 +24,12 @@
     {
     }
 
-    void add(FleetStep& step, ControlCallReceived called)
+    void add(FleetStep& step, const ControlCallReceived& called)
     {
         const uint64_t number = m_nextNumber++;
         PendingCall& pending = m_pending[number];
         pending.call = called.call;
-        pending.request = std::move(called.request);
+        pending.request = called.request;
         pending.deadline = called.deadline;
         pending.arrivedAt = step.now;
         pending.uncertainAttempts = called.mayHaveRun || m_unsettled.contains(submittedJob(pending.request), step.now) ? 1 : 0;
@@ -208,6 +208,7 @@
             order.emplace_back(pending.deadline, number);
         std::sort(order.begin(), order.end());
         std::vector<uint64_t> numbers;
+        numbers.reserve(order.size());
         for (const auto& [deadline, number] : order)
             numbers.push_back(number);
         return numbers;
