--- a/src/ready_steps.h
+++ b/src/ready_steps.h
@@ -29,6 +29,7 @@
     {
         m_jobs.clear();
         m_usualWork.clear();
+        m_configVersion = 0;
     }
 
     /// Calls `visit` with each step.
