--- a/review/support-3/standin.cpp
+++ b/review/support-3/standin.cpp
@@ -20,8 +20,8 @@
 
 #include <atomic>
 #include <chrono>
-#include <csignal>
 #include <condition_variable>
+#include <csignal>
 #include <cstdio>
 #include <fcntl.h>
 #include <iostream>
