Tell in metrics and log how calls to workers and the advice service fail

A call without an answer was one kind of event, whether no connection was made, a new connection was closed, or the answer was late. These are counted apart now, those on a new connection by themselves, so that a worker that accepts no more connections can be told from one that is silent.

--- a/src/io/fleet_task.h
+++ b/src/io/fleet_task.h
@@ -32,10 +32,13 @@
 
 /// Calls workers and the advice service, which are outside the fleet. Results return as events.
 template <typename T>
-concept ExternalServices = requires(T calls, CallWorker worker, CallAdvice advice)
+concept ExternalServices = requires(T calls, const T constCalls, CallWorker worker, CallAdvice advice)
 {
     calls.callWorker(std::move(worker));
     calls.callAdvice(std::move(advice));
+    {
+        constCalls.metricsText()
+        } -> std::same_as<std::string>;
 };
 
 using FleetLogWriter = LogWriter<WorkTable, FleetLogWriteObserver>;
@@ -123,7 +126,7 @@
         query.reply->tryPush(isReady);
     }
 
-    void handle(ReadMetrics query) { query.reply->tryPush(fleetMetricsText(m_node.counters(), m_node.gauges(), m_durations) + m_dependencies.peers.metricsText()); }
+    void handle(ReadMetrics query) { query.reply->tryPush(fleetMetricsText(m_node.counters(), m_node.gauges(), m_durations) + m_dependencies.peers.metricsText() + m_dependencies.services.metricsText()); }
 
     void receive(const FleetEvent& event)
     {
