--- a/tests/worker_dispatcher_test.cpp
+++ b/tests/worker_dispatcher_test.cpp
@@ -207,3 +207,33 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(UndeliveredStartTests)
+
+namespace {
+
+/// Time passes while the worker answers all orders but starts.
+void advanceWithoutStarts(WorkerDispatcherFixture& fixture, Duration duration)
+{
+    const Time end = fixture.now() + duration;
+    while (fixture.now() < end) {
+        while (!fixture.ordersOf(OrderKind::Start).empty())
+            fixture.respond(OrderKind::Start, OrderOutcome::NoResponse);
+        fixture.respondToAll(OrderOutcome::Accepted);
+        fixture.advance(50ms);
+    }
+}
+
+} // namespace
+
+/// A start without a response was repeated for ever, and its room stayed taken, while the worker answered polls.
+BOOST_AUTO_TEST_CASE(startThatIsNeverDeliveredIsGivenUp)
+{
+    WorkerDispatcherFixture fixture;
+    const TaskRun run = fixture.start(1, OrderOutcome::NoResponse);
+    advanceWithoutStarts(fixture, 10s);
+    BOOST_TEST(fixture.isRequeued(run));
+    BOOST_TEST((fixture.workerView().used == Resources {}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
