--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -242,6 +242,7 @@
 inline constexpr Duration voterTimeout = 3s; ///< A voter that does not answer for this long is replaced.
 inline constexpr size_t maxOutgoingConnections = 4; ///< To one worker or service: a poll and three orders. A worker's limit, of 64 say, also counts connections of hosts that died.
 inline constexpr Duration outgoingIdleLifetime = 3s; ///< Idle connections to workers and services.
+inline constexpr Duration outgoingSurplusLifetime = 500ms; ///< Those of them that are open beside others.
 inline constexpr Duration outgoingConnectTimeout = 700ms;
 inline constexpr Duration outgoingRefusalPause = 1s; ///< After a server refused a connection, before another one is opened beside those that are open; doubles with each refusal.
 inline constexpr Duration maxOutgoingRefusalPause = 16s;
--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -31,6 +31,8 @@
     size_t maxConnections = 1; ///< To one server, opening ones included.
     Duration refusalPause {}; ///< After the server refused a connection, none is opened for this long beside others. Doubles with each refusal in a row.
     Duration maxRefusalPause {};
+    Duration idleLifetime {}; ///< Of the only connection that is open.
+    Duration surplusLifetime {}; ///< Of a connection that is idle beside others. Those that are open when the host dies may stay so at the server.
 };
 
 enum class PoolActionKind : uint8_t {
@@ -144,6 +146,9 @@
     /// Forgets a connection that has been idle for its lifetime. Returns false if it is in use.
     bool retire(ConnectionNumber connection) { return std::erase(m_idle, connection) > 0; }
 
+    /// How long a connection that becomes idle now may stay open without a request.
+    Duration lifetime() const { return size() > 1 ? m_limits.surplusLifetime : m_limits.idleLifetime; }
+
     size_t size() const { return m_opening.size() + m_busy.size() + m_idle.size(); }
     bool isUnused() const { return !size() && m_waiting.empty(); }
 
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -45,7 +45,7 @@
 {
     std::shared_ptr<Server>& server = m_servers[endpoint];
     if (!server)
-        server = std::make_shared<Server>(Server { endpoint, ConnectionPool({ config::maxOutgoingConnections, config::outgoingRefusalPause, config::maxOutgoingRefusalPause }), {}, {} });
+        server = std::make_shared<Server>(Server { endpoint, ConnectionPool({ config::maxOutgoingConnections, config::outgoingRefusalPause, config::maxOutgoingRefusalPause, config::outgoingIdleLifetime, config::outgoingSurplusLifetime }), {}, {} });
     return server;
 }
 
@@ -119,7 +119,7 @@
     ConnectionFate fate = ConnectionFate::Reusable;
     bool isNew = true;
     while (fate == ConnectionFate::Reusable) {
-        const auto next = co_await requests.pop(Clock::now() + config::outgoingIdleLifetime);
+        const auto next = co_await requests.pop(Clock::now() + server->pool.lifetime());
         if (!next) {
             if (requests.isClosed() || server->pool.retire(number))
                 co_return;
