Give up starts that get no response while the worker answers polls

A start without a response was sent again every 150 ms for ever, and the run kept its room.

Change: after 3 s without a response, while polls are answered, the start is given up: the run is stopped first if an order may have reached the worker, requeued at once if none was sent, and the worker is quarantined, so that the task goes elsewhere. A counter and a line tell it. Orders that no connection took have an outcome of their own, `not-sent`, which proves that they have no effect. Relayed outcomes go between hosts, so the version of their protocol rises.

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -104,7 +104,7 @@
 inline constexpr uint64_t recordsPerSnapshotEntry = 8; ///< A state of more records is copied more rarely: at most once in (records / 8) entries.
 
 // Connections and calls between hosts.
-inline constexpr uint32_t peerProtocolVersion = 4;
+inline constexpr uint32_t peerProtocolVersion = 5;
 inline constexpr size_t maxFrameBytes = 16UL * 1024 * 1024;
 inline constexpr size_t largeMessageBytes = 256UL * 1024; ///< A message between hosts of at least this size gets a line in the log.
 inline constexpr size_t frameReadBytes = 16UL * 1024; ///< Read at once from a connection between hosts; larger frames take more.
@@ -171,6 +171,7 @@
 inline constexpr Duration maxPollWait = 1s; ///< Longest time that a worker may hold a poll before it answers.
 inline constexpr Duration orderTimeout = 700ms; ///< For an answer to an order.
 inline constexpr Duration orderRetryInterval = 150ms; ///< Until an order without a response is resent.
+inline constexpr Duration startDeliveryTimeout = 3s; ///< After which a start that is sent again without a response gives way to another worker: four attempts.
 inline constexpr size_t directWorkers = 100; ///< Fleet size up to which the leader makes all calls itself; see docs/CAPACITY.md.
 inline constexpr Duration relayMargin = 300ms; ///< Added to the timeout of a call that another host makes.
 inline constexpr Duration relayBackoff = 3s; ///< Pause before a host that did not answer is asked to relay calls again.
--- a/src/fleet_counters.h
+++ b/src/fleet_counters.h
@@ -32,6 +32,7 @@
     JobsPastLimit, ///< Jobs that ended after their late limit.
     ForecastsTooLate, ///< Jobs that ended before the forecast, which is to be a lower bound.
     WorkersRefused, ///< Reports of further workers while there were as many as allowed.
+    StartsUndelivered, ///< Starts that were given up as the worker answered only polls.
     WorkersRestrained, ///< Workers that get less work for a while, as they crashed or lost runs.
     Count
 };
@@ -41,7 +42,7 @@
     constexpr NameTable<FleetCounter> table { "jobs_accepted", "jobs_repeated", "calls_passed_on", "runs_placed", "runs_lost",
         "runs_stopped_for_gangs", "workers_lost", "workers_set_aside", "advice_asked", "advice_unanswered",
         "calls_relayed", "relays_unanswered", "plans", "reports_refused", "reports_outdated", "answers_unreadable", "starts_withdrawn", "jobs_examined", "storage_refusals", "tasks_suspected", "jobs_given_up",
-        "jobs_refused_behind_urgent", "jobs_refused_behind_owed", "jobs_past_limit", "forecasts_too_late", "workers_refused", "workers_restrained" };
+        "jobs_refused_behind_urgent", "jobs_refused_behind_owed", "jobs_past_limit", "forecasts_too_late", "workers_refused", "starts_undelivered", "workers_restrained" };
     static_assert(detail::isComplete<FleetCounter>(table));
     return table;
 }
--- a/src/worker_dispatcher.cpp
+++ b/src/worker_dispatcher.cpp
@@ -64,7 +64,7 @@
         return;
     const PendingWorkerCall& call = *pending;
     ++m_counters.orders[call.kind][response.outcome];
-    if (call.kind != OrderKind::Poll && response.outcome != OrderOutcome::NoResponse)
+    if (call.kind != OrderKind::Poll && isResponse(response.outcome))
         step.measure(FleetTimer::OrderRoundTrip, step.now - call.sentAt);
     WorkerView* target = m_workerViews.find(call.worker);
     if (!target)
@@ -80,7 +80,7 @@
         noteNextIncarnation(step, *target, call);
     else if (response.clockMs)
         target->lease.updateClock(step.now, *response.clockMs);
-    if (response.outcome != OrderOutcome::NoResponse) {
+    if (isResponse(response.outcome)) {
         target->noteAlive(step.now);
         target->brokenAt = never;
     }
@@ -105,7 +105,9 @@
         return;
     RunView& run = found->second;
     run.isOrderPending = false;
-    workerView.hasUnansweredStart = response.outcome == OrderOutcome::NoResponse;
+    workerView.hasUnansweredStart = !isResponse(response.outcome);
+    if (workerView.hasUnansweredStart)
+        run.unansweredSince = std::min(run.unansweredSince, call.sentAt);
     if (response.outcome != OrderOutcome::Accepted)
         logRun(step, LogEventKind::OrderRefused, workerView, call.run, name(response.outcome));
     switch (response.outcome) {
@@ -123,6 +125,7 @@
         run.nextOrder = step.now + config::orderRetryInterval / 4;
         break;
     case OrderOutcome::Fenced:
+    case OrderOutcome::NotSent:
         run.nextOrder = step.now + config::orderRetryInterval;
         break;
     case OrderOutcome::NoResponse:
@@ -180,7 +183,7 @@
     if (response.outcome != OrderOutcome::Accepted) {
         if (!std::exchange(workerView.isUnresponsive, true)) {
             workerView.unresponsiveSince = call.sentAt;
-            if (response.outcome == OrderOutcome::NoResponse)
+            if (!isResponse(response.outcome))
                 noteBrokenPoll(workerView, call, step.now);
             step.log(LogEventKind::WorkerUnresponsive, { { "worker", workerView.info.id }, { "runs", std::to_string(workerView.runs.size()) }, { "outcome", std::string(name(response.outcome)) } });
         }
@@ -377,6 +380,7 @@
 {
     std::vector<TaskRun> lateMembers;
     std::vector<TaskRun> withoutCapacity;
+    std::vector<TaskRun> undelivered;
     Resources occupied = workerView.occupied();
     const Duration memberStartTimeout = m_settings.gangTimeout - config::orderTimeout;
     for (auto& [run, runView] : workerView.runs) {
@@ -388,8 +392,10 @@
         if (!runView.isStopRequested && runView.phase == RunPhase::Running)
             continue;
         // The next incarnation under the same id would carry out the start of a run that is then placed anew.
-        if (workerView.isUnresponsive && !runView.isStopRequested && table.isCurrentRun(run))
+        if (workerView.isUnresponsive && !runView.isStopRequested && table.isCurrentRun(run)) {
+            runView.unansweredSince = never;
             continue;
+        }
         if (step.now < runView.nextOrder) {
             m_workerViews.schedule(runView.nextOrder, workerView.number);
             continue;
@@ -400,6 +406,10 @@
             runView.isStopRequested = true;
             order.kind = OrderKind::Stop;
         } else {
+            if (runView.isUndelivered(step.now)) {
+                undelivered.push_back(run);
+                continue;
+            }
             // The worker's capacity may have shrunk since the run was placed.
             if (!workerView.admitStart(occupied, runView)) {
                 withoutCapacity.push_back(run);
@@ -418,6 +428,7 @@
     }
     for (const TaskRun& run : lateMembers)
         m_workerViews.stopGang(step.now, run);
+    giveUpStarts(step, workerView, undelivered);
     for (const TaskRun& run : withoutCapacity) {
         logRun(step, LogEventKind::OrderRefused, workerView, run, "capacity-shrunk");
         m_counters.add(FleetCounter::StartsWithdrawn);
@@ -426,6 +437,21 @@
     }
 }
 
+/// Gives up starts that get no response although the worker answers polls, so that their tasks can be placed elsewhere.
+/// The quarantine keeps them, and others, from being placed on this worker again at once.
+void WorkerDispatcher::giveUpStarts(FleetStep& step, WorkerView& workerView, const std::vector<TaskRun>& undelivered)
+{
+    if (undelivered.empty())
+        return;
+    for (const TaskRun& run : undelivered) {
+        logRun(step, LogEventKind::OrderRefused, workerView, run, "undelivered");
+        m_counters.add(FleetCounter::StartsUndelivered);
+        handleRefusedStart(workerView, step.now, run);
+    }
+    m_workerViews.schedule(step.now, workerView.number);
+    quarantine(step, workerView);
+}
+
 /// Doesn't extend the lease of an unresponsive worker, as its runs could then never be requeued.
 int64_t WorkerDispatcher::leaseFor(WorkerView& workerView, Time now) const
 {
--- a/src/worker_orders.h
+++ b/src/worker_orders.h
@@ -46,17 +46,21 @@
     Refused, ///< Rejected for another reason; nothing was done.
     OtherIncarnation, ///< Another incarnation of the worker responded, so the addressed one has ended.
     NoResponse, ///< No response; the order may still be carried out.
+    NotSent, ///< No connection to the worker took the order in time.
     Count
 };
 
 constexpr NameTable<OrderOutcome> nameTable(OrderOutcome)
 {
     constexpr NameTable<OrderOutcome> table { "accepted", "fenced", "outdated", "lease-over", "no-room", "bad-ticket",
-        "refused", "other-life", "silent" };
+        "refused", "other-life", "silent", "not-sent" };
     static_assert(detail::isComplete<OrderOutcome>(table));
     return table;
 }
 
+/// Whether the worker has responded.
+constexpr bool isResponse(OrderOutcome outcome) { return outcome != OrderOutcome::NoResponse && outcome != OrderOutcome::NotSent; }
+
 /// An active run as reported by its worker.
 struct ReportedRun {
     TaskRun run;
--- a/src/worker_view.h
+++ b/src/worker_view.h
@@ -51,6 +51,7 @@
     bool isSuspect = false; ///< Whether the task may have crashed a worker before.
     bool isProven = false; ///< Has been at work for long enough not to be the cause of a later crash.
     Time nextOrder {};
+    Time unansweredSince = never; ///< When the first start without a response was sent, while the worker answers polls.
     Time placedAt {};
     ProgressSampler speedSampler {}; ///< Of the run's progress, for the speed of its worker.
 
@@ -71,6 +72,9 @@
         return !isReported && (isOrderPending || confirmedAt >= upAt);
     }
 
+    /// Whether starts of the run have had no response for so long that it has to run elsewhere.
+    bool isUndelivered(Time now) const { return unansweredSince != never && now >= unansweredSince + config::startDeliveryTimeout; }
+
     /// Whether the run needs a worker without other runs that could be the cause of a crash.
     bool isIsolated() const { return isSuspect && !isProven; }
 
