Start placements that were on their way to the log when the dispatcher restarted

A leader whose log takes no more commands for a while restarts its view of the workers. Placements that were committed after that had no run in the new view: their tasks stayed placed, were never started, and nothing told it. Such a placement gets its run now, and starts wait for the worker's clock, in which their lease is granted. RestartedDispatcherTests failed before (no start) and passes. Seen by reading; no play shows it.

--- a/src/worker_dispatcher.cpp
+++ b/src/worker_dispatcher.cpp
@@ -391,37 +391,34 @@
             continue;
         if (!runView.isStopRequested && runView.phase == RunPhase::Running)
             continue;
+        const bool isStart = !runView.isStopRequested && table.isCurrentRun(run);
         // The next incarnation under the same id would carry out the start of a run that is then placed anew.
-        if (workerView.isUnresponsive && !runView.isStopRequested && table.isCurrentRun(run)) {
+        if (isStart && workerView.isUnresponsive) {
             runView.unansweredSince = never;
             continue;
         }
+        if (isStart && !workerView.isSynced)
+            continue; // Its lease is in terms of the worker's clock, which is not known yet.
         if (step.now < runView.nextOrder) {
             m_workerViews.schedule(runView.nextOrder, workerView.number);
             continue;
         }
+        if (isStart && runView.isUndelivered(step.now)) {
+            undelivered.push_back(run);
+            continue;
+        }
+        // The worker's capacity may have shrunk since the run was placed.
+        if (isStart && !workerView.admitStart(occupied, runView)) {
+            withoutCapacity.push_back(run);
+            continue;
+        }
+        runView.isStopRequested = !isStart;
         WorkerOrder order;
-        order.run = run;
-        if (runView.isStopRequested || !table.isCurrentRun(run)) {
-            runView.isStopRequested = true;
+        if (isStart)
+            order = startOrder(table, workerView, run, step.now);
+        else
             order.kind = OrderKind::Stop;
-        } else {
-            if (runView.isUndelivered(step.now)) {
-                undelivered.push_back(run);
-                continue;
-            }
-            // The worker's capacity may have shrunk since the run was placed.
-            if (!workerView.admitStart(occupied, runView)) {
-                withoutCapacity.push_back(run);
-                continue;
-            }
-            const WorkJob& job = *table.job(run.task.job);
-            order.kind = OrderKind::Start;
-            order.text = job.work.text;
-            order.checkpoint = job.task(run.task)->checkpoint;
-            order.ticket = runView.ticket;
-            order.leaseEndMs = leaseFor(workerView, step.now);
-        }
+        order.run = run;
         runView.isOrderPending = true;
         const PendingWorkerCall call { workerView.number, order.kind, run, step.now, config::orderTimeout, 0 };
         send(step, workerView, call, std::move(order));
@@ -437,6 +434,18 @@
     }
 }
 
+WorkerOrder WorkerDispatcher::startOrder(const WorkTable& table, WorkerView& workerView, const TaskRun& run, Time now) const
+{
+    const WorkJob& job = *table.job(run.task.job);
+    WorkerOrder order;
+    order.kind = OrderKind::Start;
+    order.text = job.work.text;
+    order.checkpoint = job.task(run.task)->checkpoint;
+    order.ticket = workerView.runs.at(run).ticket;
+    order.leaseEndMs = leaseFor(workerView, now);
+    return order;
+}
+
 /// Gives up starts that get no response although the worker answers polls, so that their tasks can be placed elsewhere.
 /// The quarantine keeps them, and others, from being placed on this worker again at once.
 void WorkerDispatcher::giveUpStarts(FleetStep& step, WorkerView& workerView, const std::vector<TaskRun>& undelivered)
--- a/src/worker_dispatcher.h
+++ b/src/worker_dispatcher.h
@@ -85,6 +85,7 @@
     void handleUnansweredRelays(FleetStep& step, const WorkTable& table, const std::set<CallId>& calls);
     void logRun(FleetStep& step, LogEventKind kind, const WorkerView& workerView, const TaskRun& run, std::string_view reason);
 
+    WorkerOrder startOrder(const WorkTable& table, WorkerView& workerView, const TaskRun& run, Time now) const;
     void giveUpStarts(FleetStep& step, WorkerView& workerView, const std::vector<TaskRun>& undelivered);
     void handleRefusedStart(WorkerView& workerView, Time now, const TaskRun& run);
     void requeue(WorkerView& workerView, Time now, const std::vector<TaskRun>& runs, bool mayHaveCrashed = false);
--- a/src/worker_views.cpp
+++ b/src/worker_views.cpp
@@ -157,7 +157,11 @@
     WorkerView* target = find(placement.worker);
     if (!target)
         return;
-    const auto found = target->runs.find(placement.run);
+    auto found = target->runs.find(placement.run);
+    if (found == target->runs.end() && table.isCurrentRun(placement.run)) { // Reserved before the dispatcher was restarted.
+        target->addRun(placement.run, initialRunView(table, placement.run.task, {}));
+        found = target->runs.find(placement.run);
+    }
     if (found == target->runs.end() || found->second.phase != RunPhase::Reserved)
         return;
     if (!table.isCurrentRun(placement.run)) {
--- a/tests/support/worker_dispatcher_fixture.h
+++ b/tests/support/worker_dispatcher_fixture.h
@@ -114,6 +114,14 @@
         tick();
     }
 
+    /// Restarts the dispatcher within its term, as the leader does when the log takes no more commands.
+    void restartDispatcher()
+    {
+        m_openOrders.clear();
+        m_dispatcher.start(m_table, m_now, m_fencingToken);
+        tick();
+    }
+
     void cancel(uint64_t key)
     {
         m_table.apply(m_now, CancelWork { JobKey { key } });
--- a/tests/worker_dispatcher_test.cpp
+++ b/tests/worker_dispatcher_test.cpp
@@ -237,3 +237,21 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(RestartedDispatcherTests)
+
+/// The placement was committed after the restart, and its task stayed placed without ever being started.
+BOOST_AUTO_TEST_CASE(placementInFlightIsStartedAfterARestart)
+{
+    WorkerDispatcherFixture fixture;
+    const TaskRun run = fixture.place(1);
+    fixture.restartDispatcher();
+    fixture.commit();
+    fixture.respondToAll(OrderOutcome::Accepted);
+    fixture.advance(200ms);
+    BOOST_REQUIRE(fixture.ordersOf(OrderKind::Start).size() == 1U);
+    BOOST_TEST((fixture.ordersOf(OrderKind::Start).front().order.run == run));
+    BOOST_TEST((fixture.workerView().used == WorkerDispatcherFixture::taskSize()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
