Open no more connections to an upstream than requests were in flight at once

Cause: the upstream client opened a connection whenever none fitted, beside idle ones that at-most-once work may not reuse, and closed idle ones only at the next request to the same upstream. Those that are open when the host dies use up the upstream's connections.

Change: UpstreamClient uses HttpClient, whose connections are tasks that own their sockets and close after their idle lifetime. ConnectionPool takes the longest idle time that a request accepts, and closes the connection that has been idle longest before it opens one in its place. Without a limit of connections, as the core bounds the attempts in flight, no request waits for another one; one whose connection is refused fails at once, as before. The Host field now has the port, and an attempt that times out closes the idle connections to its upstream. closeIdleConnections had no caller; IdleConnections is gone. eelgrassd's metrics show the open connections to upstreams.

--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <cstdint>
 #include <deque>
+#include <limits>
+#include <map>
 #include <set>
 #include <utility>
 #include <vector>
@@ -27,12 +29,29 @@
     auto operator<=>(const ConnectionNumber&) const = default;
 };
 
+/// What becomes of a request whose connection could not be opened while others are open.
+enum class RefusalPolicy : uint8_t {
+    WaitForOthers,
+    FailRequest,
+    Count
+};
+
+constexpr NameTable<RefusalPolicy> nameTable(RefusalPolicy)
+{
+    constexpr NameTable<RefusalPolicy> table { "wait-for-others", "fail-request" };
+    static_assert(detail::isComplete<RefusalPolicy>(table));
+    return table;
+}
+
+constexpr size_t unlimitedConnections = std::numeric_limits<size_t>::max(); ///< Each request in flight has a connection at once.
+
 struct ConnectionLimits {
     size_t maxConnections = 1; ///< To one server, opening ones included.
     Duration refusalPause {}; ///< After the server refused a connection, none is opened for this long beside others. Doubles with each refusal in a row.
     Duration maxRefusalPause {};
     Duration idleLifetime {}; ///< Of the only connection that is open.
     Duration surplusLifetime {}; ///< Of a connection that is idle beside others. Those that are open when the host dies may stay so at the server.
+    RefusalPolicy refusalPolicy = RefusalPolicy::WaitForOthers;
 };
 
 enum class PoolActionKind : uint8_t {
@@ -85,20 +104,24 @@
     {
     }
 
-    /// Adds a request. It is sent or failed by an action of this or a later call.
-    Actions add(Time now, RequestNumber request)
+    /// Adds a request, which takes no connection that has been idle for `maxIdle` or longer. It is sent or
+    /// failed by an action of this or a later call.
+    Actions add(Time now, RequestNumber request, Duration maxIdle = Duration::max())
     {
-        m_waiting.push_back(request);
+        m_waiting.push_back({ request, maxIdle });
         return assign(now);
     }
 
     /// Removes a request that still waits. Returns false if it was sent or failed before.
-    bool withdraw(RequestNumber request) { return std::erase(m_waiting, request) > 0; }
+    bool withdraw(RequestNumber request)
+    {
+        return std::erase_if(m_waiting, [&](const WaitingRequest& waiting) { return waiting.number == request; }) > 0;
+    }
 
     Actions opened(Time now, ConnectionNumber connection)
     {
         m_opening.erase(connection);
-        m_idle.push_back(connection);
+        m_idle.push_back({ connection, now });
         m_latestOpened = connection;
         return assign(now);
     }
@@ -107,12 +130,9 @@
     {
         m_opening.erase(connection);
         noteRefusal(now);
-        if (size())
+        if (size() && m_limits.refusalPolicy == RefusalPolicy::WaitForOthers)
             return assign(now);
-        Actions actions;
-        for (const RequestNumber request : std::exchange(m_waiting, {}))
-            actions.push_back({ PoolActionKind::Fail, {}, request });
-        return actions;
+        return failExcessRequests();
     }
 
     /// The request on the connection has ended.
@@ -125,11 +145,11 @@
             m_pause = {};
         Actions actions;
         if (fate == ConnectionFate::TimedOut) {
-            for (const ConnectionNumber idle : std::exchange(m_idle, {})) // The network may have dropped these too.
-                actions.push_back({ PoolActionKind::Close, idle, {} });
+            while (!m_idle.empty()) // The network may have dropped these too.
+                actions.push_back(closeOldestIdle());
         }
         if (fate == ConnectionFate::Reusable)
-            m_idle.push_back(connection);
+            m_idle.push_back({ connection, now });
         for (const PoolAction& action : assign(now))
             actions.push_back(action);
         return actions;
@@ -138,13 +158,16 @@
     /// The server had closed the connection before the request was sent.
     Actions returned(Time now, ConnectionNumber connection, RequestNumber request)
     {
-        m_busy.erase(connection);
-        m_waiting.push_front(request);
+        const Duration maxIdle = m_busy.extract(connection).mapped().maxIdle;
+        m_waiting.push_front({ request, maxIdle });
         return assign(now);
     }
 
     /// Forgets a connection that has been idle for its lifetime. Returns false if it is in use.
-    bool retire(ConnectionNumber connection) { return std::erase(m_idle, connection) > 0; }
+    bool retire(ConnectionNumber connection)
+    {
+        return std::erase_if(m_idle, [&](const IdleConnection& idle) { return idle.number == connection; }) > 0;
+    }
 
     /// How long a connection that becomes idle now may stay open without a request.
     Duration lifetime() const { return size() > 1 ? m_limits.surplusLifetime : m_limits.idleLifetime; }
@@ -153,19 +176,35 @@
     bool isUnused() const { return !size() && m_waiting.empty(); }
 
 private:
+    struct WaitingRequest {
+        RequestNumber number;
+        Duration maxIdle {}; ///< Of a connection that it takes.
+    };
+
+    struct IdleConnection {
+        ConnectionNumber number;
+        Time since {};
+    };
+
     /// Gives waiting requests to idle connections, the latest used first so that the others expire, and opens
-    /// further ones for the rest.
+    /// further ones for the rest, in place of those that have been idle for too long.
     Actions assign(Time now)
     {
         Actions actions;
-        while (!m_waiting.empty() && !m_idle.empty()) {
-            const ConnectionNumber connection = m_idle.back();
+        for (auto waiting = m_waiting.begin(); waiting != m_waiting.end() && !m_idle.empty();) {
+            const IdleConnection latest = m_idle.back();
+            if (now - latest.since >= waiting->maxIdle) {
+                ++waiting;
+                continue;
+            }
             m_idle.pop_back();
-            m_busy.insert(connection);
-            actions.push_back({ PoolActionKind::Send, connection, m_waiting.front() });
-            m_waiting.pop_front();
+            m_busy.emplace(latest.number, *waiting);
+            actions.push_back({ PoolActionKind::Send, latest.number, waiting->number });
+            waiting = m_waiting.erase(waiting);
         }
         while (m_opening.size() < m_waiting.size() && mayOpen(now)) {
+            if (!m_idle.empty())
+                actions.push_back(closeOldestIdle());
             const ConnectionNumber connection { m_nextConnection++ };
             m_opening.insert(connection);
             actions.push_back({ PoolActionKind::Open, connection, {} });
@@ -173,6 +212,24 @@
         return actions;
     }
 
+    PoolAction closeOldestIdle()
+    {
+        const ConnectionNumber oldest = m_idle.front().number;
+        m_idle.pop_front();
+        return { PoolActionKind::Close, oldest, {} };
+    }
+
+    /// Ends the requests for which no connection is being opened, the earliest first.
+    Actions failExcessRequests()
+    {
+        Actions actions;
+        while (m_waiting.size() > m_opening.size()) {
+            actions.push_back({ PoolActionKind::Fail, {}, m_waiting.front().number });
+            m_waiting.pop_front();
+        }
+        return actions;
+    }
+
     void noteRefusal(Time now)
     {
         if (now < m_pausedUntil)
@@ -181,17 +238,22 @@
         m_pausedUntil = now + m_pause;
     }
 
-    bool mayOpen(Time now) const { return size() < m_limits.maxConnections && (now >= m_pausedUntil || !size()); }
+    /// Whether a connection may be opened in place of the one that has been idle longest, if there is one.
+    bool mayOpen(Time now) const
+    {
+        const size_t others = size() - (m_idle.empty() ? 0 : 1);
+        return others < m_limits.maxConnections && (now >= m_pausedUntil || !others);
+    }
 
     ConnectionLimits m_limits;
     uint64_t m_nextConnection = 1;
     Duration m_pause {}; ///< After the latest refusal; zero once a later connection has answered.
     Time m_pausedUntil {};
     ConnectionNumber m_latestOpened;
-    std::deque<RequestNumber> m_waiting;
+    std::deque<WaitingRequest> m_waiting;
     std::set<ConnectionNumber> m_opening;
-    std::set<ConnectionNumber> m_busy;
-    std::vector<ConnectionNumber> m_idle; ///< The last one was used latest.
+    std::map<ConnectionNumber, WaitingRequest> m_busy; ///< With the request that each has.
+    std::deque<IdleConnection> m_idle; ///< The last one was used latest.
 };
 
 } // namespace eelgrassloft
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -1,12 +1,11 @@
 #include "io/http_client.h"
 
-#include "io/idle_connections.h"
 #include "io/metrics_text.h"
 
-#include "eelgrassloft/config.h"
-
 #include <algorithm>
 #include <charconv>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace eelgrassloft::io {
 
@@ -14,6 +13,24 @@
 
 Time coreTime(std::chrono::steady_clock::time_point time) { return Time(std::chrono::duration_cast<Duration>(time.time_since_epoch())); }
 
+void enableKeepAlive(tcp::socket& socket)
+{
+    const auto set = [&](int level, int option, int value) { ::setsockopt(socket.native_handle(), level, option, &value, sizeof(value)); };
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, config::tcpKeepAliveIdleSeconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, config::tcpKeepAliveIntervalSeconds);
+    set(IPPROTO_TCP, TCP_KEEPCNT, config::tcpKeepAliveProbes);
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(config::tcpUserTimeout / std::chrono::milliseconds(1)));
+}
+
+/// Whether the server has left an idle connection open: if not, a read gives the end of the stream.
+bool isOpen(tcp::socket& socket)
+{
+    char byte = 0;
+    const ssize_t peeked = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 ConnectionFate fateAfter(const ExchangeResult& result)
 {
     switch (result.outcome) {
@@ -45,11 +62,11 @@
 {
     std::shared_ptr<Server>& server = m_servers[endpoint];
     if (!server)
-        server = std::make_shared<Server>(Server { endpoint, ConnectionPool({ config::maxOutgoingConnections, config::outgoingRefusalPause, config::maxOutgoingRefusalPause, config::outgoingIdleLifetime, config::outgoingSurplusLifetime }), {}, {} });
+        server = std::make_shared<Server>(Server { endpoint, ConnectionPool(m_settings.limits), {}, {} });
     return server;
 }
 
-awaitable<ExchangeResult> HttpClient::call(tcp::endpoint endpoint, HttpRequest message, Duration timeout)
+awaitable<ExchangeResult> HttpClient::call(tcp::endpoint endpoint, HttpRequest message, Duration timeout, Duration maxIdle)
 {
     message.set(http::field::host, endpoint.address().to_string() + ":" + std::to_string(endpoint.port()));
     message.prepare_payload();
@@ -58,7 +75,7 @@
     const auto request = std::make_shared<Request>(Request { std::move(message), deadline, Mailbox<ExchangeResult>(m_context.get_executor(), 1) });
     const RequestNumber number { m_nextRequest++ };
     server->requests[number] = request;
-    perform(server, server->pool.add(coreTime(Clock::now()), number));
+    perform(server, server->pool.add(coreTime(Clock::now()), number, maxIdle));
     auto result = co_await request->result.pop(deadline);
     if (!result && !server->pool.withdraw(number)) // A connection has it and ends it by the same deadline.
         result = co_await request->result.pop();
@@ -96,13 +113,15 @@
 awaitable<void> HttpClient::runConnection(std::shared_ptr<Server> server, ConnectionNumber number)
 {
     Stream stream(m_context);
-    stream.expires_after(config::outgoingConnectTimeout);
+    stream.expires_after(m_settings.connectTimeout);
     error_code error;
     co_await stream.async_connect(server->endpoint, asio::redirect_error(use_awaitable, error));
     if (error) {
         perform(server, server->pool.openFailed(coreTime(Clock::now()), number));
     } else {
         stream.socket().set_option(tcp::no_delay(true), error);
+        if (m_settings.isKeepAliveEnabled)
+            enableKeepAlive(stream.socket());
         perform(server, server->pool.opened(coreTime(Clock::now()), number));
         co_await serveRequests(server, number, stream);
     }
@@ -125,7 +144,7 @@
                 co_return;
             continue;
         }
-        if (!IdleConnections::isOpen(stream)) {
+        if (!isOpen(stream.socket())) {
             perform(server, server->pool.returned(coreTime(Clock::now()), number, *next));
             co_return;
         }
@@ -138,16 +157,17 @@
     }
 }
 
-awaitable<ExchangeResult> HttpClient::exchange(Stream& stream, const Request& request)
+awaitable<ExchangeResult> HttpClient::exchange(Stream& stream, const Request& request) const
 {
     ExchangeResult result;
     result.outcome = ExchangeOutcome::Broken;
     stream.expires_at(request.deadline);
-    error_code error;
+    error_code& error = result.error;
     co_await http::async_write(stream, request.message, asio::redirect_error(use_awaitable, error));
+    result.isRequestSent = !error;
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
-    parser.body_limit(config::maxFrameBytes);
+    parser.body_limit(m_settings.maxResponseBytes);
     if (!error)
         co_await http::async_read(stream, buffer, parser, asio::redirect_error(use_awaitable, error));
     stream.expires_never();
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -5,6 +5,7 @@
 
 #include "connection_pool.h"
 
+#include "eelgrassloft/config.h"
 #include "eelgrassloft/name_table.h"
 #include "eelgrassloft/time.h"
 
@@ -34,11 +35,21 @@
 struct ExchangeResult {
     ExchangeOutcome outcome = ExchangeOutcome::NotSent;
     bool isConnectionNew = false; ///< Whether it was the connection's first request.
+    bool isRequestSent = false; ///< Whether the whole request was written.
+    error_code error; ///< Of a broken or timed out exchange.
     HttpResponse response; ///< Of an answered request.
 
     explicit operator bool() const { return outcome == ExchangeOutcome::Answered; }
 };
 
+/// How a client treats its servers. The defaults are those for workers and services of a fleet.
+struct HttpClientSettings {
+    ConnectionLimits limits { config::maxOutgoingConnections, config::outgoingRefusalPause, config::maxOutgoingRefusalPause, config::outgoingIdleLifetime, config::outgoingSurplusLifetime };
+    Duration connectTimeout = config::outgoingConnectTimeout;
+    uint64_t maxResponseBytes = config::maxFrameBytes; ///< Of a response's body.
+    bool isKeepAliveEnabled = false; ///< Lets the kernel close a connection whose peer has stopped acknowledging.
+};
+
 /// Counters of a client since its start.
 struct HttpClientCounters {
     EnumArray<ExchangeOutcome, uint64_t> exchanges;
@@ -48,13 +59,15 @@
 /// HTTP client. Requests to one server share its connections, each of which is a task that owns its socket.
 class HttpClient {
 public:
-    explicit HttpClient(asio::io_context& context)
+    explicit HttpClient(asio::io_context& context, HttpClientSettings settings = {})
         : m_context(context)
+        , m_settings(settings)
     {
     }
 
-    /// Sends a request on one of the server's connections. The timeout includes the wait for one.
-    awaitable<ExchangeResult> call(tcp::endpoint endpoint, HttpRequest request, Duration timeout);
+    /// Sends a request on one of the server's connections, but on none that has been idle for `maxIdle` or
+    /// longer. The timeout includes the wait for a connection.
+    awaitable<ExchangeResult> call(tcp::endpoint endpoint, HttpRequest request, Duration timeout, Duration maxIdle = Duration::max());
 
     /// Counters, and the connections that are open now, in the Prometheus text format.
     std::string metricsText() const;
@@ -70,9 +83,10 @@
     void perform(const std::shared_ptr<Server>& server, const ConnectionPool::Actions& actions);
     awaitable<void> runConnection(std::shared_ptr<Server> server, ConnectionNumber number);
     awaitable<void> serveRequests(std::shared_ptr<Server> server, ConnectionNumber number, Stream& stream);
-    static awaitable<ExchangeResult> exchange(Stream& stream, const Request& request);
+    awaitable<ExchangeResult> exchange(Stream& stream, const Request& request) const;
 
     asio::io_context& m_context;
+    HttpClientSettings m_settings;
     std::map<tcp::endpoint, std::shared_ptr<Server>> m_servers;
     uint64_t m_nextRequest = 1;
     HttpClientCounters m_counters;
--- a/src/io/node_task.cpp
+++ b/src/io/node_task.cpp
@@ -89,6 +89,7 @@
     text += gaugeText("peers_rejected", static_cast<double>(m_dependencies.peers.rejectedPeers()));
     text += gaugeText("peer_messages_dropped", static_cast<double>(m_dependencies.peers.droppedMessages()));
     text += gaugeText("peer_queued_bytes", static_cast<double>(m_dependencies.peers.queuedBytes()));
+    text += m_dependencies.upstreams.metricsText();
     return text;
 }
 
--- a/src/io/upstream_client.h
+++ b/src/io/upstream_client.h
@@ -1,10 +1,8 @@
 #pragma once
 
-#include "io/idle_connections.h"
+#include "io/http_client.h"
 #include "io/node_messages.h"
 
-#include <memory>
-
 namespace eelgrassloft::io {
 
 /// Parts of a caller's request that an attempt sends to the upstream.
@@ -14,26 +12,24 @@
     std::string key;
 };
 
-/// Sends attempts to upstreams, and reuses idle connections. Each attempt is a task that owns its
-/// connection while it lasts and ends with one event to the node.
+/// Sends attempts to upstreams. Each attempt is a task that ends with one event to the node. The core bounds
+/// the attempts in flight to an upstream, and there are at most as many connections to it.
 class UpstreamClient {
 public:
     UpstreamClient(asio::io_context& context, NodeMailbox& nodeMailbox);
 
     void start(const DispatchAttempt& attempt, AttemptPayload payload, Duration remaining);
-    void closeIdleConnections();
 
-private:
-    using Stream = beast::tcp_stream;
+    /// Counters, and the connections to upstreams that are open now, in the Prometheus text format.
+    std::string metricsText() const { return m_http.metricsText(); }
 
+private:
     awaitable<void> run(DispatchAttempt attempt, AttemptPayload payload, Duration remaining);
     awaitable<Event> performAttempt(DispatchAttempt attempt, AttemptPayload payload, Duration remaining);
-    awaitable<std::unique_ptr<Stream>> connect(tcp::endpoint endpoint);
-    std::unique_ptr<Stream> takeIdleConnection(const tcp::endpoint& endpoint, Duration maxIdle);
 
     asio::io_context& m_context;
     NodeMailbox& m_nodeMailbox;
-    IdleConnections m_idleConnections;
+    HttpClient m_http;
 };
 
 } // namespace eelgrassloft::io
--- a/tests/connection_pool_test.cpp
+++ b/tests/connection_pool_test.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr ConnectionLimits limits { 3, 1s, 4s, 3s, 500ms };
+constexpr ConnectionLimits unlimited { unlimitedConnections, 0s, 0s, 3s, 3s, RefusalPolicy::FailRequest };
+constexpr Duration maxIdle = 500ms;
 
 /// A pool whose owner carries out its actions at once, except that connections open when the test says so.
 struct Fixture {
@@ -21,10 +23,10 @@
     std::vector<RequestNumber> failed;
     std::vector<ConnectionNumber> closed;
 
-    RequestNumber add()
+    RequestNumber add(Duration maxIdleTime = Duration::max())
     {
         const RequestNumber request { ++lastRequest };
-        perform(pool.add(now, request));
+        perform(pool.add(now, request, maxIdleTime));
         return request;
     }
 
@@ -191,4 +193,84 @@
     BOOST_TEST(!pool.withdraw(request));
 }
 
+/// Requests that avoid connections idle for long opened new ones beside those.
+BOOST_AUTO_TEST_CASE(aConnectionIdleForTooLongIsClosedForANewOne)
+{
+    pool = ConnectionPool(unlimited);
+    const RequestNumber first = add();
+    const RequestNumber second = add();
+    const ConnectionNumber oldest = open();
+    open();
+    finish(first);
+    now += maxIdle;
+    finish(second);
+    const RequestNumber reusing = add(maxIdle);
+    BOOST_TEST(sent.count(reusing) == 1U);
+    BOOST_TEST(opening.empty());
+    add(maxIdle);
+    BOOST_TEST((closed == std::vector<ConnectionNumber> { oldest }));
+    BOOST_TEST(opening.size() == 1U);
+    BOOST_TEST(pool.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(aRequestTakesAnIdleConnectionThatOneBeforeItAvoids)
+{
+    pool = ConnectionPool(unlimited);
+    const RequestNumber first = add();
+    const RequestNumber second = add();
+    open();
+    open();
+    finish(first);
+    finish(second);
+    now += maxIdle;
+    const RequestNumber avoiding = add(maxIdle);
+    const RequestNumber reusing = add();
+    BOOST_TEST(sent.count(avoiding) == 0U);
+    BOOST_TEST(sent.count(reusing) == 1U);
+    BOOST_TEST(pool.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(requestsDoNotWaitForOthersWithoutALimit)
+{
+    pool = ConnectionPool(unlimited);
+    for (size_t i = 1; i <= 100; ++i) {
+        add();
+        BOOST_TEST(opening.size() == i);
+    }
+}
+
+/// A request that stays with a server that refuses it can't go to another one in time.
+BOOST_AUTO_TEST_CASE(aRefusedRequestFailsAlthoughOthersAreOpen)
+{
+    pool = ConnectionPool(unlimited);
+    add();
+    open();
+    const RequestNumber second = add();
+    const RequestNumber third = add();
+    refuse();
+    BOOST_TEST((failed == std::vector<RequestNumber> { second }));
+    open();
+    BOOST_TEST(sent.count(third) == 1U);
+    add();
+    BOOST_TEST(opening.size() == 1U); // Without a pause.
+}
+
+BOOST_AUTO_TEST_CASE(aReturnedRequestStillAvoidsConnectionsIdleForLong)
+{
+    pool = ConnectionPool(unlimited);
+    const RequestNumber first = add();
+    const RequestNumber second = add();
+    open();
+    const ConnectionNumber ended = open();
+    finish(first);
+    now += maxIdle;
+    finish(second);
+    const RequestNumber avoiding = add(maxIdle);
+    sent.erase(avoiding);
+    perform(pool.returned(now, ended, avoiding));
+    BOOST_TEST(sent.empty());
+    BOOST_TEST(opening.size() == 1U);
+    BOOST_TEST(pool.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
