Fail requests whose new connection was closed before they were sent

Cause: a connection that the server closed as soon as it was made returned its request, for which the client opened the next one at once, until the request's deadline. For servers that accept no more connections this is a loop without a pause.

Change: the pool counts a connection that ends before its first request as refused, as if it had not been opened. The request waits for the others that are open, or fails as not sent.

--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -129,10 +129,7 @@
     Actions openFailed(Time now, ConnectionNumber connection)
     {
         m_opening.erase(connection);
-        noteRefusal(now);
-        if (size() && m_limits.refusalPolicy == RefusalPolicy::WaitForOthers)
-            return assign(now);
-        return failExcessRequests();
+        return refused(now);
     }
 
     /// The request on the connection has ended.
@@ -155,12 +152,13 @@
         return actions;
     }
 
-    /// The server had closed the connection before the request was sent.
-    Actions returned(Time now, ConnectionNumber connection, RequestNumber request)
+    /// The server had closed the connection before the request was sent. `fate` is `Refused` if it did so to a
+    /// connection that had just been opened.
+    Actions returned(Time now, ConnectionNumber connection, RequestNumber request, ConnectionFate fate = ConnectionFate::Closed)
     {
         const Duration maxIdle = m_busy.extract(connection).mapped().maxIdle;
         m_waiting.push_front({ request, maxIdle });
-        return assign(now);
+        return fate == ConnectionFate::Refused ? refused(now) : assign(now);
     }
 
     /// Forgets a connection that has been idle for its lifetime. Returns false if it is in use.
@@ -219,6 +217,14 @@
         return { PoolActionKind::Close, oldest, {} };
     }
 
+    Actions refused(Time now)
+    {
+        noteRefusal(now);
+        if (size() && m_limits.refusalPolicy == RefusalPolicy::WaitForOthers)
+            return assign(now);
+        return failExcessRequests();
+    }
+
     /// Ends the requests for which no connection is being opened, the earliest first.
     Actions failExcessRequests()
     {
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -136,6 +136,7 @@
 {
     Mailbox<RequestNumber>& requests = server->connections.at(number);
     ConnectionFate fate = ConnectionFate::Reusable;
+    bool isAwaited = requests.size() > 0; // Otherwise it is idle first, which the server may end.
     bool isNew = true;
     while (fate == ConnectionFate::Reusable) {
         const auto next = co_await requests.pop(Clock::now() + server->pool.lifetime());
@@ -144,8 +145,9 @@
                 co_return;
             continue;
         }
+        const ConnectionFate fateIfEnded = std::exchange(isAwaited, false) ? ConnectionFate::Refused : ConnectionFate::Closed;
         if (!isOpen(stream.socket())) {
-            perform(server, server->pool.returned(coreTime(Clock::now()), number, *next));
+            perform(server, server->pool.returned(coreTime(Clock::now()), number, *next, fateIfEnded));
             co_return;
         }
         const std::shared_ptr<Request> request = server->requests.at(*next);
--- a/tests/connection_pool_test.cpp
+++ b/tests/connection_pool_test.cpp
@@ -273,4 +273,19 @@
     BOOST_TEST(pool.size() == 1U);
 }
 
+/// A server that closes each connection at once was sent new ones without a pause.
+BOOST_AUTO_TEST_CASE(aConnectionClosedBeforeItsFirstRequestIsRefused)
+{
+    for (const ConnectionLimits& used : { limits, unlimited }) {
+        pool = ConnectionPool(used);
+        failed.clear();
+        const RequestNumber request = add();
+        const ConnectionNumber connection = open();
+        perform(pool.returned(now, connection, request, ConnectionFate::Refused));
+        BOOST_TEST(opening.empty());
+        BOOST_TEST((failed == std::vector<RequestNumber> { request }));
+        BOOST_TEST(pool.isUnused());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/surplus_upstream_connections_test.cpp
+++ b/tests/surplus_upstream_connections_test.cpp
@@ -214,4 +214,23 @@
     BOOST_TEST((failureOfAttempt() == AttemptFailure::AnswerLost));
 }
 
+/// The client opened one connection after the other until the attempt's deadline.
+BOOST_AUTO_TEST_CASE(aConnectionThatIsClosedAtOnceIsNotReplaced)
+{
+    tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    acceptor.non_blocking(true);
+    start(acceptor.local_endpoint().port());
+    size_t accepted = 0;
+    for (int i = 0; i < 1000 && accepted < 5 && !nodeMailbox.size(); ++i) {
+        context.poll_one();
+        tcp::socket socket(context);
+        error_code error;
+        acceptor.accept(socket, error); // Closed before the client's next step.
+        accepted += !error;
+        std::this_thread::sleep_for(1ms);
+    }
+    BOOST_TEST(accepted == 1U);
+    BOOST_TEST((failureOfAttempt() == AttemptFailure::ConnectFailed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
