Keep the entry of a server that a later call made

Cause: a call that ended erased the entry of its endpoint although another task had forgotten its server and a later call had made a new one. The next call then opened connections beside those of the new entry, beyond its limit, and the gauges missed these.

Change: one function forgets a server, and only if the entry is still its own.

Evidence: found by reading; no test shows it.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -80,8 +80,7 @@
     if (!result && !server->pool.withdraw(number)) // A connection has it and ends it by the same deadline.
         result = co_await request->result.pop();
     server->requests.erase(number);
-    if (server->pool.isUnused())
-        m_servers.erase(endpoint);
+    forgetIfUnused(server);
     ExchangeResult exchanged = result ? std::move(*result) : ExchangeResult {};
     ++m_counters.exchanges[exchanged.outcome];
     if (exchanged.isConnectionNew)
@@ -126,6 +125,12 @@
         co_await serveRequests(server, number, stream);
     }
     server->connections.erase(number);
+    forgetIfUnused(server);
+}
+
+/// A task may end after another one forgot its server and a call made a new entry for the endpoint, which stays.
+void HttpClient::forgetIfUnused(const std::shared_ptr<Server>& server)
+{
     const auto current = m_servers.find(server->endpoint);
     if (current != m_servers.end() && current->second == server && server->pool.isUnused())
         m_servers.erase(current);
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -80,6 +80,7 @@
     struct Server;
 
     std::shared_ptr<Server> serverAt(const tcp::endpoint& endpoint);
+    void forgetIfUnused(const std::shared_ptr<Server>& server);
     void perform(const std::shared_ptr<Server>& server, const ConnectionPool::Actions& actions);
     awaitable<void> runConnection(std::shared_ptr<Server> server, ConnectionNumber number);
     awaitable<void> serveRequests(std::shared_ptr<Server> server, ConnectionNumber number, Stream& stream);
