Give up connecting to a peer that does not answer

Cause: PeerNetwork waited for the system's limit of attempts at a connection, some minutes, if a host that could not be reached did not refuse it.

Change: connecting takes at most the silence timeout, as in FleetPeerNetwork.

--- a/src/io/peer_network.cpp
+++ b/src/io/peer_network.cpp
@@ -125,11 +125,18 @@
     const auto timer = std::make_shared<asio::steady_timer>(m_context);
     m_connectTimers.push_back(timer);
     while (!m_isStopping) {
-        tcp::socket socket(m_context);
+        const auto socket = std::make_shared<tcp::socket>(m_context);
+        // A host that cannot be reached does not refuse the connection: the attempt needs a timeout.
+        timer->expires_after(m_timeout);
+        timer->async_wait([socket](const error_code& error) {
+            if (!error)
+                socket->close();
+        });
         error_code error;
-        co_await socket.async_connect(endpoint, asio::redirect_error(use_awaitable, error));
+        co_await socket->async_connect(endpoint, asio::redirect_error(use_awaitable, error));
+        timer->cancel();
         if (!error)
-            co_await runConnection(std::move(socket), peer);
+            co_await runConnection(std::move(*socket), peer);
         if (m_isStopping)
             break;
         timer->expires_after(config::peerReconnectDelay);
--- a/src/io/peer_network.h
+++ b/src/io/peer_network.h
@@ -18,7 +18,7 @@
 /// invalid handshake or message is disconnected and counted.
 class PeerNetwork {
 public:
-    /// A connection on which nothing arrives for `timeout` is closed.
+    /// Connecting takes at most `timeout`. A connection on which nothing arrives for as long is closed.
     PeerNetwork(asio::io_context& context, const NodeSettings& settings, NodeMailbox& nodeMailbox, EventLog& log, Duration timeout = config::peerTimeout);
 
     /// Starts listening and connecting. Returns an error if the port cannot be opened.
