Avoid hosts whose calls to the advice service fail

What callers saw: an accepted job waits for ever beside free workers.

Cause: the leader sent each query through the free host with the least load and forgot failures. A host that could not reach the advice service, or that it refused (429), was free again at once and got the next query too, a call in each plan, while other hosts were never asked. Refusals left neither a log line nor a count.

Change: a host whose call fails or stays without an answer is avoided for 1 s, doubled with each failure in a row up to 16 s, until a call is answered. While all hosts are avoided, each is asked again 0.5 s after its last failure, the one whose pause ends first before the others. The limits on long calls and on suspects count the hosts that may be asked; where these are too few, one long call is made at a time.

Evidence: on the code before, five of the six tests of AdviceClientTests that compile there failed: 12,000 calls through one host in 60 s of virtual time, a job not started in 2 s, 10,002 calls in 60 s while all were refused. In AdviceCallTests the two tests of the log line failed. Both suites pass.

--- a/src/advice_client.h
+++ b/src/advice_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "advice_hosts.h"
 #include "fleet_events.h"
 
 #include <algorithm>
@@ -49,9 +50,23 @@
     static bool isBefore(const Ticket& ticket, WorkerNumber worker) { return ticket.worker < worker; }
 };
 
+/// How the call of a host to the advice service ended without an answer.
+enum class AdviceFailure : uint8_t {
+    Failed, ///< The host could not make the call, or the service refused it or gave no readable answer.
+    Overdue, ///< Nothing came back until the call's deadline.
+    Count
+};
+
+constexpr NameTable<AdviceFailure> nameTable(AdviceFailure)
+{
+    constexpr NameTable<AdviceFailure> table { "failed", "overdue" };
+    static_assert(detail::isComplete<AdviceFailure>(table));
+    return table;
+}
+
 /// Queries the advice service for the leader and caches the tickets. The service serves one call of
 /// each host at a time, so calls are spread over the hosts; long calls leave some hosts free for
-/// short ones.
+/// short ones. Hosts whose calls fail are avoided for a while.
 class AdviceClient {
 public:
     /// Query for the workers that may run a step.
@@ -67,10 +82,9 @@
     /// Sets the hosts that may call the service, including the leader. Calls of other hosts are dropped.
     void setHosts(std::set<HostId> hosts)
     {
-        m_hosts = std::move(hosts);
-        std::erase_if(m_loads, [&](const auto& entry) { return !m_hosts.count(entry.first); });
+        m_hosts.set(std::move(hosts));
         std::erase_if(m_pendingQueries, [&](const auto& entry) {
-            if (m_hosts.count(entry.second.host))
+            if (m_hosts.contains(entry.second.host))
                 return false;
             clearQueryPending(entry.second);
             return true;
@@ -78,16 +92,10 @@
     }
 
     /// Notes the load that a host has reported. Of the free hosts, the one with the least load makes the next call.
-    void noteLoad(HostId host, const HostLoad& load) { m_loads[host] = load.score(); }
+    void noteLoad(HostId host, const HostLoad& load) { m_hosts.noteLoad(host, load.score()); }
 
     /// Load of the busiest host.
-    uint64_t busiestLoad() const
-    {
-        uint64_t busiest = 0;
-        for (const auto& [host, load] : m_loads)
-            busiest = std::max(busiest, load);
-        return busiest;
-    }
+    uint64_t busiestLoad() const { return m_hosts.busiestLoad(); }
 
     const StepAdvice* find(const TaskRef& step) const
     {
@@ -96,24 +104,23 @@
     }
 
     /// Whether a host is free for a call on this many workers, besides `planned` calls not yet made.
-    bool canQuery(const AdviceTiming& timing, size_t workers, size_t planned = 0) const
+    bool canQuery(Time now, const AdviceTiming& timing, size_t workers, size_t planned = 0) const
     {
-        const size_t busy = m_pendingQueries.size() + planned;
-        const size_t hostsForShort = std::max(config::hostsForShortAdvice, m_hosts.size() / config::hostsPerShortAdvice);
-        return busy + (isLong(timing, workers) ? hostsForShort : 0) < m_hosts.size();
+        const AdviceHosts::Capacity capacity = m_hosts.capacity(now);
+        return capacity.busy + planned + (isLong(timing, workers) ? hostsForShort(capacity.usable) : 0) < capacity.usable;
     }
 
     /// The same for a step of suspects. Those that can't be placed yet ask again whenever their tickets expire,
     /// so that they would take all hosts from the others; they get a part of them.
-    bool canQueryForSuspects(const AdviceTiming& timing, size_t workers, const std::vector<Query>& planned) const
+    bool canQueryForSuspects(Time now, const AdviceTiming& timing, size_t workers, const std::vector<Query>& planned) const
     {
         size_t ofSuspects = 0;
         for (const Query& query : planned)
             ofSuspects += query.isForSuspects;
         for (const auto& [number, pendingQuery] : m_pendingQueries)
             ofSuspects += pendingQuery.query.isForSuspects;
-        const size_t mostHosts = std::max<size_t>(1, m_hosts.size() / config::hostsPerSuspectAdvice);
-        return ofSuspects < mostHosts && canQuery(timing, workers, planned.size());
+        const size_t mostHosts = std::max<size_t>(1, m_hosts.capacity(now).usable / config::hostsPerSuspectAdvice);
+        return ofSuspects < mostHosts && canQuery(now, timing, workers, planned.size());
     }
 
     /// Notes the queues, whose timings tell which calls are long beside others.
@@ -140,7 +147,7 @@
     /// Sends a query through a free host.
     void sendQuery(FleetStep& step, const WorkTable& table, HostId self, const Query& query)
     {
-        const HostId host = freeHost(self);
+        const HostId host = m_hosts.choose(self, step.now);
         if (!host.isValid())
             return;
         AdviceRequest request;
@@ -151,6 +158,7 @@
             if (const FleetWorker* record = table.worker(number))
                 request.workers.push_back(record->info.id);
         }
+        m_hosts.beginCall(host);
         m_steps[query.step].isQueryPending = true;
         m_pendingQueries[request.number] = { host, query, step.now + request.timeout };
         if (host == self)
@@ -159,17 +167,23 @@
             step.send(host, std::move(request));
     }
 
-    void handleReply(Time now, const WorkTable& table, const AdviceReply& reply)
+    /// Caches the tickets of a reply. Returns the host if the service did not answer its call.
+    std::optional<HostId> handleReply(Time now, const WorkTable& table, const AdviceReply& reply)
     {
         const auto found = m_pendingQueries.find(reply.number);
         if (found == m_pendingQueries.end())
-            return;
+            return std::nullopt;
         const PendingQuery pendingQuery = std::move(found->second);
         m_pendingQueries.erase(found);
         clearQueryPending(pendingQuery);
+        if (!reply.isAnswered) {
+            m_hosts.didFail(pendingQuery.host, now);
+            return pendingQuery.host;
+        }
+        m_hosts.didAnswer(pendingQuery.host);
         const auto entry = m_steps.find(pendingQuery.query.step);
-        if (!reply.isAnswered || entry == m_steps.end())
-            return;
+        if (entry == m_steps.end())
+            return std::nullopt;
         StepAdvice& advice = entry->second;
         for (const WorkerNumber worker : pendingQuery.query.workers)
             advice.denied.insert(worker);
@@ -182,6 +196,7 @@
         const double fraction = static_cast<double>(reply.allowed.size()) / static_cast<double>(std::max<size_t>(1, pendingQuery.query.workers.size()));
         double& average = m_allowedFraction.try_emplace(pendingQuery.query.timing.decisionTime, initialFraction).first->second;
         average += (fraction - average) * sampleWeight;
+        return std::nullopt;
     }
 
     /// Moving average of the fraction of queried workers that is allowed.
@@ -200,17 +215,22 @@
     }
 
     size_t pendingCount() const { return m_pendingQueries.size(); }
-    size_t hostCount() const { return m_hosts.size(); }
+    size_t hostCount() const { return m_hosts.count(); }
+    size_t avoidedHostCount(Time now) const { return m_hosts.avoidedCount(now); }
 
-    /// Drops calls past their deadline. Returns their number.
-    size_t tick(Time now)
+    /// Drops calls past their deadline. Returns their hosts.
+    std::set<HostId> tick(Time now)
     {
-        return std::erase_if(m_pendingQueries, [&](const auto& entry) {
+        std::set<HostId> overdue;
+        std::erase_if(m_pendingQueries, [&](const auto& entry) {
             if (entry.second.deadline > now)
                 return false;
+            m_hosts.didFail(entry.second.host, now);
+            overdue.insert(entry.second.host);
             clearQueryPending(entry.second);
             return true;
         });
+        return overdue;
     }
 
     Time nextDeadline() const
@@ -233,6 +253,7 @@
     {
         m_steps.clear();
         m_pendingQueries.clear();
+        m_hosts.clear();
     }
 
 private:
@@ -246,27 +267,12 @@
         Time deadline {};
     };
 
-    HostId freeHost(HostId self) const
-    {
-        std::set<HostId> busy;
-        for (const auto& [number, pendingQuery] : m_pendingQueries)
-            busy.insert(pendingQuery.host);
-        HostId free;
-        std::pair<bool, uint64_t> lowestRank; // This host comes last.
-        for (const HostId host : m_hosts) {
-            const std::pair<bool, uint64_t> rank { host == self, loadOf(host) };
-            if (busy.count(host) || (free.isValid() && rank >= lowestRank))
-                continue;
-            free = host;
-            lowestRank = rank;
-        }
-        return free;
-    }
-
-    uint64_t loadOf(HostId host) const
+    /// Number of hosts that long calls leave to short ones. While failures leave no more usable hosts than that,
+    /// one long call is made at a time, since steps that need it would otherwise wait for the pauses.
+    size_t hostsForShort(size_t usable) const
     {
-        const auto found = m_loads.find(host);
-        return found == m_loads.end() ? 0 : found->second;
+        const size_t hosts = std::max(config::hostsForShortAdvice, usable / config::hostsPerShortAdvice);
+        return usable && m_hosts.count() > config::hostsForShortAdvice ? std::min(hosts, usable - 1) : hosts;
     }
 
     void clearQueryPending(const PendingQuery& pendingQuery)
@@ -277,8 +283,7 @@
     }
 
     Duration m_longThreshold = config::longAdviceThreshold;
-    std::set<HostId> m_hosts;
-    std::map<HostId, uint64_t> m_loads; ///< As last reported.
+    AdviceHosts m_hosts;
     std::map<TaskRef, StepAdvice> m_steps;
     std::map<uint64_t, PendingQuery> m_pendingQueries;
     std::map<Duration, double> m_allowedFraction; ///< By the decision time in the queue's advice timing.
--- a/src/advice_planner.h
+++ b/src/advice_planner.h
@@ -55,7 +55,7 @@
         const StepAdvice* stepAdvice, size_t missing, Time now)
     {
         const size_t cheapCount = AdviceClient::cheapWorkers(*queue.advice);
-        if (!advice.canQuery(*queue.advice, cheapCount, plan.queries.size()))
+        if (!advice.canQuery(now, *queue.advice, cheapCount, plan.queries.size()))
             return;
         markPendingQueries(capacityView, queue.priority);
         const auto isAnswered = [&](WorkerNumber number) { return stepAdvice && (stepAdvice->denied.count(number) || stepAdvice->hasValidTicket(number, now)); };
--- a/src/control_node.h
+++ b/src/control_node.h
@@ -6,6 +6,7 @@
 #include "config_history.h"
 #include "control_calls.h"
 #include "control_peers.h"
+#include "hosts_text.h"
 #include "job_report.h"
 #include "leader_summary.h"
 #include "log_formation.h"
@@ -259,7 +260,8 @@
 
     void receive(FleetStep& step, HostId, const AdviceReply& reply)
     {
-        m_advice.handleReply(step.now, table(), reply);
+        if (const auto host = m_advice.handleReply(step.now, table(), reply))
+            noteAdviceUnanswered(step, { *host }, AdviceFailure::Failed);
         m_planPacer.request();
     }
 
@@ -596,10 +598,7 @@
 
     void tickLeader(FleetStep& step)
     {
-        if (const size_t overdue = m_advice.tick(step.now)) {
-            m_counters.add(FleetCounter::AdviceUnanswered, overdue);
-            step.log(LogEventKind::AdviceUnanswered, { { "calls", std::to_string(overdue) } });
-        }
+        noteAdviceUnanswered(step, m_advice.tick(step.now), AdviceFailure::Overdue);
         m_dispatcher.tick(step, table());
         proposeDispatcherCommands(step);
         if (m_planPacer.isDue(step.now))
@@ -607,6 +606,15 @@
         flush(step);
     }
 
+    /// Notes calls to the advice service that failed, by the hosts that made them.
+    void noteAdviceUnanswered(FleetStep& step, const std::set<HostId>& hosts, AdviceFailure reason)
+    {
+        if (hosts.empty())
+            return;
+        m_counters.add(FleetCounter::AdviceUnanswered, hosts.size());
+        step.log(LogEventKind::AdviceUnanswered, { { "calls", std::to_string(hosts.size()) }, { "reason", std::string(name(reason)) }, { "hosts", hostsText(hosts) } });
+    }
+
     void proposeDispatcherCommands(FleetStep& step)
     {
         for (WorkCommand& command : m_dispatcher.takeCommands()) {
@@ -644,7 +652,7 @@
         for (const RunPlacement& victim : plan.preemptions)
             m_dispatcher.stopRun(step.now, victim.worker, victim.run);
         for (const AdviceClient::Query& query : plan.queries) {
-            if (!m_advice.canQuery(query.timing, query.workers.size()))
+            if (!m_advice.canQuery(step.now, query.timing, query.workers.size()))
                 continue;
             m_counters.add(FleetCounter::AdviceQueries);
             m_summary.countQuery(query);
--- a/src/leader_summary.h
+++ b/src/leader_summary.h
@@ -45,7 +45,7 @@
     {
         std::vector<LogField> fields { { "calls", std::to_string(m_calls) }, { "repeated", std::to_string(m_repeatedCalls) }, { "plans", std::to_string(m_plans) },
             { "examinedJobs", std::to_string(m_examinedJobs) }, { "queries", std::to_string(m_queries) }, { "placed", std::to_string(m_placements) }, { "preempted", std::to_string(m_preemptions) },
-            { "openJobs", std::to_string(table.openJobs().size()) }, { "adviceCalls", std::to_string(advice.pendingCount()) }, { "adviceHosts", std::to_string(advice.hostCount()) }, { "busiestHost", std::to_string(advice.busiestLoad()) } };
+            { "openJobs", std::to_string(table.openJobs().size()) }, { "adviceCalls", std::to_string(advice.pendingCount()) }, { "adviceHosts", std::to_string(advice.hostCount()) }, { "avoidedAdviceHosts", std::to_string(advice.avoidedHostCount(step.now)) }, { "busiestHost", std::to_string(advice.busiestLoad()) } };
         addAdvice(fields);
         addWaiting(fields, ready, step.now);
         forEachValue<PlacementObstacle>([&](PlacementObstacle obstacle) { fields.push_back({ name(obstacle), std::to_string(m_obstacles[obstacle]) }); });
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -153,24 +153,24 @@
         if (spec.isGang && !placedCount) {
             if (m_reservedGangs[queue.priority] < maxReserved)
                 reserveForGang(plan, table, capacityView, advice, queue, step, stepAdvice, now);
-            return obstacleOf(plan, advice, queue, step, candidates);
+            return obstacleOf(plan, advice, queue, step, candidates, now);
         }
         if (queue.advice && placedCount < limit && !(stepAdvice && stepAdvice->isQueryPending))
             m_advicePlanner.planQuery(plan, capacityView, advice, queue, step, stepAdvice, limit - placedCount, now);
         if (plan.runs.size() > firstRun)
             return PlacementObstacle::None;
-        return spec.isGang ? PlacementObstacle::GangMembers : obstacleOf(plan, advice, queue, step, candidates);
+        return spec.isGang ? PlacementObstacle::GangMembers : obstacleOf(plan, advice, queue, step, candidates, now);
     }
 
     /// What is in the way of a step that was not placed. `candidates` are the workers with room for a task of
     /// it, and its tickets.
-    static PlacementObstacle obstacleOf(const WorkPlan& plan, const AdviceClient& advice, const QueueSpec& queue, const ReadyStep& step, const std::vector<Worker*>& candidates)
+    static PlacementObstacle obstacleOf(const WorkPlan& plan, const AdviceClient& advice, const QueueSpec& queue, const ReadyStep& step, const std::vector<Worker*>& candidates, Time now)
     {
         if (!queue.advice || !candidates.empty())
             return PlacementObstacle::Capacity;
         const StepAdvice* stepAdvice = advice.find(step.step);
         const bool isQueried = (stepAdvice && stepAdvice->isQueryPending) || (!plan.queries.empty() && plan.queries.back().step == step.step);
-        return isQueried || !advice.canQuery(*queue.advice, 1, plan.queries.size()) ? PlacementObstacle::Ticket : PlacementObstacle::Capacity;
+        return isQueried || !advice.canQuery(now, *queue.advice, 1, plan.queries.size()) ? PlacementObstacle::Ticket : PlacementObstacle::Capacity;
     }
 
     /// Places tasks that may have crashed a worker where they harm few others, as many as fit on one
@@ -227,7 +227,7 @@
             if (m_isolation.isIntended(*worker) && !hasTicket && query.workers.size() < config::gangAdviceWorkers)
                 query.workers.push_back(number);
         }
-        if (!query.workers.empty() && advice.canQueryForSuspects(*queue.advice, query.workers.size(), plan.queries))
+        if (!query.workers.empty() && advice.canQueryForSuspects(now, *queue.advice, query.workers.size(), plan.queries))
             plan.queries.push_back(std::move(query));
     }
 
@@ -236,7 +236,7 @@
     void reserveForGang(WorkPlan& plan, const WorkTable& table, CapacityView& capacityView, const AdviceClient& advice, const QueueSpec& queue, const ReadyStep& step,
         const StepAdvice* stepAdvice, Time now)
     {
-        const bool hasFreeHost = queue.advice && advice.canQuery(*queue.advice, m_advicePlanner.maxGangWorkers(), plan.queries.size());
+        const bool hasFreeHost = queue.advice && advice.canQuery(now, *queue.advice, m_advicePlanner.maxGangWorkers(), plan.queries.size());
         if (queue.advice && !hasFreeHost && !stepAdvice)
             return;
         const uint32_t priority = step.job->queue.priority;
--- a/tests/support/fleet_cluster.h
+++ b/tests/support/fleet_cluster.h
@@ -212,6 +212,9 @@
 
     void setUnresponsive(size_t worker, bool isUnresponsive = true) { m_workers[worker].isUnresponsive = isUnresponsive; }
     void setFailing(size_t worker, bool isFailing = true) { m_workers[worker].isFailing = isFailing; }
+    /// Lets the advice service refuse the calls of a host.
+    void refuseAdvice(uint32_t id) { m_hostsWithoutAdvice.insert(id); }
+    void restoreAdvice(uint32_t id) { m_hostsWithoutAdvice.erase(id); }
     bool isUp(uint32_t id) const { return m_controls.at(id).node.has_value(); }
 
     /// Makes all tasks of the job crash their worker after running for `runTime`.
@@ -299,6 +302,12 @@
         const auto found = m_workerCalls.find(id);
         return found == m_workerCalls.end() ? 0 : found->second;
     }
+    /// Number of calls to the advice service that a host made.
+    size_t adviceCalls(uint32_t id) const
+    {
+        const auto found = m_adviceCalls.find(id);
+        return found == m_adviceCalls.end() ? 0 : found->second;
+    }
     /// Log lines of all hosts.
     const std::vector<LogEvent>& log() const { return m_log; }
     const std::vector<std::string>& violations() const { return m_violations; }
@@ -553,8 +562,13 @@
 
     void perform(HostId from, CallAdvice& effect)
     {
+        ++m_adviceCalls[from.value];
         AdviceReply reply;
         reply.number = effect.request.number;
+        if (m_hostsWithoutAdvice.count(from.value)) {
+            post(from, AdviceReplyReceived { effect.call, std::move(reply) });
+            return;
+        }
         reply.isAnswered = true;
         reply.validity = std::chrono::seconds(2);
         for (const std::string& worker : effect.request.workers)
@@ -821,6 +835,8 @@
     uint64_t m_nextIncarnation = 0;
     size_t m_starts = 0;
     std::map<uint32_t, size_t> m_workerCalls; ///< Calls to workers by the host that made them.
+    std::map<uint32_t, size_t> m_adviceCalls; ///< Calls to the advice service by the host that made them.
+    std::set<uint32_t> m_hostsWithoutAdvice; ///< Whose calls to the advice service are refused.
 };
 
 } // namespace eelgrassloft::testing
--- a/tests/support/planner_fleet.h
+++ b/tests/support/planner_fleet.h
@@ -308,7 +308,7 @@
 
     void ask(const AdviceClient::Query& query)
     {
-        if (!m_advice.canQuery(query.timing, query.workers.size()))
+        if (!m_advice.canQuery(m_now, query.timing, query.workers.size()))
             return;
         FleetStep step;
         step.now = m_now;
