Withhold workers for suspects only where they can get room

What callers saw: a task that may have crashed a worker waits for ever beside workers with room for it, while less than half of the fleet is used.

Cause: a worker was eligible by its whole capacity, though long-running tasks keep their part of it for good, and the worker withheld by the last plan, else the one with the fewest runs, was chosen again in every plan. If that one never had room, those with room and one run more were not tried.

Change: a worker counts only if the suspect fits beside its long-running tasks that are not being stopped, and workers with room now are withheld before others. Tickets are not asked for on workers without room to come either.

--- a/src/capacity_view.cpp
+++ b/src/capacity_view.cpp
@@ -45,6 +45,22 @@
     return size.fitsIn(worker.freeCapacity) || (worker.mayExceedAllowance && size.fitsIn(worker.freeCapacity + worker.withheld));
 }
 
+bool CapacityView::hasRoom(const Worker& worker, const StepSpec& step)
+{
+    return chargedSize(step).fitsIn(worker.view->freeCapacity());
+}
+
+bool CapacityView::canGetRoom(const Worker& worker, const StepSpec& step)
+{
+    Resources needed = chargedSize(step);
+    for (const auto& [run, runView] : worker.view->runs) {
+        const bool endsSoon = runView.phase == RunPhase::Stopping || runView.isStopRequested;
+        if (runView.isLongRunning && !endsSoon)
+            needed += WorkerView::chargedSize(runView);
+    }
+    return needed.fitsIn(worker.view->info.capacity);
+}
+
 void CapacityView::allocate(Worker& worker, const StepSpec& step)
 {
     worker.mayExceedAllowance = false;
--- a/src/capacity_view.h
+++ b/src/capacity_view.h
@@ -48,6 +48,10 @@
     /// Reserves capacity for `tasks` tasks: takes what is free and adds the rest to `promised`.
     static void reserveTasks(Worker& worker, const StepSpec& step, uint32_t tasks);
     static bool fits(const Worker& worker, const StepSpec& step);
+    /// Whether a task of the step fits beside the worker's runs, whatever this plan has taken or withheld.
+    static bool hasRoom(const Worker& worker, const StepSpec& step);
+    /// Whether a task of the step would fit once the runs have ended that end by themselves or are being stopped.
+    static bool canGetRoom(const Worker& worker, const StepSpec& step);
     /// Free capacity that no query has asked for.
     static Resources unaskedCapacity(const Worker& worker) { return worker.freeCapacity - componentwiseMin(worker.freeCapacity, worker.asked); }
     /// Notes that a query asks for the worker, on which `tasks` tasks of the step are expected to start.
--- a/src/crash_isolation.cpp
+++ b/src/crash_isolation.cpp
@@ -1,6 +1,7 @@
 #include "crash_isolation.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace eelgrassloft {
@@ -81,10 +82,10 @@
     m_nextWithheld.erase(worker.view->number);
 }
 
-void CrashIsolation::withhold(Workers candidates, size_t count)
+void CrashIsolation::withhold(Workers candidates, const StepSpec& step, size_t count)
 {
     const auto rank = [&](const CapacityView::Worker* worker) {
-        return std::make_pair(!m_withheld.count(worker->view->number), worker->view->runs.size());
+        return std::make_tuple(!CapacityView::hasRoom(*worker, step), !m_withheld.count(worker->view->number), worker->view->runs.size());
     };
     std::sort(candidates.begin(), candidates.end(), [&](const CapacityView::Worker* a, const CapacityView::Worker* b) { return rank(a) < rank(b); });
     const size_t limit = std::max(m_maxIsolated, count); // A gang needs its workers all at once.
--- a/src/crash_isolation.h
+++ b/src/crash_isolation.h
@@ -31,8 +31,8 @@
     void isolate(CapacityView::Worker& worker);
     /// Whether suspects may soon run on the worker.
     bool isIntended(const CapacityView::Worker& worker) const;
-    /// Withholds up to `count` of the candidates for suspects that found no suitable worker.
-    void withhold(Workers candidates, size_t count);
+    /// Withholds up to `count` of the candidates for suspects of the step, which found no suitable worker.
+    void withhold(Workers candidates, const StepSpec& step, size_t count);
 
 private:
     static constexpr size_t maxRunsAtStake = 2; ///< Runs that a suspect may endanger without waiting for their end.
--- a/src/work_planner.h
+++ b/src/work_planner.h
@@ -205,10 +205,10 @@
         std::vector<Worker*> eligible;
         for (Worker& worker : capacityView.workers()) {
             const bool isDenied = stepAdvice && stepAdvice->denied.count(worker.view->number);
-            if (!isDenied && isEligible(worker, queue, step.spec()) && step.spec().size.fitsIn(worker.view->info.capacity))
+            if (!isDenied && isEligible(worker, queue, step.spec()) && CapacityView::canGetRoom(worker, step.spec()))
                 eligible.push_back(&worker);
         }
-        m_isolation.withhold(eligible, step.spec().isGang ? step.spec().count : 1);
+        m_isolation.withhold(eligible, step.spec(), step.spec().isGang ? step.spec().count : 1);
         if (queue.advice && !(stepAdvice && stepAdvice->isQueryPending))
             planSuspectQuery(plan, advice, queue, step, stepAdvice, eligible, now);
         return obstacle;
