Give workers withheld for suspects back when none can use them

What callers saw: a small ordinary task with room on two workers is never placed while two suspects wait that fit nowhere.

Cause: a worker withheld for a suspect stayed withheld for as long as the suspect waited, whether it could ever be used or not, and no other worker was tried.

Change: a withheld worker is given back when no run has ended on any of the withheld workers for 2.5 s, or after 10 s in any case. It is left to other tasks for 2 s, and workers that were not tried yet go first afterwards. Runs that end extend the time, so that a suspect as large as a worker still gets one in a busy fleet. Suspects also ask for tickets on workers that were given back, as an answer that takes longer than 2.5 s came too late at each try.

Evidence: smallTaskWaitsBesideSuspectsThatNeverFit failed with 60 checks before both changes and 30 after the first, suspectWaitsForAWorkerWithAnUnansweredStart with 5 and 5; both pass. The other three tests fail without the extension, the limit of 10 s and the queries for workers given back, in this order: largeSuspectIsPlacedInABusyFleet, workerIsWithheldForAsLongAsRunsEndOnOthers, suspectWaitsBesideLastingTasksForSlowAdvice.

--- a/include/eelgrassloft/config.h
+++ b/include/eelgrassloft/config.h
@@ -196,6 +196,9 @@
 inline constexpr size_t minIsolatedWorkers = 2; ///< Workers that suspects may take at a time.
 inline constexpr size_t workersPerIsolated = 3; ///< In larger fleets, one for this many workers, while other tasks lack room.
 inline constexpr size_t maxIsolatedPercent = 75; ///< Of all workers, while other tasks have room.
+inline constexpr Duration withholdingPatience = 2500ms; ///< A worker withheld for suspects is given back after this time without the end of a run there; longer than its other runs are waited for.
+inline constexpr Duration maxWithholding = 10s; ///< Likewise, whatever ends there.
+inline constexpr Duration withholdingPause = 2s; ///< For which a worker given back is left to other tasks, so that a query for tickets and a placement fit in.
 inline constexpr Duration roomLackMemory = 1s; ///< How long suspects stay limited to these after other tasks found no room.
 
 // Intervals between the fleet's plans.
--- a/src/crash_isolation.cpp
+++ b/src/crash_isolation.cpp
@@ -11,6 +11,7 @@
     m_now = now;
     const bool wereSuspectsWaiting = std::exchange(m_areSuspectsWaiting, false);
     m_withheld = std::exchange(m_nextWithheld, {});
+    giveBackUnused(workerViews, wereSuspectsWaiting);
     m_isolated = 0;
     size_t idle = 0;
     for (const auto& [number, workerView] : workerViews) {
@@ -19,7 +20,7 @@
             continue;
         ++m_isolated;
         if (wereSuspectsWaiting)
-            m_nextWithheld[number] = now - maxClearingTime; // The next suspects take it once these are proven.
+            m_nextWithheld[number] = { now, now, workerView.runs.size() }; // The next suspects take it once these are proven.
     }
     if (lackOthersRoom)
         m_maxIsolated = std::max({ config::minIsolatedWorkers, workerViews.size() / config::workersPerIsolated, (m_isolated + idle) / 2 });
@@ -29,6 +30,33 @@
     setWithheldFree(capacityView, false);
 }
 
+void CrashIsolation::giveBackUnused(const std::map<WorkerNumber, WorkerView>& workerViews, bool areSuspectsWaiting)
+{
+    for (auto& [number, withholding] : m_withheld) {
+        const auto workerView = workerViews.find(number);
+        const size_t runs = workerView == workerViews.end() ? 0 : workerView->second.runs.size();
+        if (runs < withholding.runs)
+            m_lastRunEnd = m_now; // A gang needs all of its workers, so that it counts for the others too.
+        withholding.runs = runs;
+    }
+    const auto isUnused = [&](const Withholding& withholding) {
+        const Time waitedSince = std::max(withholding.since, m_lastRunEnd);
+        return m_now >= std::min(waitedSince + config::withholdingPatience, withholding.since + config::maxWithholding);
+    };
+    for (const auto& [number, withholding] : m_withheld) {
+        if (isUnused(withholding))
+            m_givenBack[number] = m_now;
+    }
+    std::erase_if(m_withheld, [&](const auto& entry) { return isUnused(entry.second); });
+    std::erase_if(m_givenBack, [&](const auto& entry) { return !workerViews.count(entry.first) || (!areSuspectsWaiting && !isPaused(entry.first)); });
+}
+
+bool CrashIsolation::isPaused(WorkerNumber number) const
+{
+    const auto givenBack = m_givenBack.find(number);
+    return givenBack != m_givenBack.end() && m_now < givenBack->second + config::withholdingPause;
+}
+
 bool CrashIsolation::takeTurn()
 {
     m_areSuspectsWaiting = true;
@@ -41,7 +69,8 @@
 bool CrashIsolation::isIntended(const CapacityView::Worker& worker) const
 {
     const WorkerNumber number = worker.view->number;
-    return worker.view->runs.size() <= maxRunsAtStake || m_withheld.count(number) || m_nextWithheld.count(number);
+    const bool isNextTry = m_givenBack.count(number) > 0; // Its ticket may have come too late.
+    return worker.view->runs.size() <= maxRunsAtStake || m_withheld.count(number) || m_nextWithheld.count(number) || isNextTry;
 }
 
 void CrashIsolation::setWithheldFree(CapacityView& capacityView, bool isFree)
@@ -60,7 +89,7 @@
     if (worker.view->hasUnprovenRuns() || worker.freeCapacity + worker.withheld != worker.view->freeCapacity())
         return false;
     const auto withheld = m_withheld.find(worker.view->number);
-    return worker.view->runs.size() <= maxRunsAtStake || (withheld != m_withheld.end() && m_now >= withheld->second + maxClearingTime);
+    return worker.view->runs.size() <= maxRunsAtStake || (withheld != m_withheld.end() && m_now >= withheld->second.clearedAt);
 }
 
 CrashIsolation::Workers CrashIsolation::suitable(const Workers& candidates, bool isGang) const
@@ -80,12 +109,17 @@
     worker.mayExceedAllowance = false;
     m_withheld.erase(worker.view->number);
     m_nextWithheld.erase(worker.view->number);
+    m_givenBack.erase(worker.view->number);
 }
 
 void CrashIsolation::withhold(Workers candidates, const StepSpec& step, size_t count)
 {
+    std::erase_if(candidates, [&](const CapacityView::Worker* worker) { return isPaused(worker->view->number); });
     const auto rank = [&](const CapacityView::Worker* worker) {
-        return std::make_tuple(!CapacityView::hasRoom(*worker, step), !m_withheld.count(worker->view->number), worker->view->runs.size());
+        const WorkerNumber number = worker->view->number;
+        const auto givenBack = m_givenBack.find(number);
+        const Time triedAt = givenBack == m_givenBack.end() ? Time {} : givenBack->second;
+        return std::make_tuple(!CapacityView::hasRoom(*worker, step), !m_withheld.count(number), triedAt, worker->view->runs.size());
     };
     std::sort(candidates.begin(), candidates.end(), [&](const CapacityView::Worker* a, const CapacityView::Worker* b) { return rank(a) < rank(b); });
     const size_t limit = std::max(m_maxIsolated, count); // A gang needs its workers all at once.
@@ -93,8 +127,8 @@
         if (!count || m_isolated + m_nextWithheld.size() >= limit)
             return;
         const auto before = m_withheld.find(worker->view->number);
-        const Time since = before == m_withheld.end() ? m_now : before->second;
-        if (!m_nextWithheld.insert({ worker->view->number, since }).second)
+        const Withholding withholding = before == m_withheld.end() ? Withholding { m_now, m_now + maxClearingTime, worker->view->runs.size() } : before->second;
+        if (!m_nextWithheld.insert({ worker->view->number, withholding }).second)
             continue;
         --count;
     }
--- a/src/crash_isolation.h
+++ b/src/crash_isolation.h
@@ -29,7 +29,7 @@
     Workers suitable(const Workers& candidates, bool isGang) const;
     /// Gives the worker to suspects, so that this plan places nothing more there.
     void isolate(CapacityView::Worker& worker);
-    /// Whether suspects may soon run on the worker.
+    /// Whether suspects may soon run on the worker, or it was given back and will be tried again.
     bool isIntended(const CapacityView::Worker& worker) const;
     /// Withholds up to `count` of the candidates for suspects of the step, which found no suitable worker.
     void withhold(Workers candidates, const StepSpec& step, size_t count);
@@ -38,14 +38,27 @@
     static constexpr size_t maxRunsAtStake = 2; ///< Runs that a suspect may endanger without waiting for their end.
     static constexpr Duration maxClearingTime = std::chrono::seconds(2); ///< How long a withheld worker's other runs are waited for.
 
+    /// A worker that is withheld for suspects.
+    struct Withholding {
+        Time since {};
+        Time clearedAt {}; ///< From then on suspects may run beside those that are left.
+        size_t runs = 0; ///< On the worker at the last plan.
+    };
+
     bool isSuitable(const CapacityView::Worker& worker) const;
+    /// Ends the withholding of workers that no suspect could use in time, so that other tasks get their
+    /// room and suspects try other workers.
+    void giveBackUnused(const std::map<WorkerNumber, WorkerView>& workerViews, bool areSuspectsWaiting);
+    bool isPaused(WorkerNumber number) const;
 
     Time m_now {};
     size_t m_isolated = 0; ///< Workers with suspects, those that have not responded since included.
     size_t m_maxIsolated = 0;
     size_t m_turns = 0; ///< Steps of suspects that this plan may still look at.
-    std::map<WorkerNumber, Time> m_withheld; ///< For the suspects of this plan, with the time from which on.
-    std::map<WorkerNumber, Time> m_nextWithheld; ///< For those of the next one.
+    std::map<WorkerNumber, Withholding> m_withheld; ///< For the suspects of this plan.
+    std::map<WorkerNumber, Withholding> m_nextWithheld; ///< For those of the next one.
+    std::map<WorkerNumber, Time> m_givenBack; ///< Workers that no suspect could use, with the time when they were given back.
+    Time m_lastRunEnd {}; ///< Of the runs on withheld workers.
     bool m_areSuspectsWaiting = false;
 };
 
