--- a/src/connection_pool.h
+++ b/src/connection_pool.h
@@ -45,6 +45,25 @@
 
 constexpr size_t unlimitedConnections = std::numeric_limits<size_t>::max(); ///< Each request in flight has a connection at once.
 
+enum class RequestPriority : uint8_t {
+    Normal,
+    Urgent, ///< Goes before normal ones, which leave one connection to urgent ones.
+    Count
+};
+
+constexpr NameTable<RequestPriority> nameTable(RequestPriority)
+{
+    constexpr NameTable<RequestPriority> table { "normal", "urgent" };
+    static_assert(detail::isComplete<RequestPriority>(table));
+    return table;
+}
+
+/// What a request asks of its connection.
+struct RequestOptions {
+    Duration maxIdle = Duration::max(); ///< It takes no connection that has been idle for as long or longer.
+    RequestPriority priority = RequestPriority::Normal;
+};
+
 struct ConnectionLimits {
     size_t maxConnections = 1; ///< To one server, opening ones included.
     Duration refusalPause {}; ///< After the server refused a connection, none is opened for this long beside others. Doubles with each refusal in a row.
@@ -104,11 +123,11 @@
     {
     }
 
-    /// Adds a request, which takes no connection that has been idle for `maxIdle` or longer. It is sent or
-    /// failed by an action of this or a later call.
-    Actions add(Time now, RequestNumber request, Duration maxIdle = Duration::max())
+    /// Adds a request. It is sent or failed by an action of this or a later call.
+    Actions add(Time now, RequestNumber request, RequestOptions options = {})
     {
-        m_waiting.push_back({ request, maxIdle });
+        const auto isLater = [&](const WaitingRequest& waiting) { return waiting.options.priority < options.priority; };
+        m_waiting.insert(std::find_if(m_waiting.begin(), m_waiting.end(), isLater), { request, options });
         return assign(now);
     }
 
@@ -156,8 +175,9 @@
     /// connection that had just been opened.
     Actions returned(Time now, ConnectionNumber connection, RequestNumber request, ConnectionFate fate = ConnectionFate::Closed)
     {
-        const Duration maxIdle = m_busy.extract(connection).mapped().maxIdle;
-        m_waiting.push_front({ request, maxIdle });
+        const RequestOptions options = m_busy.extract(connection).mapped().options;
+        const auto isNoEarlier = [&](const WaitingRequest& waiting) { return waiting.options.priority <= options.priority; };
+        m_waiting.insert(std::find_if(m_waiting.begin(), m_waiting.end(), isNoEarlier), { request, options });
         return fate == ConnectionFate::Refused ? refused(now) : assign(now);
     }
 
@@ -176,7 +196,7 @@
 private:
     struct WaitingRequest {
         RequestNumber number;
-        Duration maxIdle {}; ///< Of a connection that it takes.
+        RequestOptions options;
     };
 
     struct IdleConnection {
@@ -191,7 +211,8 @@
         Actions actions;
         for (auto waiting = m_waiting.begin(); waiting != m_waiting.end() && !m_idle.empty();) {
             const IdleConnection latest = m_idle.back();
-            if (now - latest.since >= waiting->maxIdle) {
+            const bool isHeldBack = waiting->options.priority == RequestPriority::Normal && !normalAllowance();
+            if (isHeldBack || now - latest.since >= waiting->options.maxIdle) {
                 ++waiting;
                 continue;
             }
@@ -200,7 +221,7 @@
             actions.push_back({ PoolActionKind::Send, latest.number, waiting->number });
             waiting = m_waiting.erase(waiting);
         }
-        while (m_opening.size() < m_waiting.size() && mayOpen(now)) {
+        while (m_opening.size() < assignableCount() && mayOpen(now)) {
             if (!m_idle.empty())
                 actions.push_back(closeOldestIdle());
             const ConnectionNumber connection { m_nextConnection++ };
@@ -210,6 +231,23 @@
         return actions;
     }
 
+    static bool isNormal(const WaitingRequest& request) { return request.options.priority == RequestPriority::Normal; }
+
+    /// How many more normal requests may be sent now.
+    size_t normalAllowance() const
+    {
+        const size_t limit = std::max<size_t>(m_limits.maxConnections - 1, 1);
+        const auto inUse = static_cast<size_t>(std::count_if(m_busy.begin(), m_busy.end(), [](const auto& entry) { return isNormal(entry.second); }));
+        return limit - std::min(limit, inUse);
+    }
+
+    /// Number of waiting requests that could be sent if there were connections.
+    size_t assignableCount() const
+    {
+        const auto normal = static_cast<size_t>(std::count_if(m_waiting.begin(), m_waiting.end(), isNormal));
+        return m_waiting.size() - normal + std::min(normal, normalAllowance());
+    }
+
     PoolAction closeOldestIdle()
     {
         const ConnectionNumber oldest = m_idle.front().number;
@@ -225,7 +263,7 @@
         return failExcessRequests();
     }
 
-    /// Ends the requests for which no connection is being opened, the earliest first.
+    /// Ends the requests for which no connection is being opened, the first ones first.
     Actions failExcessRequests()
     {
         Actions actions;
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -66,7 +66,7 @@
     return server;
 }
 
-awaitable<ExchangeResult> HttpClient::call(tcp::endpoint endpoint, HttpRequest message, Duration timeout, Duration maxIdle)
+awaitable<ExchangeResult> HttpClient::call(tcp::endpoint endpoint, HttpRequest message, Duration timeout, RequestOptions options)
 {
     message.set(http::field::host, endpoint.address().to_string() + ":" + std::to_string(endpoint.port()));
     message.prepare_payload();
@@ -75,7 +75,7 @@
     const auto request = std::make_shared<Request>(Request { std::move(message), deadline, Mailbox<ExchangeResult>(m_context.get_executor(), 1) });
     const RequestNumber number { m_nextRequest++ };
     server->requests[number] = request;
-    perform(server, server->pool.add(coreTime(Clock::now()), number, maxIdle));
+    perform(server, server->pool.add(coreTime(Clock::now()), number, options));
     auto result = co_await request->result.pop(deadline);
     if (!result && !server->pool.withdraw(number)) // A connection has it and ends it by the same deadline.
         result = co_await request->result.pop();
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -65,9 +65,8 @@
     {
     }
 
-    /// Sends a request on one of the server's connections, but on none that has been idle for `maxIdle` or
-    /// longer. The timeout includes the wait for a connection.
-    awaitable<ExchangeResult> call(tcp::endpoint endpoint, HttpRequest request, Duration timeout, Duration maxIdle = Duration::max());
+    /// Sends a request on one of the server's connections. The timeout includes the wait for one.
+    awaitable<ExchangeResult> call(tcp::endpoint endpoint, HttpRequest request, Duration timeout, RequestOptions options = {});
 
     /// Counters, and the connections that are open now, in the Prometheus text format.
     std::string metricsText() const;
--- a/src/io/upstream_client.cpp
+++ b/src/io/upstream_client.cpp
@@ -68,7 +68,7 @@
     // The network may have dropped a connection that was idle for long, so work that runs at most once avoids it.
     const Duration maxIdle = attempt.isRecorded ? config::atMostOnceIdleLimit : config::idleConnectionLifetime;
     // The caller is answered at its deadline. The connection waits longer, so that a late answer frees its slot.
-    ExchangeResult result = co_await m_http.call(endpoint, std::move(request), remaining + config::lateAnswerTimeout, maxIdle);
+    ExchangeResult result = co_await m_http.call(endpoint, std::move(request), remaining + config::lateAnswerTimeout, { maxIdle });
     if (!result)
         co_return AttemptFailed { attempt.attempt, failureOf(result) };
     HttpResponse& response = result.response;
--- a/tests/connection_pool_test.cpp
+++ b/tests/connection_pool_test.cpp
@@ -23,10 +23,17 @@
     std::vector<RequestNumber> failed;
     std::vector<ConnectionNumber> closed;
 
+    RequestNumber addUrgent()
+    {
+        const RequestNumber request { ++lastRequest };
+        perform(pool.add(now, request, { Duration::max(), RequestPriority::Urgent }));
+        return request;
+    }
+
     RequestNumber add(Duration maxIdleTime = Duration::max())
     {
         const RequestNumber request { ++lastRequest };
-        perform(pool.add(now, request, maxIdleTime));
+        perform(pool.add(now, request, { maxIdleTime }));
         return request;
     }
 
@@ -72,16 +79,33 @@
 
 BOOST_FIXTURE_TEST_SUITE(ConnectionPoolTests, Fixture)
 
+/// Starts that a worker left unanswered kept the stops of others waiting until these timed out.
+BOOST_AUTO_TEST_CASE(normalRequestsLeaveAConnectionToUrgentOnes)
+{
+    for (int i = 0; i < 9; ++i)
+        add();
+    while (!opening.empty())
+        open();
+    BOOST_TEST(sent.size() == limits.maxConnections - 1);
+    const RequestNumber urgent = addUrgent();
+    open();
+    BOOST_TEST(sent.count(urgent) == 1U);
+    const RequestNumber waiting = addUrgent();
+    finish(RequestNumber { 1 });
+    BOOST_TEST(sent.count(waiting) == 1U);
+    BOOST_TEST(sent.size() == limits.maxConnections);
+}
+
 BOOST_AUTO_TEST_CASE(requestsBeyondTheBoundWait)
 {
-    const RequestNumber first = add();
+    addUrgent();
     for (int i = 0; i < 9; ++i)
         add();
     BOOST_TEST(opening.size() == limits.maxConnections);
     while (!opening.empty())
         open();
     BOOST_TEST(sent.size() == limits.maxConnections);
-    finish(first);
+    finish(RequestNumber { 2 });
     BOOST_TEST(sent.size() == limits.maxConnections);
     BOOST_TEST((sent.count(RequestNumber { 4 }) == 1));
     BOOST_TEST(pool.size() == limits.maxConnections);
@@ -121,7 +145,7 @@
 
 BOOST_AUTO_TEST_CASE(thePauseAfterARefusalDoublesUpToItsBound)
 {
-    const RequestNumber poll = add();
+    const RequestNumber poll = addUrgent();
     open();
     for (const Duration pause : { 1s, 2s, 4s, 4s }) {
         const RequestNumber start = add();
@@ -139,10 +163,10 @@
     add();
     finish(poll);
     add();
-    add();
+    addUrgent();
     refuse(); // The pause begins anew after a connection that answered.
     now += 1s;
-    add();
+    addUrgent();
     BOOST_TEST(!opening.empty());
 }
 
--- a/tests/used_up_connections_test.cpp
+++ b/tests/used_up_connections_test.cpp
@@ -13,9 +13,10 @@
 constexpr Duration callTimeout = 60s;
 constexpr const char* pollTarget = "/poll";
 constexpr const char* startTarget = "/start";
+constexpr const char* brokenTarget = "/broken";
 
 /// A server that resets connections beyond a limit and never drops an open one. Answers polls when told to,
-/// and all other requests at once.
+/// closes the connections of broken requests, and answers all others at once.
 class LimitedServer {
 public:
     explicit LimitedServer(size_t limit)
@@ -30,6 +31,7 @@
     size_t open() const { return m_open; }
     size_t refused() const { return m_refused; }
     size_t heldPolls() const { return m_heldPolls; }
+    size_t received() const { return m_received; }
     void answerPolls() { m_arePollsAnswered = true; }
 
 private:
@@ -57,6 +59,9 @@
             co_await http::async_read(socket, buffer, request, asio::redirect_error(use_awaitable, error));
             if (error)
                 break;
+            ++m_received;
+            if (request.target() == brokenTarget)
+                break;
             if (request.target() == pollTarget) {
                 ++m_heldPolls;
                 while (!m_arePollsAnswered) {
@@ -78,6 +83,7 @@
     size_t m_open = 0;
     size_t m_refused = 0;
     size_t m_heldPolls = 0;
+    size_t m_received = 0; ///< Requests.
     bool m_arePollsAnswered = false;
 };
 
@@ -90,23 +96,28 @@
     {
     }
 
-    void poll() { m_context.poll(); }
-    void send(const char* target) { asio::co_spawn(m_context, call(target), asio::detached); }
-    size_t answered() const { return m_answered; }
-    size_t failed() const { return m_failed; }
+    void poll()
+    {
+        m_context.restart();
+        m_context.poll();
+    }
+
+    void send(const char* target, Duration timeout = callTimeout) { asio::co_spawn(m_context, call(target, timeout), asio::detached); }
+    size_t ended(ExchangeOutcome outcome) const { return m_ended[outcome]; }
+    size_t answered() const { return ended(ExchangeOutcome::Answered); }
+    size_t failed() const { return ended(ExchangeOutcome::NotSent) + ended(ExchangeOutcome::Broken) + ended(ExchangeOutcome::TimedOut); }
 
 private:
-    awaitable<void> call(const char* target)
+    awaitable<void> call(const char* target, Duration timeout)
     {
-        const ExchangeResult result = co_await m_client.call(m_server, HttpRequest(http::verb::post, target, 11), callTimeout);
-        ++(result ? m_answered : m_failed);
+        const ExchangeResult result = co_await m_client.call(m_server, HttpRequest(http::verb::post, target, 11), timeout);
+        ++m_ended[result.outcome];
     }
 
     tcp::endpoint m_server;
     asio::io_context m_context;
     HttpClient m_client;
-    size_t m_answered = 0;
-    size_t m_failed = 0;
+    EnumArray<ExchangeOutcome, size_t> m_ended;
 };
 
 /// Runs both processes until the condition holds. Returns false if it never does.
@@ -187,4 +198,35 @@
     BOOST_TEST(full.server.refused() <= 2U);
 }
 
+/// An order that a worker may have read must not count as unsent: its task would run twice.
+BOOST_AUTO_TEST_CASE(outcomesTellWhetherARequestMayHaveBeenRead)
+{
+    constexpr Duration shortTimeout = 50ms;
+    LimitedServer server(64);
+    Caller caller(server.endpoint());
+    caller.send(brokenTarget);
+    BOOST_TEST(runUntil(server, caller, [&] { return caller.ended(ExchangeOutcome::Broken) == 1; }));
+    caller.send(pollTarget, shortTimeout);
+    BOOST_TEST(runUntil(server, caller, [&] { return caller.ended(ExchangeOutcome::TimedOut) == 1; }));
+    BOOST_TEST(server.received() == 2U);
+    for (size_t i = 1; i < config::maxOutgoingConnections; ++i)
+        caller.send(pollTarget);
+    runUntil(server, caller, [&] { return server.heldPolls() == config::maxOutgoingConnections; });
+    const size_t received = server.received();
+    caller.send(startTarget, shortTimeout);
+    BOOST_TEST(runUntil(server, caller, [&] { return caller.ended(ExchangeOutcome::NotSent) == 1; }));
+    BOOST_TEST(server.received() == received);
+}
+
+BOOST_AUTO_TEST_CASE(refusedConnectionsEndRequestsAsNotSent)
+{
+    LimitedServer server(64);
+    asio::io_context context;
+    const tcp::endpoint closed = tcp::acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 }).local_endpoint();
+    Caller caller(closed);
+    caller.send(startTarget);
+    caller.send(startTarget);
+    BOOST_TEST(runUntil(server, caller, [&] { return caller.ended(ExchangeOutcome::NotSent) == 2; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
