Count the time for which starts were tried, also between polls that fail

Found by a review: an unanswered start was never given up if a poll failed now and then, as each failure began the wait anew, and one whose starts were answered could be given up. The time of unanswered starts adds up now until one is answered. The members of a gang are stopped with the one that is given up, and a poll that was not sent as connecting timed out no longer counts as a sign of life.

startThatIsNeverDeliveredIsGivenUpBetweenFailingPolls and startThatIsAnsweredIsNotGivenUp guard it, and the test of the give-up checks the stop and the quarantine.

--- a/src/worker_dispatcher.cpp
+++ b/src/worker_dispatcher.cpp
@@ -106,8 +106,7 @@
     RunView& run = found->second;
     run.isOrderPending = false;
     workerView.hasUnansweredStart = !isResponse(response.outcome);
-    if (workerView.hasUnansweredStart)
-        run.unansweredSince = std::min(run.unansweredSince, call.sentAt);
+    run.unanswered = workerView.hasUnansweredStart ? run.unanswered + (step.now - call.sentAt) + config::orderRetryInterval : Duration {};
     if (response.outcome != OrderOutcome::Accepted)
         logRun(step, LogEventKind::OrderRefused, workerView, call.run, name(response.outcome));
     switch (response.outcome) {
@@ -169,9 +168,10 @@
 
 /// A poll that fails long before its timeout shows when the connection broke, and so when the
 /// worker's process ended, if it did.
-void WorkerDispatcher::noteBrokenPoll(WorkerView& workerView, const PendingWorkerCall& call, Time now)
+void WorkerDispatcher::noteBrokenPoll(WorkerView& workerView, const PendingWorkerCall& call, OrderOutcome outcome, Time now)
 {
-    if (now >= call.sentAt + call.timeout)
+    const Duration timeout = outcome == OrderOutcome::NotSent ? std::min(call.timeout, config::outgoingConnectTimeout) : call.timeout;
+    if (now >= call.sentAt + timeout)
         return;
     workerView.noteAlive(now);
     workerView.brokenAt = now;
@@ -184,7 +184,7 @@
         if (!std::exchange(workerView.isUnresponsive, true)) {
             workerView.unresponsiveSince = call.sentAt;
             if (!isResponse(response.outcome))
-                noteBrokenPoll(workerView, call, step.now);
+                noteBrokenPoll(workerView, call, response.outcome, step.now);
             step.log(LogEventKind::WorkerUnresponsive, { { "worker", workerView.info.id }, { "runs", std::to_string(workerView.runs.size()) }, { "outcome", std::string(name(response.outcome)) } });
         }
         workerView.nextPoll = step.now + config::orderRetryInterval;
@@ -393,17 +393,15 @@
             continue;
         const bool isStart = !runView.isStopRequested && table.isCurrentRun(run);
         // The next incarnation under the same id would carry out the start of a run that is then placed anew.
-        if (isStart && workerView.isUnresponsive) {
-            runView.unansweredSince = never;
+        if (isStart && workerView.isUnresponsive)
             continue;
-        }
         if (isStart && !workerView.isSynced)
             continue; // Its lease is in terms of the worker's clock, which is not known yet.
         if (step.now < runView.nextOrder) {
             m_workerViews.schedule(runView.nextOrder, workerView.number);
             continue;
         }
-        if (isStart && runView.isUndelivered(step.now)) {
+        if (isStart && runView.isUndelivered()) {
             undelivered.push_back(run);
             continue;
         }
@@ -455,6 +453,8 @@
     for (const TaskRun& run : undelivered) {
         logRun(step, LogEventKind::OrderRefused, workerView, run, "undelivered");
         m_counters.add(FleetCounter::StartsUndelivered);
+        if (workerView.runs.at(run).isGang)
+            m_workerViews.stopGang(step.now, run);
         handleRefusedStart(workerView, step.now, run);
     }
     m_workerViews.schedule(step.now, workerView.number);
--- a/src/worker_dispatcher.h
+++ b/src/worker_dispatcher.h
@@ -78,7 +78,7 @@
     void processEnds(FleetStep& step, const WorkTable& table, WorkerView& workerView, const std::vector<EndedRun>& ends);
     void requeueUnlisted(FleetStep& step, WorkerView& workerView, Time pollSentAt, const OrderResponse& response);
     void stopStuckRuns(FleetStep& step, const WorkTable& table, WorkerView& workerView);
-    static void noteBrokenPoll(WorkerView& workerView, const PendingWorkerCall& call, Time now);
+    static void noteBrokenPoll(WorkerView& workerView, const PendingWorkerCall& call, OrderOutcome outcome, Time now);
     void quarantine(FleetStep& step, WorkerView& workerView);
     void restrain(WorkerView& workerView, Time now);
     void markStarted(const WorkTable& table, JobKey job);
--- a/src/worker_view.h
+++ b/src/worker_view.h
@@ -51,7 +51,7 @@
     bool isSuspect = false; ///< Whether the task may have crashed a worker before.
     bool isProven = false; ///< Has been at work for long enough not to be the cause of a later crash.
     Time nextOrder {};
-    Time unansweredSince = never; ///< When the first start without a response was sent, while the worker answers polls.
+    Duration unanswered {}; ///< How long starts were tried since the last response to one.
     Time placedAt {};
     ProgressSampler speedSampler {}; ///< Of the run's progress, for the speed of its worker.
 
@@ -73,7 +73,7 @@
     }
 
     /// Whether starts of the run have had no response for so long that it has to run elsewhere.
-    bool isUndelivered(Time now) const { return unansweredSince != never && now >= unansweredSince + config::startDeliveryTimeout; }
+    bool isUndelivered() const { return unanswered >= config::startDeliveryTimeout; }
 
     /// Whether the run needs a worker without other runs that could be the cause of a crash.
     bool isIsolated() const { return isSuspect && !isProven; }
--- a/tests/worker_dispatcher_test.cpp
+++ b/tests/worker_dispatcher_test.cpp
@@ -212,28 +212,81 @@
 
 namespace {
 
-/// Time passes while the worker answers all orders but starts.
-void advanceWithoutStarts(WorkerDispatcherFixture& fixture, Duration duration)
-{
-    const Time end = fixture.now() + duration;
-    while (fixture.now() < end) {
-        while (!fixture.ordersOf(OrderKind::Start).empty())
-            fixture.respond(OrderKind::Start, OrderOutcome::NoResponse);
-        fixture.respondToAll(OrderOutcome::Accepted);
-        fixture.advance(50ms);
+/// Starts that a worker does not answer, in time that passes.
+struct UndeliveredStart {
+    WorkerDispatcherFixture fixture;
+    TaskRun run = fixture.start(1, OrderOutcome::NoResponse);
+    size_t stops = 0;
+    bool isRequeuedUnstopped = false; ///< Before a stop was answered.
+
+    /// Time passes while the worker answers polls and stops. Each poll of which the number divides by
+    /// `failingPolls` fails.
+    void advance(Duration duration, OrderOutcome startOutcome, size_t failingPolls = 0)
+    {
+        const Time end = fixture.now() + duration;
+        for (size_t polls = 1; fixture.now() < end; fixture.advance(50ms)) {
+            while (!fixture.ordersOf(OrderKind::Start).empty())
+                fixture.respond(OrderKind::Start, startOutcome);
+            isRequeuedUnstopped = isRequeuedUnstopped || (fixture.isRequeued(run) && !stops);
+            while (!fixture.ordersOf(OrderKind::Stop).empty()) {
+                ++stops;
+                fixture.respond(OrderKind::Stop, OrderOutcome::Accepted);
+            }
+            while (!fixture.ordersOf(OrderKind::Poll).empty() && fixture.now() < end) {
+                const bool isFailing = failingPolls && !(polls++ % failingPolls);
+                fixture.respond(OrderKind::Poll, isFailing ? OrderOutcome::NoResponse : OrderOutcome::Accepted);
+                fixture.advance(1ms);
+            }
+        }
     }
-}
+};
 
 } // namespace
 
 /// A start without a response was repeated for ever, and its room stayed taken, while the worker answered polls.
 BOOST_AUTO_TEST_CASE(startThatIsNeverDeliveredIsGivenUp)
+{
+    UndeliveredStart start;
+    start.advance(config::startDeliveryTimeout + 2s, OrderOutcome::NoResponse);
+    BOOST_TEST(start.fixture.isRequeued(start.run));
+    BOOST_TEST(start.stops == 1U); // It may be carried out late.
+    BOOST_TEST(!start.isRequeuedUnstopped);
+    BOOST_TEST((start.fixture.workerView().used == Resources {}));
+    BOOST_TEST(!start.fixture.workerView().acceptsPlacements(start.fixture.now()));
+}
+
+BOOST_AUTO_TEST_CASE(startThatIsNeverDeliveredIsGivenUpBetweenFailingPolls)
+{
+    for (const size_t failingPolls : { 2, 3, 5 }) {
+        UndeliveredStart start;
+        start.advance(20s, OrderOutcome::NoResponse, failingPolls);
+        BOOST_TEST(start.fixture.isRequeued(start.run));
+        BOOST_TEST(!start.isRequeuedUnstopped);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(startThatWasNeverSentIsGivenUpWithoutAStop)
 {
     WorkerDispatcherFixture fixture;
-    const TaskRun run = fixture.start(1, OrderOutcome::NoResponse);
-    advanceWithoutStarts(fixture, 10s);
+    const TaskRun run = fixture.start(1, OrderOutcome::NotSent);
+    const Time end = fixture.now() + config::startDeliveryTimeout + 25s;
+    while (fixture.now() < end && !fixture.isRequeued(run)) {
+        fixture.respond(OrderKind::Start, OrderOutcome::NotSent);
+        fixture.respond(OrderKind::Poll, OrderOutcome::Accepted);
+        BOOST_TEST(fixture.ordersOf(OrderKind::Stop).empty());
+        fixture.advance(50ms);
+    }
     BOOST_TEST(fixture.isRequeued(run));
-    BOOST_TEST((fixture.workerView().used == Resources {}));
+}
+
+/// A worker whose lease had ended answered each start, and was quarantined.
+BOOST_AUTO_TEST_CASE(startThatIsAnsweredIsNotGivenUp)
+{
+    UndeliveredStart start;
+    start.advance(config::startDeliveryTimeout * 2, OrderOutcome::LeaseExpired);
+    BOOST_TEST(!start.fixture.isRequeued(start.run));
+    BOOST_TEST(start.stops == 0U);
+    BOOST_TEST(start.fixture.workerView().acceptsPlacements(start.fixture.now()));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
